--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './gen/anvilrudder/v1/control_pb.js';
