Add key=value logs, metrics and signed session tokens

Cause: every later part logs, counts and pins sessions. Ruled out: expiry by wall clock in the token, since it compares the clocks of two hosts; a token expires when its key leaves the ring.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 export * from './errors/error_codes.js';
 export * from './errors/finding.js';
 export * from './errors/router_error.js';
+export * from './sessions/index.js';
 export * from './types/identity.js';
 export * from './rules/rule_set.js';
 export * from './types/object_store.js';
--- /dev/null
+++ b/packages/core/src/sessions/index.ts
@@ -0,0 +1,1 @@
+export * from './session_token.js';
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './logs/key_value_line.js';
+export * from './logs/logger.js';
+export * from './metrics/metric_registry.js';
