--- /dev/null
+++ b/packages/core/src/rules/suggest.ts
@@ -0,0 +1,53 @@
+const MAX_DISTANCE = 2;
+const MAX_WORD_LENGTH = 64;
+const MAX_CANDIDATES = 256;
+
+/**
+ * Formats the candidate nearest to a mistyped word as a hint.
+ *
+ * @returns undefined when no candidate is within two edits.
+ * @example
+ * ```ts
+ * suggestWord('alow', ['allow', 'drain']); // 'did you mean "allow"?'
+ * ```
+ */
+export function suggestWord(
+  word: string,
+  candidates: Iterable<string>,
+): string | undefined {
+  if (word.length > MAX_WORD_LENGTH) return undefined;
+  let best: string | undefined;
+  let bestDistance = MAX_DISTANCE + 1;
+  let seen = 0;
+  for (const candidate of candidates) {
+    if (seen >= MAX_CANDIDATES) break;
+    seen += 1;
+    const distance = measureDistance(
+      word.toLowerCase(),
+      candidate.toLowerCase(),
+    );
+    if (distance >= bestDistance || distance >= candidate.length) continue;
+    best = candidate;
+    bestDistance = distance;
+  }
+  return best === undefined ? undefined : `did you mean "${best}"?`;
+}
+
+/** Levenshtein distance; a number above the maximum stands for any larger. */
+function measureDistance(a: string, b: string): number {
+  if (Math.abs(a.length - b.length) > MAX_DISTANCE) return MAX_DISTANCE + 1;
+  let previous = Array.from({length: b.length + 1}, (_, index) => index);
+  for (let row = 1; row <= a.length; row++) {
+    const current = [row];
+    for (let column = 1; column <= b.length; column++) {
+      const substitution = a[row - 1] === b[column - 1] ? 0 : 1;
+      current[column] = Math.min(
+        previous[column] + 1,
+        current[column - 1] + 1,
+        previous[column - 1] + substitution,
+      );
+    }
+    previous = current;
+  }
+  return previous[b.length];
+}
