Add stand-ins of the systems served

Cause: tests and experiments need the object API, host list, engines, booking, rating and weight services without the platform. Ruled out: one server for all of them (a test could not stop one alone); random tokens (a test could not tell a foreign or short answer). Change: each stand-in is an HTTP server of its own, in process or by the binary anvilrudder-stand-in. A cut connection flushes what was written first, so that the number of tokens received before a cut is known.

--- /dev/null
+++ b/packages/stand-ins/src/booking/booking_stand_in.ts
@@ -0,0 +1,126 @@
+import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  cutConnection,
+  readJson,
+  sendJson,
+  startHttpServer,
+  type Exchange,
+  type ListenOptions,
+  type StandIn,
+} from '../http/http_server.js';
+
+/** Faults of the booking service. */
+export interface BookingFaults {
+  /** Delay between the execution and the answer. */
+  readonly delayMs: number;
+  /** The next n calls are cut off before they run. */
+  readonly dropBeforeRun: number;
+  /** The next n calls run and are cut off without an answer. */
+  readonly dropAfterRun: number;
+  /** The next n calls are refused as not run. */
+  readonly refuse: number;
+}
+
+/** Settings of the booking service stand-in. */
+export interface BookingStandInOptions extends ListenOptions {
+  /** Delay between the execution and the answer. Default 0. */
+  readonly delayMs?: number;
+}
+
+/** A running booking service stand-in. */
+export interface BookingStandIn extends StandIn {
+  setFaults(faults: Partial<BookingFaults>): void;
+  /** Executions by idempotency key; calls without a key count under ''. */
+  executions(): Readonly<Record<string, number>>;
+}
+
+type CountedFault = 'dropBeforeRun' | 'dropAfterRun' | 'refuse';
+
+const DEFAULT_KEY = '';
+
+/** State and handlers of one booking service; it never checks a key. */
+class BookingService {
+  private faults: BookingFaults;
+  private readonly byKey = new Map<string, number>();
+
+  constructor(delayMs: number) {
+    this.faults = {delayMs, dropBeforeRun: 0, dropAfterRun: 0, refuse: 0};
+  }
+
+  setFaults(faults: Partial<BookingFaults>): void {
+    this.faults = {...this.faults, ...faults};
+  }
+
+  executions(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.byKey);
+  }
+
+  async confirm({request, response}: Exchange): Promise<void> {
+    const key = String(request.headers['idempotency-key'] ?? DEFAULT_KEY);
+    await readJson(request);
+    if (this.take('refuse')) {
+      sendJson(response, 503, {code: 'not_run'});
+      return;
+    }
+    if (this.take('dropBeforeRun')) {
+      cutConnection(response);
+      return;
+    }
+    const executions = (this.byKey.get(key) ?? 0) + 1;
+    this.byKey.set(key, executions);
+    if (this.take('dropAfterRun')) {
+      cutConnection(response);
+      return;
+    }
+    if (this.faults.delayMs > 0) await sleep(this.faults.delayMs);
+    sendJson(response, 200, {confirmationId: randomUUID(), executions});
+  }
+
+  private take(name: CountedFault): boolean {
+    if (this.faults[name] <= 0) return false;
+    this.faults = {...this.faults, [name]: this.faults[name] - 1};
+    return true;
+  }
+}
+
+/**
+ * Starts a stand-in of a booking service.
+ *
+ * @example
+ * ```ts
+ * const booking = await startBookingStandIn();
+ * booking.setFaults({dropAfterRun: 1});
+ * booking.executions(); // {'key-1': 1}
+ * ```
+ */
+export async function startBookingStandIn(
+  options: BookingStandInOptions = {},
+): Promise<BookingStandIn> {
+  const service = new BookingService(options.delayMs ?? 0);
+  const server = await startHttpServer(options, [
+    {
+      method: 'POST',
+      path: '/v1/confirmations',
+      handle: e => service.confirm(e),
+    },
+    {
+      method: 'GET',
+      path: '/admin/executions',
+      handle: e => sendJson(e.response, 200, {byKey: service.executions()}),
+    },
+    {
+      method: 'POST',
+      path: '/admin/faults',
+      handle: async e => {
+        service.setFaults(await readJson<Partial<BookingFaults>>(e.request));
+        sendJson(e.response, 200, {});
+      },
+    },
+  ]);
+  return {
+    ...server,
+    setFaults: faults => service.setFaults(faults),
+    executions: () => service.executions(),
+  };
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/prefix_cache.ts
@@ -0,0 +1,117 @@
+import {createHash} from 'node:crypto';
+
+/** A change of the prefix cache. */
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly kind: 'stored' | 'evicted';
+  readonly prefixHash: string;
+}
+
+/** Events after a sequence number, and the number to go on from. */
+export interface CacheEventPage {
+  readonly events: readonly CacheEvent[];
+  readonly next: number;
+}
+
+/** Settings of a prefix cache. */
+export interface PrefixCacheOptions {
+  /** Prefix blocks held at most; the least recently used is evicted. */
+  readonly entryLimit: number;
+  /** Age that an event must reach before readers see it. */
+  readonly eventLagMs: number;
+  /** Every n-th event is never shown; 0 shows all. */
+  readonly eventLossEvery: number;
+}
+
+interface DatedEvent {
+  readonly atMs: number;
+  readonly event: CacheEvent;
+}
+
+/** Characters of one block of a prompt. */
+export const PREFIX_BLOCK_CHARACTERS = 64;
+
+const HASH_LENGTH = 16;
+const EVENT_LIMIT = 1000;
+
+/**
+ * Hashes each prefix of whole blocks of a prompt, shortest first. The hash is
+ * the first 16 hexadecimal digits of SHA-256 over `model@version`, a newline
+ * and the prefix.
+ *
+ * @example
+ * ```ts
+ * createPrefixHashes('quick', 'v1', 'a'.repeat(130)).length; // 2
+ * ```
+ */
+export function createPrefixHashes(
+  model: string,
+  version: string,
+  prompt: string,
+): readonly string[] {
+  const hash = createHash('sha256').update(`${model}@${version}\n`);
+  const blocks = Math.floor(prompt.length / PREFIX_BLOCK_CHARACTERS);
+  return Array.from({length: blocks}, (_, block) => {
+    const start = block * PREFIX_BLOCK_CHARACTERS;
+    hash.update(prompt.slice(start, start + PREFIX_BLOCK_CHARACTERS));
+    return hash.copy().digest('hex').slice(0, HASH_LENGTH);
+  });
+}
+
+/** A least-recently-used cache of prompt prefixes. */
+export class PrefixCache {
+  private readonly entries = new Set<string>();
+  private events: DatedEvent[] = [];
+  private sequence = 0;
+
+  private constructor(private readonly options: PrefixCacheOptions) {}
+
+  static create(options: PrefixCacheOptions): PrefixCache {
+    return new PrefixCache(options);
+  }
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  /** Stores the prefixes and returns how many leading ones were present. */
+  touch(prefixHashes: readonly string[]): number {
+    const firstMiss = prefixHashes.findIndex(hash => !this.entries.has(hash));
+    for (const hash of prefixHashes) this.store(hash);
+    return firstMiss === -1 ? prefixHashes.length : firstMiss;
+  }
+
+  /** Events after a sequence number that are old enough to be seen. */
+  eventsAfter(after: number): CacheEventPage {
+    const {eventLagMs, eventLossEvery} = this.options;
+    const horizonMs = performance.now() - eventLagMs;
+    const seen = this.events.filter(
+      ({atMs, event}) => atMs <= horizonMs && event.sequence > after,
+    );
+    const events = seen
+      .map(({event}) => event)
+      .filter(
+        event => eventLossEvery <= 0 || event.sequence % eventLossEvery !== 0,
+      );
+    return {events, next: seen.at(-1)?.event.sequence ?? after};
+  }
+
+  private store(hash: string): void {
+    const isKnown = this.entries.delete(hash);
+    this.entries.add(hash);
+    if (!isKnown) this.record('stored', hash);
+    if (this.entries.size <= this.options.entryLimit) return;
+    const [oldest] = this.entries;
+    this.entries.delete(oldest);
+    this.record('evicted', oldest);
+  }
+
+  private record(kind: CacheEvent['kind'], prefixHash: string): void {
+    this.sequence += 1;
+    const event = {sequence: this.sequence, kind, prefixHash};
+    this.events.push({atMs: performance.now(), event});
+    if (this.events.length > EVENT_LIMIT) {
+      this.events = this.events.slice(-EVENT_LIMIT / 2);
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/slot_queue.ts
@@ -0,0 +1,73 @@
+/** Priorities, first served first. */
+export const PRIORITIES = ['high', 'normal', 'low'] as const;
+
+/** Priority of a request in an engine's queue. */
+export type EnginePriority = (typeof PRIORITIES)[number];
+
+/** A request that waits for a slot. */
+export interface WaitingRequest {
+  readonly priority: EnginePriority;
+  /** Called once when a slot is taken for the request. */
+  start(): void;
+}
+
+/** Gives a bounded number of slots to waiting requests by priority. */
+export class SlotQueue {
+  private runningCount = 0;
+  private readonly waiting: Record<EnginePriority, WaitingRequest[]> = {
+    high: [],
+    normal: [],
+    low: [],
+  };
+
+  private constructor(
+    private readonly slots: number,
+    private readonly queueLimit: number,
+  ) {}
+
+  static create(slots: number, queueLimit: number): SlotQueue {
+    return new SlotQueue(slots, queueLimit);
+  }
+
+  get running(): number {
+    return this.runningCount;
+  }
+
+  get queued(): number {
+    return PRIORITIES.reduce((n, name) => n + this.waiting[name].length, 0);
+  }
+
+  get isFull(): boolean {
+    return this.runningCount >= this.slots && this.queued >= this.queueLimit;
+  }
+
+  /** Starts the request now or when a slot is free. */
+  add(request: WaitingRequest): void {
+    this.waiting[request.priority].push(request);
+    this.startWaiting();
+  }
+
+  /** Takes a request out of the queue; false when it is not waiting. */
+  remove(request: WaitingRequest): boolean {
+    const list = this.waiting[request.priority];
+    const index = list.indexOf(request);
+    if (index === -1) return false;
+    list.splice(index, 1);
+    return true;
+  }
+
+  /** Frees the slot of a request that was started. */
+  release(): void {
+    this.runningCount -= 1;
+    this.startWaiting();
+  }
+
+  private startWaiting(): void {
+    while (this.runningCount < this.slots) {
+      const name = PRIORITIES.find(p => this.waiting[p].length > 0);
+      if (name === undefined) return;
+      this.runningCount += 1;
+      this.waiting[name].shift()!.start();
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/hosts/host_list_stand_in.ts
@@ -0,0 +1,124 @@
+import {
+  readJson,
+  sendJson,
+  startHttpServer,
+  type ListenOptions,
+  type StandIn,
+} from '../http/http_server.js';
+
+/** One host of the deployment. */
+export interface HostRecord {
+  readonly host: string;
+  readonly role: 'engine' | 'booking' | 'rating' | 'entry';
+  /** `ip:port`. */
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly state: 'live' | 'leaving';
+}
+
+/** Faults of the host list. */
+export interface HostListFaults {
+  /** Age that a change must reach before the list shows it. */
+  readonly lagMs: number;
+  readonly isDown: boolean;
+}
+
+/** Settings of the host list stand-in. */
+export interface HostListStandInOptions extends ListenOptions {
+  readonly hosts?: readonly HostRecord[];
+  /** Default 0. */
+  readonly lagMs?: number;
+}
+
+/** A running host list stand-in. */
+export interface HostListStandIn extends StandIn {
+  setHosts(hosts: readonly HostRecord[]): void;
+  setFaults(faults: Partial<HostListFaults>): void;
+}
+
+interface DatedList {
+  readonly setAtMs: number;
+  readonly hosts: readonly HostRecord[];
+}
+
+/** The list with the changes that readers do not see yet. */
+class LaggingHosts {
+  private faults: HostListFaults;
+  private lists: readonly DatedList[];
+
+  constructor(hosts: readonly HostRecord[], lagMs: number) {
+    this.faults = {lagMs, isDown: false};
+    this.lists = [{setAtMs: -Infinity, hosts}];
+  }
+
+  get isDown(): boolean {
+    return this.faults.isDown;
+  }
+
+  setFaults(faults: Partial<HostListFaults>): void {
+    this.faults = {...this.faults, ...faults};
+  }
+
+  set(hosts: readonly HostRecord[]): void {
+    this.prune();
+    this.lists = [...this.lists, {setAtMs: performance.now(), hosts}];
+  }
+
+  visible(): readonly HostRecord[] {
+    this.prune();
+    return this.lists[0].hosts;
+  }
+
+  private prune(): void {
+    const horizonMs = performance.now() - this.faults.lagMs;
+    const newest = this.lists.findLastIndex(list => list.setAtMs <= horizonMs);
+    if (newest > 0) this.lists = this.lists.slice(newest);
+  }
+}
+
+/**
+ * Starts a stand-in of the lagging list of live and leaving hosts.
+ *
+ * @example
+ * ```ts
+ * const list = await startHostListStandIn({lagMs: 500});
+ * list.setHosts([]);
+ * ```
+ */
+export async function startHostListStandIn(
+  options: HostListStandInOptions = {},
+): Promise<HostListStandIn> {
+  const hosts = new LaggingHosts(options.hosts ?? [], options.lagMs ?? 0);
+  const server = await startHttpServer(options, [
+    {
+      method: 'GET',
+      path: '/hosts',
+      handle: e => {
+        if (hosts.isDown) sendJson(e.response, 503, {});
+        else sendJson(e.response, 200, {hosts: hosts.visible()});
+      },
+    },
+    {
+      method: 'PUT',
+      path: '/admin/hosts',
+      handle: async e => {
+        const body = await readJson<{hosts: readonly HostRecord[]}>(e.request);
+        hosts.set(body.hosts);
+        sendJson(e.response, 200, {});
+      },
+    },
+    {
+      method: 'POST',
+      path: '/admin/faults',
+      handle: async e => {
+        hosts.setFaults(await readJson<Partial<HostListFaults>>(e.request));
+        sendJson(e.response, 200, {});
+      },
+    },
+  ]);
+  return {
+    ...server,
+    setHosts: list => hosts.set(list),
+    setFaults: faults => hosts.setFaults(faults),
+  };
+}
--- /dev/null
+++ b/packages/stand-ins/src/http/http_server.ts
@@ -0,0 +1,170 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+/** Where a stand-in listens. */
+export interface ListenOptions {
+  /** IP number to listen on. Default 127.0.0.1. */
+  readonly host?: string;
+  /** TCP port; 0 takes any free port. Default 0. */
+  readonly port?: number;
+}
+
+/** A running stand-in. */
+export interface StandIn {
+  /** `ip:port` of the listening socket. */
+  readonly address: string;
+  /** Stops listening, ends open connections and clears all timers. */
+  stop(): Promise<void>;
+}
+
+/** One request with its response and parsed URL. */
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly url: URL;
+  /** Path behind the route's path, URL-decoded; empty on an exact match. */
+  readonly rest: string;
+}
+
+/** Handles the requests of one method and path. */
+export interface Route {
+  readonly method: string;
+  /** Exact path, or a prefix when it ends in `/`. */
+  readonly path: string;
+  handle(exchange: Exchange): void | Promise<void>;
+}
+
+/** A request that the stand-in answers with an error status. */
+class HttpStatusError extends Error {
+  constructor(readonly status: number) {
+    super(`status ${status}`);
+  }
+}
+
+const DEFAULT_HOST = '127.0.0.1';
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Reads the whole body as text. */
+export async function readBody(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > MAX_BODY_BYTES) throw new HttpStatusError(413);
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+/** Reads a JSON object; an empty body reads as an empty object. */
+export async function readJson<T>(request: IncomingMessage): Promise<T> {
+  const text = await readBody(request);
+  if (text === '') return {} as T;
+  try {
+    const value: unknown = JSON.parse(text);
+    if (typeof value !== 'object' || value === null) throw new SyntaxError();
+    return value as T;
+  } catch {
+    throw new HttpStatusError(400);
+  }
+}
+
+/** Ends the response with a status and a JSON body. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+): void {
+  if (response.destroyed || response.headersSent) return;
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+/** Cuts the connection after what was written, without the end of the answer. */
+export function cutConnection(response: ServerResponse): void {
+  response.socket?.destroySoon();
+}
+
+function findRoute(
+  routes: readonly Route[],
+  method: string,
+  path: string,
+): Route | undefined {
+  return routes.find(
+    route =>
+      route.method === method &&
+      (route.path.endsWith('/')
+        ? path.startsWith(route.path)
+        : path === route.path),
+  );
+}
+
+async function handleRequest(
+  routes: readonly Route[],
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const url = new URL(request.url ?? '/', 'http://stand-in');
+  const route = findRoute(routes, request.method ?? 'GET', url.pathname);
+  if (route === undefined) {
+    sendJson(response, 404, {code: 'not_found'});
+    return;
+  }
+  const rest = decodeURIComponent(url.pathname.slice(route.path.length));
+  try {
+    await route.handle({request, response, url, rest});
+  } catch (error) {
+    const status = error instanceof HttpStatusError ? error.status : 500;
+    sendJson(response, status, {code: 'error', message: String(error)});
+  }
+}
+
+function listen(server: Server, options: ListenOptions): Promise<string> {
+  const {host = DEFAULT_HOST, port = 0} = options;
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      const bound = server.address() as AddressInfo;
+      resolve(`${host}:${bound.port}`);
+    });
+  });
+}
+
+/**
+ * Starts an HTTP server for a table of routes.
+ *
+ * @example
+ * ```ts
+ * const standIn = await startHttpServer({}, [
+ *   {method: 'GET', path: '/ping', handle: e => sendJson(e.response, 200, {})},
+ * ]);
+ * ```
+ */
+export async function startHttpServer(
+  options: ListenOptions,
+  routes: readonly Route[],
+  onStop: () => void = () => {},
+): Promise<StandIn> {
+  const server = createServer((request, response) => {
+    void handleRequest(routes, request, response);
+  });
+  const address = await listen(server, options);
+  return {
+    address,
+    stop: () =>
+      new Promise(resolve => {
+        onStop();
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
--- /dev/null
+++ b/packages/stand-ins/src/objects/versioned_objects.ts
@@ -0,0 +1,131 @@
+/** One object as the object API answers it. */
+export interface ObjectRecord {
+  readonly key: string;
+  readonly version: number;
+  readonly value: string;
+}
+
+/** One change; `value` is null for a deletion. */
+export interface ObjectEvent {
+  readonly key: string;
+  readonly version: number;
+  readonly value: string | null;
+}
+
+/** What must hold before a write. */
+export type Precondition =
+  | {readonly kind: 'any'}
+  | {readonly kind: 'absent'}
+  | {readonly kind: 'version'; readonly version: number};
+
+/** The outcome of a conditional write. */
+export type ChangeResult =
+  | {readonly isApplied: true; readonly version: number}
+  | {readonly isApplied: false; readonly current: ObjectRecord | null};
+
+/** A page of objects in key order. */
+export interface RecordPage {
+  readonly objects: readonly ObjectRecord[];
+  readonly storeVersion: number;
+  readonly nextAfter?: string;
+}
+
+type Predicate = (current: ObjectRecord | undefined) => boolean;
+
+function createPredicate(condition: Precondition): Predicate {
+  if (condition.kind === 'any') return () => true;
+  if (condition.kind === 'absent') return current => current === undefined;
+  return current => current?.version === condition.version;
+}
+
+/** Versioned objects in memory with a bounded history of changes. */
+export class VersionedObjects {
+  private storeVersion = 0;
+  private readonly history: ObjectEvent[] = [];
+  private historyStart = 0;
+  private readonly listeners = new Set<() => void>();
+  private readonly records = new Map<string, ObjectRecord>();
+
+  private constructor(private readonly historyLimit: number) {}
+
+  static create(historyLimit: number): VersionedObjects {
+    return new VersionedObjects(historyLimit);
+  }
+
+  /** Version of the newest change. */
+  get version(): number {
+    return this.storeVersion;
+  }
+
+  /** A copy that later changes do not touch. */
+  copy(): VersionedObjects {
+    const copy = new VersionedObjects(this.historyLimit);
+    copy.storeVersion = this.storeVersion;
+    for (const [key, record] of this.records) copy.records.set(key, record);
+    return copy;
+  }
+
+  get(key: string): ObjectRecord | undefined {
+    return this.records.get(key);
+  }
+
+  put(key: string, value: string, condition: Precondition): ChangeResult {
+    return this.change(key, value, condition);
+  }
+
+  delete(key: string, condition: Precondition): ChangeResult {
+    return this.change(key, null, condition);
+  }
+
+  list(prefix: string, after: string, limit: number): RecordPage {
+    const keys = [...this.records.keys()]
+      .filter(key => key.startsWith(prefix) && key > after)
+      .sort();
+    const objects = keys.slice(0, limit).map(key => this.records.get(key)!);
+    const page = {objects, storeVersion: this.storeVersion};
+    if (keys.length <= limit) return page;
+    return {...page, nextAfter: objects[objects.length - 1].key};
+  }
+
+  /** Changes after a version; undefined when the history is too short. */
+  eventsAfter(
+    prefix: string,
+    version: number,
+  ): readonly ObjectEvent[] | undefined {
+    if (version < this.historyStart) return undefined;
+    return this.history.filter(
+      event => event.version > version && event.key.startsWith(prefix),
+    );
+  }
+
+  /** Calls back after each change until the returned function is called. */
+  onChange(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  private change(
+    key: string,
+    value: string | null,
+    condition: Precondition,
+  ): ChangeResult {
+    const current = this.records.get(key);
+    if (!createPredicate(condition)(current)) {
+      return {isApplied: false, current: current ?? null};
+    }
+    this.storeVersion += 1;
+    const version = this.storeVersion;
+    if (value === null) this.records.delete(key);
+    else this.records.set(key, {key, version, value});
+    this.record({key, version, value});
+    return {isApplied: true, version};
+  }
+
+  private record(event: ObjectEvent): void {
+    this.history.push(event);
+    if (this.history.length > this.historyLimit) {
+      this.historyStart = this.history.shift()!.version;
+    }
+    for (const listener of [...this.listeners]) listener();
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/test/commands/stand_in_command.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+import {test} from 'node:test';
+import {
+  parseModels,
+  parseNumber,
+  parseQuality,
+} from '../../src/commands/parse_args.js';
+import {call} from '../support/http.js';
+
+const MAIN = fileURLToPath(new URL('../../src/main.js', import.meta.url));
+
+test('the binary prints its address, serves and stops on SIGTERM', async () => {
+  const child = spawn(
+    process.execPath,
+    [MAIN, 'engine', '--loaded', 'quick@v1', '--slots', '3'],
+    {stdio: ['ignore', 'pipe', 'inherit']},
+  );
+  const lines = createInterface({input: child.stdout});
+  const [line] = (await once(lines, 'line')) as [string];
+  const address = /^listening address=(127\.0\.0\.1:\d+)$/.exec(line)?.[1];
+  assert.ok(address, line);
+  const {body} = await call(address, 'GET', '/v1/load');
+  assert.equal(body.slots, 3);
+  child.kill('SIGTERM');
+  assert.deepEqual(await once(child, 'exit'), [0, null]);
+});
+
+test('lists of models and qualities are parsed or refused', () => {
+  assert.deepEqual(parseModels('a@1,b@2'), [
+    {model: 'a', version: '1'},
+    {model: 'b', version: '2'},
+  ]);
+  assert.deepEqual(parseQuality('a@1=0.5'), {'a@1': 0.5});
+  assert.throws(() => parseModels('a'));
+  assert.throws(() => parseQuality('a@1'));
+  assert.throws(() => parseNumber('-1'));
+});
--- /dev/null
+++ b/packages/stand-ins/test/objects/object_stand_in.test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {startObjectStandIn, type ObjectStandIn} from '../../src/index.js';
+import {call} from '../support/http.js';
+
+let objects: ObjectStandIn;
+
+before(async () => {
+  objects = await startObjectStandIn({historyLimit: 4});
+});
+
+after(() => objects.stop());
+
+test('a conditional write takes effect only on the version it names', async () => {
+  const put = (value: string, headers: Record<string, string>) =>
+    call(objects.address, 'PUT', '/objects/a/b', value, headers);
+  const first = await put('1', {'if-none-match': '*'});
+  const second = await put('2', {'if-none-match': '*'});
+  assert.equal(first.status, 200);
+  assert.equal(second.status, 412);
+  const version = first.body.version as number;
+  assert.deepEqual(second.body.current, {key: 'a/b', version, value: '1'});
+  const third = await put('3', {'if-match': `"${version}"`});
+  assert.deepEqual(third.body, {version: version + 1});
+  const stale = await put('4', {'if-match': `"${version}"`});
+  assert.equal(stale.status, 412);
+});
+
+test('a waiting watch answers with the change that it waited for', async () => {
+  const {body} = await call(objects.address, 'GET', '/objects?prefix=w/');
+  const path = `/watch?prefix=w/&after=${String(body.storeVersion)}&timeoutMs=5000`;
+  const watching = call(objects.address, 'GET', path);
+  await call(objects.address, 'PUT', '/objects/w/1', 'x');
+  const {body: page} = await watching;
+  const events = page.events as ReadonlyArray<{key: string; value: string}>;
+  assert.deepEqual(
+    events.map(({key, value}) => ({key, value})),
+    [{key: 'w/1', value: 'x'}],
+  );
+});
+
+test('a watch from before the kept history is answered 410', async () => {
+  for (let i = 0; i < 6; i += 1) {
+    await call(objects.address, 'PUT', '/objects/h', String(i));
+  }
+  const {status} = await call(
+    objects.address,
+    'GET',
+    '/watch?prefix=h&after=0&timeoutMs=0',
+  );
+  assert.equal(status, 410);
+});
+
+test('a write whose answer is lost has taken effect', async () => {
+  objects.setFaults({loseWriteAnswers: 1});
+  await assert.rejects(call(objects.address, 'PUT', '/objects/l', 'kept'));
+  const {body} = await call(objects.address, 'GET', '/objects/l');
+  assert.equal(body.value, 'kept');
+});
+
+test('an outage answers 503, counts the call and changes nothing', async () => {
+  objects.setFaults({isDown: true});
+  const {rejected} = objects.counters();
+  const down = await call(objects.address, 'PUT', '/objects/d', 'x');
+  objects.setFaults({isDown: false});
+  const read = await call(objects.address, 'GET', '/objects/d');
+  assert.equal(down.status, 503);
+  assert.equal(read.status, 404);
+  assert.equal(objects.counters().rejected, rejected + 1);
+});
+
+test('stale reads answer from the copy taken when they were set', async () => {
+  await call(objects.address, 'PUT', '/objects/s', 'old');
+  objects.setFaults({staleReads: true});
+  await call(objects.address, 'PUT', '/objects/s', 'new');
+  const stale = await call(objects.address, 'GET', '/objects/s');
+  objects.setFaults({staleReads: false});
+  const fresh = await call(objects.address, 'GET', '/objects/s');
+  assert.equal(stale.body.value, 'old');
+  assert.equal(fresh.body.value, 'new');
+});
+
+test('a list is read page by page in key order', async () => {
+  for (const key of ['p/3', 'p/1', 'p/2']) {
+    await call(objects.address, 'PUT', `/objects/${key}`, key);
+  }
+  const keysOf = (body: Readonly<Record<string, unknown>>) =>
+    (body.objects as ReadonlyArray<{key: string}>).map(({key}) => key);
+  const list = (after: string) =>
+    call(objects.address, 'GET', `/objects?prefix=p/&limit=2&after=${after}`);
+  const first = await list('');
+  assert.deepEqual(keysOf(first.body), ['p/1', 'p/2']);
+  const second = await list(String(first.body.nextAfter));
+  assert.deepEqual(keysOf(second.body), ['p/3']);
+  assert.equal(second.body.nextAfter, undefined);
+});
