--- a/packages/core/src/rules/check_drafts.ts
+++ b/packages/core/src/rules/check_drafts.ts
@@ -1,7 +1,9 @@
 import type {Finding, Place} from '../errors/finding.js';
 import {formatModelVersion, type ModelVersion} from '../types/identity.js';
+import {formatPercent} from './format_percent.js';
 import {ANY, quote, type FieldReader} from './field_reader.js';
 import {createError, createWarning} from './rule_line.js';
+import {groupBy} from './rule_index.js';
 import type {ModelRule} from './rule_set.js';
 import {suggestWord} from './suggest.js';
 import type {Draft, RuleDrafts} from './verbs.js';
@@ -280,24 +282,6 @@
   ['organisation', 'an organisation needs an "allow" rule'],
 ]);
 
-function formatPercent(share: number): string {
-  return `${Number((share * 100).toFixed(6))}%`;
-}
-
-function groupBy<T>(
-  items: readonly T[],
-  identify: (item: T) => string,
-): ReadonlyMap<string, readonly T[]> {
-  const groups = new Map<string, T[]>();
-  for (const item of items) {
-    const key = identify(item);
-    const group = groups.get(key);
-    if (group === undefined) groups.set(key, [item]);
-    else group.push(item);
-  }
-  return groups;
-}
-
 function findLowestCosts(
   models: readonly ModelRule[],
 ): ReadonlyMap<string, number> {
--- /dev/null
+++ b/packages/core/src/rules/format_percent.ts
@@ -0,0 +1,6 @@
+const PERCENT_DECIMALS = 6;
+
+/** Formats a share between 0 and 1 as a percentage without rounding noise. */
+export function formatPercent(share: number): string {
+  return `${Number((share * 100).toFixed(PERCENT_DECIMALS))}%`;
+}
--- /dev/null
+++ b/packages/core/src/rules/resolve_rules.ts
@@ -0,0 +1,241 @@
+import {formatModelVersion, type ModelVersion} from '../types/identity.js';
+import {ANY} from './field_reader.js';
+import {resolveShares} from './resolve_shares.js';
+import {getRuleIndex, type IndexedVersion} from './rule_index.js';
+import type {
+  AllowRule,
+  CascadeRule,
+  LimitRule,
+  Priority,
+  RuleSet,
+  RuleSource,
+  ServiceRule,
+} from './rule_set.js';
+
+/** Who asks for which kind of work. */
+export interface WorkScope {
+  readonly organisation: string;
+  readonly kind: string;
+}
+
+/** A model version that the rules offer for a kind of request. */
+export interface VersionOption extends ModelVersion {
+  readonly costPerMtok: number;
+  /** Expected quality before any rating is known. */
+  readonly quality: number;
+  /**
+   * Share of the model's new work, between 0 and 1. The shares of a model add
+   * up to 1 over the options of one organisation, unless none is open.
+   */
+  readonly share: number;
+  /** True when only sessions that hold the version may use it. */
+  readonly isDrained: boolean;
+  /** The rules that led to the option, by line. */
+  readonly sources: readonly RuleSource[];
+}
+
+/** A kind of request as it holds for one organisation. */
+export interface ResolvedKind {
+  readonly name: string;
+  readonly qualityTarget: number;
+  readonly deadlineMs: number;
+  readonly priority: Priority;
+  readonly issuesSession: boolean;
+  readonly sources: readonly RuleSource[];
+}
+
+/**
+ * Lists every model version that an organisation may use for a kind, in the
+ * order of the file. Withdrawn versions are left out, drained ones have no
+ * share of new work.
+ *
+ * @returns an empty list for an unknown kind or organisation.
+ * @example
+ * ```ts
+ * const options = resolveOptions(rules, {
+ *   organisation: 'hana-middle',
+ *   kind: 'icebreaker',
+ * });
+ * ```
+ */
+export function resolveOptions(
+  rules: RuleSet,
+  scope: WorkScope,
+): readonly VersionOption[] {
+  const index = getRuleIndex(rules);
+  const allows = index.allowsByOrganisation.get(scope.organisation);
+  if (allows === undefined || !index.kinds.has(scope.kind)) return [];
+  const versions: IndexedVersion[] = [];
+  const allowRules: AllowRule[] = [];
+  for (const version of index.versions) {
+    if (version.withdrawal !== undefined) continue;
+    const allow = findAllow(allows, scope.kind, version.rule);
+    if (allow === undefined) continue;
+    versions.push(version);
+    allowRules.push(allow);
+  }
+  const shares = resolveShares(versions);
+  return versions.map((version, position) =>
+    createOption(version, allowRules[position], shares[position]),
+  );
+}
+
+/**
+ * True when a request may go to a version now, be it new work or work of a
+ * session. A withdrawal beats every other rule, a session's pin included.
+ *
+ * @example
+ * ```ts
+ * isDispatchAllowed(rules, {organisation, kind, model: 'quick', version: 'v2'});
+ * ```
+ */
+export function isDispatchAllowed(
+  rules: RuleSet,
+  request: WorkScope & ModelVersion,
+): boolean {
+  const index = getRuleIndex(rules);
+  const version = index.versionsByName.get(formatModelVersion(request));
+  if (version === undefined || version.withdrawal !== undefined) return false;
+  if (!index.kinds.has(request.kind)) return false;
+  const allows = index.allowsByOrganisation.get(request.organisation) ?? [];
+  return findAllow(allows, request.kind, request) !== undefined;
+}
+
+/**
+ * True when the rules withdraw a version.
+ *
+ * @example
+ * ```ts
+ * isWithdrawn(rules, {model: 'quick', version: 'v2'});
+ * ```
+ */
+export function isWithdrawn(rules: RuleSet, version: ModelVersion): boolean {
+  const name = formatModelVersion(version);
+  const indexed = getRuleIndex(rules).versionsByName.get(name);
+  return indexed?.withdrawal !== undefined;
+}
+
+/**
+ * True when an organisation may call a plain service.
+ *
+ * @example
+ * ```ts
+ * isServiceAllowed(rules, {organisation: 'hana-middle', service: 'booking'});
+ * ```
+ */
+export function isServiceAllowed(
+  rules: RuleSet,
+  call: {readonly organisation: string; readonly service: string},
+): boolean {
+  const index = getRuleIndex(rules);
+  if (!index.services.has(call.service)) return false;
+  const allows = index.allowsByOrganisation.get(call.organisation) ?? [];
+  return allows.some(allow => allow.service === call.service);
+}
+
+/**
+ * Returns a kind with the quality target of an organisation.
+ *
+ * @returns undefined for an unknown kind.
+ * @example
+ * ```ts
+ * resolveKind(rules, 'hana-middle', 'icebreaker')?.qualityTarget;
+ * ```
+ */
+export function resolveKind(
+  rules: RuleSet,
+  organisation: string,
+  kind: string,
+): ResolvedKind | undefined {
+  const index = getRuleIndex(rules);
+  const rule = index.kinds.get(kind);
+  if (rule === undefined) return undefined;
+  const target = index.targets.get(organisation)?.get(kind);
+  const {source, ...settings} = rule;
+  if (target === undefined) return {...settings, sources: [source]};
+  return {
+    ...settings,
+    qualityTarget: target.qualityTarget,
+    sources: [source, target.source],
+  };
+}
+
+/**
+ * Returns the plain service of a name.
+ *
+ * @returns undefined for an unknown service.
+ * @example
+ * ```ts
+ * resolveService(rules, 'booking')?.isIdempotent; // false
+ * ```
+ */
+export function resolveService(
+  rules: RuleSet,
+  service: string,
+): ServiceRule | undefined {
+  return getRuleIndex(rules).services.get(service);
+}
+
+/**
+ * Returns the limit of an organisation.
+ *
+ * @returns undefined when no rule limits it.
+ * @example
+ * ```ts
+ * resolveLimit(rules, 'hana-middle')?.requestsPerS;
+ * ```
+ */
+export function resolveLimit(
+  rules: RuleSet,
+  organisation: string,
+): LimitRule | undefined {
+  return getRuleIndex(rules).limits.get(organisation);
+}
+
+/**
+ * Returns the cascade of a kind, cheapest model first.
+ *
+ * @returns undefined when the kind has no cascade.
+ * @example
+ * ```ts
+ * resolveCascade(rules, 'match-reason')?.models; // ['quick', 'deep']
+ * ```
+ */
+export function resolveCascade(
+  rules: RuleSet,
+  kind: string,
+): CascadeRule | undefined {
+  return getRuleIndex(rules).cascades.get(kind);
+}
+
+function findAllow(
+  allows: readonly AllowRule[],
+  kind: string,
+  {model, version}: ModelVersion,
+): AllowRule | undefined {
+  return allows.find(
+    allow =>
+      (allow.model === ANY || allow.model === model) &&
+      (allow.version === ANY || allow.version === version) &&
+      (allow.kind === ANY || allow.kind === kind),
+  );
+}
+
+function createOption(
+  {rule, rollout, drain}: IndexedVersion,
+  allow: AllowRule,
+  share: number,
+): VersionOption {
+  const sources = [rule.source, allow.source];
+  if (rollout !== undefined) sources.push(rollout.source);
+  if (drain !== undefined) sources.push(drain.source);
+  return {
+    model: rule.model,
+    version: rule.version,
+    costPerMtok: rule.costPerMtok,
+    quality: rule.quality,
+    share,
+    isDrained: drain !== undefined,
+    sources,
+  };
+}
--- a/packages/core/src/rules/rule_line.ts
+++ b/packages/core/src/rules/rule_line.ts
@@ -27,6 +27,7 @@
 const WORD = /[^\s"#=]+/y;
 const BARE_VALUE = /[^\s"#]*/y;
 const QUOTED_VALUE = /"([^"]*)"/y;
+const BEFORE_COMMENT = /^(?:[^"#]|"[^"]*")*/;
 const PURE_COMMENT = /^[ \t]*(#|$)/;
 // Control characters, line separators and characters that reorder text.
 const FORBIDDEN =
@@ -38,6 +39,11 @@
   return PURE_COMMENT.test(text);
 }
 
+/** Returns a rule line without its comment. */
+export function stripComment(text: string): string {
+  return (BEFORE_COMMENT.exec(text)?.[0] ?? '').trim();
+}
+
 /** Finds what makes a line unfit for any reading: its length or a character. */
 export function checkLineText(
   text: string,
