Claim idempotency keys in a pure protocol explored with faults

Ruled out: taking over the claim of a holder that seems gone (it may have sent), release by deletion (a write still under way would bring the claim back), reading back by a plain read (the store may answer from an old copy). Change: store protocols are coroutines that yield calls, so that the driver and the state exploration run the same code; claims are the first.

--- /dev/null
+++ b/packages/core/src/steps/index.ts
@@ -0,0 +1,2 @@
+export * from './store_step.js';
+export * from './retention.js';
--- /dev/null
+++ b/packages/core/test/support/protocol_explorer.ts
@@ -0,0 +1,217 @@
+import type {StoreReply, StoreStep} from '../../src/steps/store_step.js';
+import type {StoredObject, WriteResult} from '../../src/types/object_store.js';
+
+/** Contents of the object API, and writes that may still take effect. */
+export interface StoreModel {
+  readonly version: number;
+  readonly objects: readonly StoredObject[];
+  readonly underWay: readonly StoreStep[];
+}
+
+export const EMPTY_STORE: StoreModel = {
+  version: 0,
+  objects: [],
+  underWay: [],
+};
+
+/** One process: a protocol that can be run again from its replies. */
+export interface ExploredActor<Step, Reply> {
+  readonly name: string;
+  readonly start: () => Generator<Step, unknown, Reply>;
+}
+
+/** One way in which a step can go on. */
+export interface Branch<World, Reply> {
+  readonly label: string;
+  readonly world: World;
+  /** Undefined when the actor crashed. */
+  readonly reply: Reply | undefined;
+  readonly faultCount: number;
+}
+
+/** A state space: the world, its actors and what may befall them. */
+export interface Exploration<World, Step, Reply> {
+  readonly world: World;
+  readonly actors: ReadonlyArray<ExploredActor<Step, Reply>>;
+  readonly maxFaults: number;
+  readonly listBranches: (
+    world: World,
+    step: Step,
+    actor: number,
+  ) => ReadonlyArray<Branch<World, Reply>>;
+  /** Changes of the world that need no actor, such as a late write. */
+  readonly listWorldChanges: (world: World) => readonly World[];
+  /** Throws when a state must not occur; results are undefined until known. */
+  readonly check: (
+    world: World,
+    results: readonly unknown[],
+    isEnd: boolean,
+  ) => void;
+}
+
+interface Node<World, Reply> {
+  readonly world: World;
+  readonly histories: ReadonlyArray<ReadonlyArray<Reply | 'crash'>>;
+  readonly faultCount: number;
+  readonly trace: readonly string[];
+}
+
+/**
+ * Visits every interleaving of the actors' steps and of at most `maxFaults`
+ * faults, and returns the number of distinct states.
+ */
+export function exploreStates<World, Step, Reply>(
+  exploration: Exploration<World, Step, Reply>,
+): number {
+  const {actors, maxFaults} = exploration;
+  const seen = new Set<string>();
+  const stack: Array<Node<World, Reply>> = [
+    {
+      world: exploration.world,
+      histories: actors.map(() => []),
+      faultCount: 0,
+      trace: [],
+    },
+  ];
+  for (let node = stack.pop(); node !== undefined; node = stack.pop()) {
+    const {world, histories, faultCount, trace} = node;
+    const stateKey = JSON.stringify([world, histories, faultCount]);
+    if (seen.has(stateKey)) continue;
+    seen.add(stateKey);
+    const runs = actors.map((actor, i) => replay(actor, histories[i]));
+    const isEnd = runs.every(run => run.step === undefined);
+    try {
+      exploration.check(
+        world,
+        runs.map(run => run.result),
+        isEnd,
+      );
+    } catch (error) {
+      throw new Error(`${String(error)}\n  ${trace.join('\n  ')}`);
+    }
+    for (const changed of exploration.listWorldChanges(world)) {
+      stack.push({...node, world: changed, trace: [...trace, 'late write']});
+    }
+    runs.forEach((run, i) => {
+      if (run.step === undefined) return;
+      for (const branch of exploration.listBranches(world, run.step, i)) {
+        if (faultCount + branch.faultCount > maxFaults) continue;
+        const entry = branch.reply ?? 'crash';
+        stack.push({
+          world: branch.world,
+          histories: histories.map((h, j) => (j === i ? [...h, entry] : h)),
+          faultCount: faultCount + branch.faultCount,
+          trace: [...trace, `${actors[i].name}: ${branch.label}`],
+        });
+      }
+    });
+  }
+  return seen.size;
+}
+
+interface Replay<Step> {
+  readonly step: Step | undefined;
+  readonly result: unknown;
+}
+
+function replay<Step, Reply>(
+  actor: ExploredActor<Step, Reply>,
+  history: ReadonlyArray<Reply | 'crash'>,
+): Replay<Step> {
+  const generator = actor.start();
+  let state = generator.next();
+  for (const entry of history) {
+    if (entry === 'crash') return {step: undefined, result: 'crashed'};
+    state = generator.next(entry as Reply);
+  }
+  return state.done
+    ? {step: undefined, result: state.value}
+    : {step: state.value, result: undefined};
+}
+
+/** Carries out one call without a fault. */
+export function applyStoreStep(
+  store: StoreModel,
+  step: StoreStep,
+): {store: StoreModel; reply: StoreReply} {
+  if (step.kind === 'get') {
+    const object = store.objects.find(o => o.key === step.key);
+    return {store, reply: {kind: 'object', object}};
+  }
+  if (step.kind === 'list') {
+    const objects = store.objects.filter(o => o.key.startsWith(step.prefix));
+    const page = {objects, storeVersion: store.version, nextAfter: undefined};
+    return {store, reply: {kind: 'page', page}};
+  }
+  const current = store.objects.find(o => o.key === step.key);
+  const {condition} = step;
+  const isAllowed =
+    condition.kind === 'any' ||
+    (condition.kind === 'absent'
+      ? current === undefined
+      : current?.version === condition.version);
+  if (!isAllowed) {
+    const result: WriteResult = {status: 'conflict', current};
+    return {store, reply: {kind: 'write', result}};
+  }
+  const version = store.version + 1;
+  const others = store.objects.filter(o => o.key !== step.key);
+  const objects =
+    step.kind === 'delete'
+      ? others
+      : [...others, {key: step.key, version, value: step.value}].sort((a, b) =>
+          a.key < b.key ? -1 : 1,
+        );
+  return {
+    store: {...store, version, objects},
+    reply: {kind: 'write', result: {status: 'written', version}},
+  };
+}
+
+/** Every way one call to the object API can go. */
+export function listStoreBranches(
+  store: StoreModel,
+  step: StoreStep,
+): ReadonlyArray<Branch<StoreModel, StoreReply>> {
+  const applied = applyStoreStep(store, step);
+  const label = `${step.kind} ${'key' in step ? step.key : step.prefix}`;
+  const isWrite = step.kind === 'put' || step.kind === 'delete';
+  const unknown: StoreReply = {kind: 'failed', execution: 'unknown'};
+  const notRun: StoreReply = {kind: 'failed', execution: 'notRun'};
+  const good = {
+    label,
+    world: applied.store,
+    reply: applied.reply,
+    faultCount: 0,
+  };
+  const refused = {
+    label: `${label} refused`,
+    world: store,
+    reply: notRun,
+    faultCount: 1,
+  };
+  const crashed = {
+    label: `${label} crash before`,
+    world: store,
+    reply: undefined,
+    faultCount: 1,
+  };
+  if (!isWrite) return [good, refused, crashed];
+  const late = {...store, underWay: [...store.underWay, step]};
+  return [
+    good,
+    refused,
+    crashed,
+    {...good, label: `${label} crash after`, reply: undefined, faultCount: 1},
+    {...good, label: `${label} answer lost`, reply: unknown, faultCount: 1},
+    {label: `${label} late`, world: late, reply: unknown, faultCount: 1},
+  ];
+}
+
+/** The states after one of the late writes has arrived. */
+export function listLateWrites(store: StoreModel): readonly StoreModel[] {
+  return store.underWay.map((step, i) => {
+    const underWay = store.underWay.filter((_, j) => j !== i);
+    return {...applyStoreStep(store, step).store, underWay};
+  });
+}
