--- /dev/null
+++ b/packages/entry/src/control/steps/background_retries.ts
@@ -0,0 +1,86 @@
+/** Options of {@link BackgroundRetries}. */
+export interface BackgroundRetriesOptions {
+  /** Work kept at most; further work is dropped and counted. */
+  readonly maxPending?: number;
+  readonly firstDelayMs?: number;
+  readonly maxDelayMs?: number;
+  /** Uniform between 0 and 1; spreads the retries of many hosts. */
+  readonly random: () => number;
+}
+
+const DEFAULT_MAX_PENDING = 1000;
+const DEFAULT_FIRST_DELAY_MS = 200;
+const DEFAULT_MAX_DELAY_MS = 30_000;
+
+/**
+ * Repeats work until it succeeds, with exponential backoff and jitter, for at
+ * most `maxPending` pieces at a time.
+ */
+export class BackgroundRetries {
+  private readonly timers = new Set<NodeJS.Timeout>();
+  private pending = 0;
+  private dropped = 0;
+  private isStopped = false;
+
+  private constructor(
+    private readonly options: Required<BackgroundRetriesOptions>,
+  ) {}
+
+  static create(options: BackgroundRetriesOptions): BackgroundRetries {
+    return new BackgroundRetries({
+      maxPending: DEFAULT_MAX_PENDING,
+      firstDelayMs: DEFAULT_FIRST_DELAY_MS,
+      maxDelayMs: DEFAULT_MAX_DELAY_MS,
+      ...options,
+    });
+  }
+
+  /** Pieces of work that have not succeeded yet. */
+  get pendingCount(): number {
+    return this.pending;
+  }
+
+  /** Pieces of work given up because too many were pending. */
+  get droppedCount(): number {
+    return this.dropped;
+  }
+
+  /** Repeats `work` after a delay until it resolves to true. */
+  retry(work: () => Promise<boolean>): void {
+    if (this.isStopped || this.pending >= this.options.maxPending) {
+      this.dropped += 1;
+      return;
+    }
+    this.pending += 1;
+    this.schedule(work, this.options.firstDelayMs);
+  }
+
+  /** Stops all retries; pending work is left undone. */
+  stop(): void {
+    this.isStopped = true;
+    for (const timer of this.timers) clearTimeout(timer);
+    this.timers.clear();
+  }
+
+  private schedule(work: () => Promise<boolean>, delayMs: number): void {
+    const {random, maxDelayMs} = this.options;
+    const timer = setTimeout(
+      () => {
+        this.timers.delete(timer);
+        void this.attempt(work, Math.min(2 * delayMs, maxDelayMs));
+      },
+      delayMs * (0.5 + random() / 2),
+    );
+    timer.unref();
+    this.timers.add(timer);
+  }
+
+  private async attempt(
+    work: () => Promise<boolean>,
+    nextDelayMs: number,
+  ): Promise<void> {
+    const isDone = await work().catch(() => false);
+    if (isDone) this.pending -= 1;
+    else if (!this.isStopped) this.schedule(work, nextDelayMs);
+  }
+}
