--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,3 +5,5 @@
 export * from './types/identity.js';
 export * from './rules/index.js';
 export * from './types/object_store.js';
+export * from './steps/index.js';
+export * from './claims/index.js';
