--- /dev/null
+++ b/packages/core/src/utils/index.ts
@@ -0,0 +1,3 @@
+export * from './hash.js';
+export * from './math.js';
+export * from './random.js';
--- /dev/null
+++ b/packages/core/src/utils/random.ts
@@ -0,0 +1,43 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** Draws a number in [0, 1). */
+export type Random = () => number;
+
+/**
+ * Creates a repeatable generator.
+ *
+ * @example
+ * ```ts
+ * createRandom(7)() === createRandom(7)(); // true
+ * ```
+ */
+export function createRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
+/**
+ * Draws from the normal distribution with mean 0 and variance 1.
+ *
+ * @example
+ * ```ts
+ * const score = 0.7 + 0.1 * sampleNormal(random);
+ * ```
+ */
+export function sampleNormal(random: Random): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random()));
+  return radius * Math.cos(2 * Math.PI * random());
+}
+
+/**
+ * Draws from the exponential distribution with the given mean.
+ *
+ * @example
+ * ```ts
+ * const gapMs = sampleExponential(random, 50);
+ * ```
+ */
+export function sampleExponential(random: Random, mean: number): number {
+  return -mean * Math.log(1 - random());
+}
