--- a/packages/core/src/routing/plan_table.ts
+++ b/packages/core/src/routing/plan_table.ts
@@ -87,7 +87,7 @@
   let escalatedShare = 0;
   return bins.slice(0, -1).map((bin, index) => {
     const {probability} = bin;
-    const escalated = quality.escalated(kind, next, index);
+    const escalated = quality.escalated(kind, next, first, index);
     keptMean += probability * (escalated.mean - bin.quality.mean);
     keptVariance +=
       probability ** 2 * (escalated.variance - bin.quality.variance);
--- a/packages/core/src/routing/quality_model.ts
+++ b/packages/core/src/routing/quality_model.ts
@@ -1,4 +1,5 @@
 import {clamp} from '../utils/math.js';
+import {formatModelVersion, type ModelVersion} from '../types/identity.js';
 import type {ModelOption} from './model_option.js';
 
 /** An estimated mean and the variance of that estimate. */
@@ -24,8 +25,19 @@
   estimate(kind: string, option: ModelOption): Estimate;
   /** Quality by check score, lowest score first. */
   checkBins(kind: string, option: ModelOption): readonly CheckBin[];
-  /** Quality of an answer given after a first answer fell in a check bin. */
-  escalated(kind: string, option: ModelOption, firstBin: number): Estimate;
+  /** Quality of an answer given after the first answer fell in a check bin. */
+  escalated(
+    kind: string,
+    option: ModelOption,
+    first: ModelVersion,
+    firstBin: number,
+  ): Estimate;
+}
+
+/** An answer of a version and the score that its check gave. */
+export interface CheckedAnswer extends ModelVersion {
+  /** Between 0 and 1. */
+  readonly checkScore: number;
 }
 
 /** A rating of one answer. */
@@ -37,8 +49,8 @@
   readonly score: number;
   /** Check score of the rated answer, where it was checked. */
   readonly checkScore?: number;
-  /** Check score of the answer before it in a cascade. */
-  readonly previousCheckScore?: number;
+  /** The answer before it in a cascade. */
+  readonly previous?: CheckedAnswer;
 }
 
 /** The end of one answer. */
@@ -82,7 +94,8 @@
 interface VersionRecord {
   readonly direct: Tally;
   readonly byCheck: readonly Tally[];
-  readonly byPreviousCheck: readonly Tally[];
+  /** By the version of the first answer, then by its check bin. */
+  readonly byPrevious: Map<string, readonly Tally[]>;
   readonly checkCounts: number[];
 }
 
@@ -157,11 +170,20 @@
     }));
   }
 
-  escalated(kind: string, option: ModelOption, firstBin: number): Estimate {
+  escalated(
+    kind: string,
+    option: ModelOption,
+    first: ModelVersion,
+    firstBin: number,
+  ): Estimate {
     const record = this.find(kind, option);
     const {mean} = this.estimate(kind, option);
-    const tally = record?.byPreviousCheck[firstBin];
-    return estimateTally(tally, mean, this.options.binPriorWeight);
+    const tallies = record?.byPrevious.get(formatModelVersion(first));
+    return estimateTally(
+      tallies?.[firstBin],
+      mean,
+      this.options.binPriorWeight,
+    );
   }
 
   /** Takes in a rating; ratings may come late, in any order, or not at all. */
@@ -169,11 +191,12 @@
     const {retention, ratingsPerRevision} = this.options;
     const record = this.resolve(rating.kind, rating);
     const score = clamp(rating.score, 0, 1);
-    if (rating.previousCheckScore === undefined) {
+    if (rating.previous === undefined) {
       addScore(record.direct, score, retention);
     } else {
-      const bin = this.resolveBin(rating.previousCheckScore);
-      addScore(record.byPreviousCheck[bin], score, retention);
+      const bin = this.resolveBin(rating.previous.checkScore);
+      const tallies = this.resolvePrevious(record, rating.previous);
+      addScore(tallies[bin], score, retention);
     }
     if (rating.checkScore !== undefined) {
       const bin = this.resolveBin(rating.checkScore);
@@ -197,24 +220,33 @@
     return clamp(Math.floor(checkScore * binCount), 0, binCount - 1);
   }
 
-  private find(kind: string, version: {model: string; version: string}) {
-    return this.records.get(`${kind}/${version.model}@${version.version}`);
+  private find(kind: string, version: ModelVersion) {
+    return this.records.get(`${kind}/${formatModelVersion(version)}`);
   }
 
-  private resolve(
-    kind: string,
-    version: {model: string; version: string},
-  ): VersionRecord {
+  private resolvePrevious(
+    record: VersionRecord,
+    first: ModelVersion,
+  ): readonly Tally[] {
+    const key = formatModelVersion(first);
+    const found = record.byPrevious.get(key);
+    if (found !== undefined) return found;
+    const tallies = Array.from({length: this.options.binCount}, createTally);
+    record.byPrevious.set(key, tallies);
+    return tallies;
+  }
+
+  private resolve(kind: string, version: ModelVersion): VersionRecord {
     const found = this.find(kind, version);
     if (found !== undefined) return found;
     const bins = Array.from({length: this.options.binCount});
     const record: VersionRecord = {
       direct: createTally(),
       byCheck: bins.map(createTally),
-      byPreviousCheck: bins.map(createTally),
+      byPrevious: new Map(),
       checkCounts: bins.map(() => 0),
     };
-    this.records.set(`${kind}/${version.model}@${version.version}`, record);
+    this.records.set(`${kind}/${formatModelVersion(version)}`, record);
     return record;
   }
 }
--- /dev/null
+++ b/packages/experiments/src/model_choice/model_choice.ts
@@ -0,0 +1,200 @@
+import {
+  MODEL_POLICIES,
+  createPlanTable,
+  type ModelPolicyName,
+  type RatedPlan,
+} from '@anvilrudder/core';
+import {
+  toMetrics,
+  type Experiment,
+  type GoalResult,
+  type Sample,
+  type SpreadReader,
+} from '../harness/experiment.js';
+import {TrueQuality} from './answer_world.js';
+import {
+  listVersions,
+  runChoice,
+  type Scenario,
+  type Segment,
+} from './choice_run.js';
+import {DEPLOYMENTS, type Deployment} from './deployments.js';
+
+const PLAIN: Scenario = {
+  name: 'plain',
+  ratingShare: 0.05,
+  ratingDelayMeanMs: 60_000,
+  ratingLossShare: 0.2,
+  priorError: 0.06,
+  driftSkill: 0,
+  outageShare: 0,
+};
+
+const SCENARIOS: readonly Scenario[] = [
+  PLAIN,
+  {...PLAIN, name: 'drift', driftSkill: -0.8},
+  {
+    ...PLAIN,
+    name: 'sparse',
+    ratingShare: 0.01,
+    ratingDelayMeanMs: 300_000,
+    ratingLossShare: 0.5,
+  },
+  {...PLAIN, name: 'outage', outageShare: 0.05},
+];
+
+const COST_GOAL_RATIO = 1.1;
+const SHORTFALL_GOAL = 0.01;
+const POLICIES = Object.keys(MODEL_POLICIES) as ModelPolicyName[];
+
+// Least cost of reaching a quality with known distributions, on the hull.
+function findLeastCost(plans: readonly RatedPlan[], quality: number): number {
+  const index = plans.findIndex(plan => plan.quality >= quality);
+  if (index === 0) return plans[0].costPerMtok;
+  if (index < 0) return plans[plans.length - 1].costPerMtok;
+  const [low, high] = [plans[index - 1], plans[index]];
+  const part = (quality - low.quality) / (high.quality - low.quality);
+  return low.costPerMtok + part * (high.costPerMtok - low.costPerMtok);
+}
+
+const hullCache = new WeakMap<TrueQuality, Map<string, readonly RatedPlan[]>>();
+
+function resolveHull(
+  deployment: Deployment,
+  truth: TrueQuality,
+  kind: string,
+): readonly RatedPlan[] {
+  const byKind = hullCache.get(truth) ?? new Map();
+  hullCache.set(truth, byKind);
+  const hull = byKind.get(kind) ?? createHull(deployment, truth, kind);
+  byKind.set(kind, hull);
+  return hull;
+}
+
+function createHull(
+  deployment: Deployment,
+  truth: TrueQuality,
+  kind: string,
+): readonly RatedPlan[] {
+  return createPlanTable({
+    kind,
+    options: deployment.versions.map(version => ({
+      ...version,
+      quality: 0,
+      share: 1,
+      sourceLine: 1,
+    })),
+    cascadeModels: deployment.versions.map(({model}) => model),
+    quality: truth,
+    caution: 0,
+  });
+}
+
+function measureSegments(
+  deployment: Deployment,
+  truths: readonly TrueQuality[],
+  segments: readonly Segment[],
+) {
+  let cost = 0;
+  let requestCount = 0;
+  let leastCostAtReached = 0;
+  let leastCostAtTarget = 0;
+  let shortfall = 0;
+  let surplus = 0;
+  for (const segment of segments) {
+    const count = segment.requestCount;
+    const reached = segment.quality / count;
+    const {kind, qualityTarget} = segment.kind;
+    const hull = resolveHull(deployment, truths[segment.phase], kind);
+    cost += segment.cost;
+    requestCount += count;
+    leastCostAtReached += count * findLeastCost(hull, reached);
+    leastCostAtTarget += count * findLeastCost(hull, qualityTarget);
+    shortfall += count * Math.max(0, qualityTarget - reached);
+    surplus += count * Math.max(0, reached - qualityTarget);
+  }
+  return toMetrics({
+    costPerMtok: cost / requestCount,
+    costRatioAtTarget: cost / leastCostAtTarget,
+    costRatioAtEqualQuality: cost / leastCostAtReached,
+    qualityShortfall: shortfall / requestCount,
+    qualitySurplus: surplus / requestCount,
+  });
+}
+
+const truthCache = new Map<string, readonly TrueQuality[]>();
+
+function resolveTruths(deployment: Deployment, scenario: Scenario) {
+  const key = `${deployment.name}/${scenario.driftSkill}`;
+  const cached = truthCache.get(key);
+  if (cached) return cached;
+  const truths = [0, 1].map(phase =>
+    TrueQuality.create({
+      ...deployment,
+      versions: listVersions(deployment, scenario, phase),
+    }),
+  );
+  truthCache.set(key, truths);
+  return truths;
+}
+
+function run(seed: number): readonly Sample[] {
+  return DEPLOYMENTS.flatMap(deployment =>
+    SCENARIOS.flatMap(scenario => {
+      const truths = resolveTruths(deployment, scenario);
+      const {weights} = deployment;
+      const name = `${deployment.name} ${scenario.name}`;
+      const samples = POLICIES.map(policy => ({
+        scenario: name,
+        policy: policy as string,
+        metrics: measureSegments(
+          deployment,
+          truths,
+          runChoice(deployment, scenario, {policy, weights}, seed, truths),
+        ),
+      }));
+      const oracle = {maxCaution: 0, explorationShare: 0};
+      const segments = runChoice(
+        deployment,
+        scenario,
+        oracle,
+        seed,
+        truths,
+        truths,
+      );
+      return [
+        ...samples,
+        {
+          scenario: name,
+          policy: 'oracle',
+          metrics: measureSegments(deployment, truths, segments),
+        },
+      ];
+    }),
+  );
+}
+
+function checkGoals(read: SpreadReader): readonly GoalResult[] {
+  return DEPLOYMENTS.flatMap(({name}) =>
+    SCENARIOS.map(scenario => {
+      const key = `${name} ${scenario.name}`;
+      const ratio = read(key, 'learnt-mix', 'costRatioAtEqualQuality');
+      const shortfall = read(key, 'learnt-mix', 'qualityShortfall');
+      return {
+        goal: `${key}: cost at most ${COST_GOAL_RATIO} of the oracle's at equal quality, at most ${SHORTFALL_GOAL} below target`,
+        measured: `${ratio.mean.toFixed(3)} (${ratio.min.toFixed(3)} to ${ratio.max.toFixed(3)}), shortfall ${shortfall.mean.toFixed(4)}`,
+        isMet:
+          ratio.mean <= COST_GOAL_RATIO && shortfall.mean <= SHORTFALL_GOAL,
+      };
+    }),
+  );
+}
+
+/** Cost at the quality target of each model policy. */
+export const MODEL_CHOICE: Experiment = {
+  name: 'model-choice',
+  description: 'cost at the quality target, by policy',
+  defaultSeedCount: 10,
+  run,
+  checkGoals,
+};
--- /dev/null
+++ b/packages/experiments/src/registry.ts
@@ -0,0 +1,5 @@
+import type {Experiment} from './harness/experiment.js';
+import {MODEL_CHOICE} from './model_choice/model_choice.js';
+
+/** Every experiment, in the order of `--list`. */
+export const EXPERIMENTS: readonly Experiment[] = [MODEL_CHOICE];
