Add the client of the object API and the HTTP transport under it

Cause: the product needs to know of each failed call whether it may have run. Ruled out: reading the outcome from undici's error codes (a connection reset has the same code before and after the request was written); undici's own request() (its abort signal acts only once a connection is open).

--- /dev/null
+++ b/packages/platform/src/http/chunk_queue.ts
@@ -0,0 +1,95 @@
+/** What a queue tells its producer. */
+export interface ChunkSource {
+  pause(): void;
+  resume(): void;
+  /** The consumer needs no more chunks. */
+  cancel(): void;
+}
+
+interface Waiter {
+  resolve(result: IteratorResult<Buffer, undefined>): void;
+  reject(error: unknown): void;
+}
+
+const HIGH_WATER_BYTES = 64 * 1024;
+const DONE: IteratorResult<Buffer, undefined> = {done: true, value: undefined};
+
+/** Chunks of one answer, read once, with backpressure on their source. */
+export class ChunkQueue implements AsyncIterableIterator<Buffer> {
+  private chunks: Buffer[] = [];
+  private sizeBytes = 0;
+  private waiter: Waiter | undefined;
+  private end: {readonly error: unknown} | undefined;
+  private isPaused = false;
+
+  private constructor(private readonly source: ChunkSource) {}
+
+  static create(source: ChunkSource): ChunkQueue {
+    return new ChunkQueue(source);
+  }
+
+  push(chunk: Buffer): void {
+    if (this.waiter !== undefined) {
+      this.takeWaiter()?.resolve({done: false, value: chunk});
+      return;
+    }
+    this.chunks.push(chunk);
+    this.sizeBytes += chunk.length;
+    if (this.sizeBytes < HIGH_WATER_BYTES || this.isPaused) return;
+    this.isPaused = true;
+    this.source.pause();
+  }
+
+  /** Ends the queue behind its chunks; with an error when one is given. */
+  finish(error?: unknown): void {
+    if (this.end !== undefined) return;
+    this.end = {error};
+    const waiter = this.takeWaiter();
+    if (error === undefined) waiter?.resolve(DONE);
+    else waiter?.reject(error);
+  }
+
+  [Symbol.asyncIterator](): this {
+    return this;
+  }
+
+  next(): Promise<IteratorResult<Buffer, undefined>> {
+    const chunk = this.chunks.shift();
+    if (chunk !== undefined) {
+      this.release(chunk);
+      return Promise.resolve({done: false, value: chunk});
+    }
+    if (this.end !== undefined) return this.takeEnd();
+    return new Promise((resolve, reject) => {
+      this.waiter = {resolve, reject};
+    });
+  }
+
+  return(): Promise<IteratorResult<Buffer, undefined>> {
+    this.chunks = [];
+    if (this.end === undefined) {
+      this.finish();
+      this.source.cancel();
+    }
+    return Promise.resolve(DONE);
+  }
+
+  private release(chunk: Buffer): void {
+    this.sizeBytes -= chunk.length;
+    if (!this.isPaused || this.chunks.length > 0) return;
+    this.isPaused = false;
+    this.source.resume();
+  }
+
+  private takeEnd(): Promise<IteratorResult<Buffer, undefined>> {
+    const error = this.end?.error;
+    this.end = {error: undefined};
+    return error === undefined ? Promise.resolve(DONE) : Promise.reject(error);
+  }
+
+  private takeWaiter(): Waiter | undefined {
+    const {waiter} = this;
+    this.waiter = undefined;
+    return waiter;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/objects/http_object_store.ts
@@ -0,0 +1,234 @@
+import type {
+  Execution,
+  ObjectPage,
+  ObjectStore,
+  StoredObject,
+  WatchPage,
+  WriteCondition,
+  WriteResult,
+} from '@anvilrudder/core';
+import {
+  createObjectStoreError,
+  type ObjectStoreFailure,
+} from '../errors/object_store_error.js';
+import {
+  isTransportError,
+  type TransportFailure,
+} from '../errors/transport_error.js';
+import {
+  HttpTransport,
+  type HttpAnswer,
+  type HttpRequest,
+  type HttpTransportOptions,
+} from '../http/http_transport.js';
+import {
+  isJsonObject,
+  parseJsonObject,
+  readNumber,
+  type JsonObject,
+} from '../http/json.js';
+import {
+  readObjectPage,
+  readStoredObject,
+  readWatchPage,
+} from './object_answers.js';
+
+/** Settings of the client of the object API. */
+export interface HttpObjectStoreOptions extends HttpTransportOptions {
+  /** `http://ip:port`. */
+  readonly baseUrl: string;
+  /** Time until a call is answered; a watch waits this much longer. Default 2000. */
+  readonly timeoutMs?: number;
+  /** Objects of one page of a list. Default 500. */
+  readonly pageLimit?: number;
+}
+
+type CallRequest = Pick<
+  HttpRequest,
+  'method' | 'path' | 'body' | 'headers' | 'signal'
+> & {readonly timeoutMs?: number};
+
+const DEFAULT_TIMEOUT_MS = 2000;
+const DEFAULT_PAGE_LIMIT = 500;
+
+const FAILURE_BY_TRANSPORT: Readonly<
+  Record<TransportFailure, ObjectStoreFailure>
+> = {
+  connect: 'connect',
+  timeout: 'timeout',
+  aborted: 'aborted',
+  withheld: 'aborted',
+  cut: 'cut',
+  tooLarge: 'badAnswer',
+};
+
+interface StatusFailure {
+  readonly failure: ObjectStoreFailure;
+  readonly execution: Execution;
+}
+
+const BAD_ANSWER: StatusFailure = {failure: 'badAnswer', execution: 'unknown'};
+
+const FAILURE_BY_STATUS: Readonly<Record<number, StatusFailure>> = {
+  410: {failure: 'historyGone', execution: 'notRun'},
+  413: {failure: 'tooLarge', execution: 'notRun'},
+  503: {failure: 'unavailable', execution: 'notRun'},
+};
+
+function createAnswerError(status: number): Error {
+  const {failure, execution} = FAILURE_BY_STATUS[status] ?? BAD_ANSWER;
+  const message = `the object API answered ${status}`;
+  return createObjectStoreError(message, {failure, execution});
+}
+
+function createConditionHeaders(
+  condition: WriteCondition,
+): Readonly<Record<string, string>> {
+  if (condition.kind === 'absent') return {'if-none-match': '*'};
+  if (condition.kind === 'any') return {};
+  return {'if-match': `"${condition.version}"`};
+}
+
+function encodeKey(key: string): string {
+  return key.split('/').map(encodeURIComponent).join('/');
+}
+
+function decode<T>(
+  answer: HttpAnswer,
+  read: (body: JsonObject) => T | undefined,
+): T {
+  const body = parseJsonObject(answer.body);
+  const value = body === undefined ? undefined : read(body);
+  if (value !== undefined) return value;
+  throw createObjectStoreError('the object API answered malformed JSON', {
+    failure: 'badAnswer',
+    execution: 'unknown',
+  });
+}
+
+function readConflict(body: JsonObject): WriteResult | undefined {
+  const {current} = body;
+  if (current === null) return {status: 'conflict', current: undefined};
+  if (!isJsonObject(current)) return undefined;
+  const object = readStoredObject(current);
+  return object && {status: 'conflict', current: object};
+}
+
+function readWritten(body: JsonObject): WriteResult | undefined {
+  const version = readNumber(body, 'version');
+  return version === undefined ? undefined : {status: 'written', version};
+}
+
+/** The platform's object API over HTTP; each method sends one request. */
+export class HttpObjectStore implements ObjectStore {
+  private readonly address: string;
+  private readonly timeoutMs: number;
+  private readonly pageLimit: number;
+
+  private constructor(
+    private readonly transport: HttpTransport,
+    options: HttpObjectStoreOptions,
+  ) {
+    this.address = new URL(options.baseUrl).host;
+    this.timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.pageLimit = options.pageLimit ?? DEFAULT_PAGE_LIMIT;
+  }
+
+  /**
+   * @example
+   * ```ts
+   * const store = HttpObjectStore.create({baseUrl: 'http://127.0.0.1:7000'});
+   * await store.put('a', '1', {kind: 'absent'});
+   * ```
+   */
+  static create(options: HttpObjectStoreOptions): HttpObjectStore {
+    return new HttpObjectStore(HttpTransport.create(options), options);
+  }
+
+  async get(key: string): Promise<StoredObject | undefined> {
+    const path = `/objects/${encodeKey(key)}`;
+    const answer = await this.call({method: 'GET', path});
+    if (answer.status === 404) return undefined;
+    if (answer.status !== 200) throw createAnswerError(answer.status);
+    return decode(answer, readStoredObject);
+  }
+
+  put(
+    key: string,
+    value: string,
+    condition: WriteCondition,
+  ): Promise<WriteResult> {
+    return this.write('PUT', key, condition, value);
+  }
+
+  delete(key: string, condition: WriteCondition): Promise<WriteResult> {
+    return this.write('DELETE', key, condition);
+  }
+
+  async list(prefix: string, after?: string): Promise<ObjectPage> {
+    const query = new URLSearchParams({prefix, limit: String(this.pageLimit)});
+    if (after !== undefined) query.set('after', after);
+    const path = `/objects?${query.toString()}`;
+    const answer = await this.call({method: 'GET', path});
+    if (answer.status !== 200) throw createAnswerError(answer.status);
+    return decode(answer, readObjectPage);
+  }
+
+  async watch(
+    prefix: string,
+    afterVersion: number,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<WatchPage> {
+    const query = new URLSearchParams({
+      prefix,
+      after: String(afterVersion),
+      timeoutMs: String(timeoutMs),
+    });
+    const answer = await this.call({
+      method: 'GET',
+      path: `/watch?${query.toString()}`,
+      timeoutMs: timeoutMs + this.timeoutMs,
+      signal,
+    });
+    if (answer.status !== 200) throw createAnswerError(answer.status);
+    return decode(answer, readWatchPage);
+  }
+
+  /** Ends the open connections. */
+  close(): Promise<void> {
+    return this.transport.close();
+  }
+
+  private async write(
+    method: 'PUT' | 'DELETE',
+    key: string,
+    condition: WriteCondition,
+    body?: string,
+  ): Promise<WriteResult> {
+    const path = `/objects/${encodeKey(key)}`;
+    const headers = createConditionHeaders(condition);
+    const answer = await this.call({method, path, headers, body});
+    if (answer.status === 412) return decode(answer, readConflict);
+    if (answer.status === 200) return decode(answer, readWritten);
+    throw createAnswerError(answer.status);
+  }
+
+  private async call(request: CallRequest): Promise<HttpAnswer> {
+    try {
+      return await this.transport.send({
+        timeoutMs: this.timeoutMs,
+        ...request,
+        address: this.address,
+      });
+    } catch (error) {
+      if (!isTransportError(error)) throw error;
+      const isUnsent = error.phase === 'beforeFirstByte';
+      throw createObjectStoreError(`object API: ${error.failure}`, {
+        failure: FAILURE_BY_TRANSPORT[error.failure],
+        execution: isUnsent ? 'notRun' : 'unknown',
+        cause: error,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/platform/src/objects/object_answers.ts
@@ -0,0 +1,55 @@
+import type {
+  ObjectPage,
+  StoredObject,
+  WatchEvent,
+  WatchPage,
+} from '@anvilrudder/core';
+import {
+  readNumber,
+  readObjects,
+  readString,
+  type JsonObject,
+} from '../http/json.js';
+
+/** Reads `{"key","version","value"}`; undefined when a field is missing. */
+export function readStoredObject(body: JsonObject): StoredObject | undefined {
+  const key = readString(body, 'key');
+  const version = readNumber(body, 'version');
+  const value = readString(body, 'value');
+  if (key === undefined || version === undefined || value === undefined) {
+    return undefined;
+  }
+  return {key, version, value};
+}
+
+function readWatchEvent(body: JsonObject): WatchEvent | undefined {
+  const key = readString(body, 'key');
+  const version = readNumber(body, 'version');
+  if (key === undefined || version === undefined) return undefined;
+  return {key, version, value: readString(body, 'value')};
+}
+
+function readAll<T>(
+  bodies: readonly JsonObject[] | undefined,
+  read: (body: JsonObject) => T | undefined,
+): readonly T[] | undefined {
+  const items = bodies?.map(read);
+  if (items === undefined || items.includes(undefined)) return undefined;
+  return items as readonly T[];
+}
+
+/** Reads the answer of a list; undefined when it is malformed. */
+export function readObjectPage(body: JsonObject): ObjectPage | undefined {
+  const objects = readAll(readObjects(body, 'objects'), readStoredObject);
+  const storeVersion = readNumber(body, 'storeVersion');
+  if (objects === undefined || storeVersion === undefined) return undefined;
+  return {objects, storeVersion, nextAfter: readString(body, 'nextAfter')};
+}
+
+/** Reads the answer of a watch; undefined when it is malformed. */
+export function readWatchPage(body: JsonObject): WatchPage | undefined {
+  const events = readAll(readObjects(body, 'events'), readWatchEvent);
+  const storeVersion = readNumber(body, 'storeVersion');
+  if (events === undefined || storeVersion === undefined) return undefined;
+  return {events, storeVersion};
+}
--- /dev/null
+++ b/packages/platform/test/http/http_transport.test.ts
@@ -0,0 +1,203 @@
+import assert from 'node:assert/strict';
+import type {Socket} from 'node:net';
+import {after, test, type TestContext} from 'node:test';
+import {
+  HttpTransport,
+  isTransportError,
+  type HttpRequest,
+  type RequestPhase,
+  type TransportFailure,
+} from '../../src/index.js';
+import {
+  formatAnswer,
+  reserveClosedAddress,
+  startTcpServer,
+  type TcpServer,
+} from '../support/tcp_server.js';
+
+const transport = HttpTransport.create();
+
+after(() => transport.close());
+
+async function startServer(
+  t: TestContext,
+  onHead: (socket: Socket, count: number) => void,
+): Promise<TcpServer> {
+  const server = await startTcpServer(onHead);
+  t.after(() => server.stop());
+  return server;
+}
+
+function createRequest(address: string): HttpRequest {
+  return {address, method: 'POST', path: '/x', body: '{}', timeoutMs: 2000};
+}
+
+async function assertFails(
+  sending: Promise<unknown>,
+  phase: RequestPhase,
+  failure: TransportFailure,
+): Promise<void> {
+  await assert.rejects(sending, error => {
+    assert.ok(isTransportError(error), String(error));
+    assert.deepEqual([error.phase, error.failure], [phase, failure]);
+    return true;
+  });
+}
+
+interface FaultCase {
+  readonly fault: string;
+  readonly onHead: (socket: Socket) => void;
+  readonly timeoutMs?: number;
+  readonly phase: RequestPhase;
+  readonly failure: TransportFailure;
+}
+
+const FAULT_CASES: readonly FaultCase[] = [
+  {
+    fault: 'the peer closes after it read the request',
+    onHead: socket => socket.end(),
+    phase: 'sent',
+    failure: 'cut',
+  },
+  {
+    fault: 'the peer resets after it read the request',
+    onHead: socket => socket.resetAndDestroy(),
+    phase: 'sent',
+    failure: 'cut',
+  },
+  {
+    fault: 'the peer never answers',
+    onHead: () => {},
+    timeoutMs: 30,
+    phase: 'sent',
+    failure: 'timeout',
+  },
+  {
+    fault: 'the peer answers what is not HTTP',
+    onHead: socket => socket.end('hello\r\n\r\n'),
+    phase: 'sent',
+    failure: 'cut',
+  },
+  {
+    fault: 'the peer closes within the body',
+    onHead: socket =>
+      socket.end('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc'),
+    phase: 'streaming',
+    failure: 'cut',
+  },
+  {
+    fault: 'the peer stalls within the body',
+    onHead: socket =>
+      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc'),
+    timeoutMs: 50,
+    phase: 'streaming',
+    failure: 'timeout',
+  },
+];
+
+for (const {fault, onHead, timeoutMs, phase, failure} of FAULT_CASES) {
+  test(`${fault}: ${phase}, ${failure}, written once`, async t => {
+    const server = await startServer(t, onHead);
+    const request = createRequest(server.address);
+    const sending = transport.send({
+      ...request,
+      timeoutMs: timeoutMs ?? request.timeoutMs,
+    });
+    await assertFails(sending, phase, failure);
+    assert.equal(server.heads.length, 1);
+  });
+}
+
+test('a refused connection is known to be unsent', async () => {
+  const address = await reserveClosedAddress();
+  const sending = transport.send(createRequest(address));
+  await assertFails(sending, 'beforeFirstByte', 'connect');
+});
+
+test('a withheld request writes nothing', async t => {
+  const server = await startServer(t, () => {});
+  const request = createRequest(server.address);
+  const sending = transport.send({...request, confirmSend: () => false});
+  await assertFails(sending, 'beforeFirstByte', 'withheld');
+  assert.deepEqual(server.heads, []);
+});
+
+test('a request given up in the queue is never written later', async t => {
+  const single = HttpTransport.create({connectionsPerAddress: 1});
+  t.after(() => single.close());
+  const held: Socket[] = [];
+  const server = await startServer(t, (socket, count) => {
+    if (count === 1) held.push(socket);
+    else socket.write(formatAnswer(200, {count}));
+  });
+  const request = createRequest(server.address);
+  const first = single.send(request);
+  const abort = new AbortController();
+  const second = single.send({
+    ...request,
+    path: '/second',
+    signal: abort.signal,
+  });
+  const third = single.send({...request, path: '/third', timeoutMs: 10});
+  abort.abort();
+  await assertFails(second, 'beforeFirstByte', 'aborted');
+  await assertFails(third, 'beforeFirstByte', 'timeout');
+  held[0].write(formatAnswer(200, {}));
+  await first;
+  await single.send({...request, path: '/fourth'});
+  assert.deepEqual(server.heads, ['POST /x HTTP/1.1', 'POST /fourth HTTP/1.1']);
+});
+
+test('a request on a pooled connection that the peer closes counts as sent', async t => {
+  const server = await startServer(t, (socket, count) => {
+    if (count === 1) socket.write(formatAnswer(200, {}));
+    else socket.destroy();
+  });
+  const request = createRequest(server.address);
+  await transport.send(request);
+  await assertFails(transport.send(request), 'sent', 'cut');
+  assert.equal(server.heads.length, 2);
+});
+
+test('an answer above the limit is given up', async t => {
+  const server = await startServer(t, socket => {
+    socket.write(formatAnswer(200, {text: 'x'.repeat(100)}));
+  });
+  const request = createRequest(server.address);
+  const sending = transport.send({...request, maxAnswerBytes: 50});
+  await assertFails(sending, 'streaming', 'tooLarge');
+});
+
+test('a slow reader pauses the connection and loses nothing', async t => {
+  const sizeBytes = 4_000_000;
+  const server = await startServer(t, socket => {
+    socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${sizeBytes}\r\n\r\n`);
+    socket.end(Buffer.alloc(sizeBytes));
+  });
+  const stream = await transport.open({
+    ...createRequest(server.address),
+    idleTimeoutMs: 1000,
+  });
+  let receivedBytes = 0;
+  for await (const chunk of stream.chunks) {
+    await new Promise(resolve => setImmediate(resolve));
+    receivedBytes += chunk.length;
+  }
+  assert.equal(receivedBytes, sizeBytes);
+});
+
+test('a reader that leaves ends the request', async t => {
+  const closed = new Promise<void>(resolve => {
+    void startServer(t, socket => {
+      socket.once('close', () => resolve());
+      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc');
+    }).then(async server => {
+      const stream = await transport.open(createRequest(server.address));
+      for await (const chunk of stream.chunks) {
+        assert.equal(chunk.toString(), 'abc');
+        break;
+      }
+    });
+  });
+  await closed;
+});
--- /dev/null
+++ b/packages/platform/test/support/tcp_server.ts
@@ -0,0 +1,56 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+
+/** A TCP server whose behaviour a test writes byte by byte. */
+export interface TcpServer {
+  readonly address: string;
+  /** Requests whose head has been received. */
+  readonly heads: readonly string[];
+  stop(): Promise<void>;
+}
+
+/** Starts a server that calls back for each request head it receives. */
+export async function startTcpServer(
+  onHead: (socket: Socket, count: number) => void,
+): Promise<TcpServer> {
+  const heads: string[] = [];
+  const sockets = new Set<Socket>();
+  const server = createServer(socket => {
+    sockets.add(socket);
+    socket.on('error', () => {});
+    socket.on('close', () => sockets.delete(socket));
+    socket.on('data', data => {
+      heads.push(data.toString('utf8').split('\r\n')[0]);
+      onHead(socket, heads.length);
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    heads,
+    stop: async () => {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+      await once(server, 'close');
+    },
+  };
+}
+
+/** An address on which nothing listens. */
+export async function reserveClosedAddress(): Promise<string> {
+  const server = await startTcpServer(() => {});
+  await server.stop();
+  return server.address;
+}
+
+/** A whole HTTP answer with a JSON body. */
+export function formatAnswer(
+  status: number,
+  body: unknown,
+  headers = '',
+): string {
+  const text = JSON.stringify(body);
+  return `HTTP/1.1 ${status} X\r\n${headers}content-length: ${text.length}\r\n\r\n${text}`;
+}
