--- /dev/null
+++ b/packages/entry/src/backends/backend_directory.ts
@@ -0,0 +1,140 @@
+import {
+  formatModelVersion,
+  type ModelVersion,
+} from '@anvilrudder/core';
+
+/** What a backend server does. */
+export type BackendRole = 'engine' | 'booking' | 'rating';
+
+/** One backend server of the host list. */
+export interface BackendHost {
+  readonly host: string;
+  readonly role: string;
+  /** `ip:port`. */
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly state: 'live' | 'leaving';
+}
+
+/** The last load report of a model engine. */
+export interface EngineLoad {
+  readonly running: number;
+  readonly queued: number;
+  readonly slots: number;
+  readonly loaded: readonly ModelVersion[];
+  readonly isDraining: boolean;
+}
+
+/** What this entry knows of one backend server. */
+export interface BackendView {
+  readonly host: BackendHost;
+  readonly load: EngineLoad | undefined;
+  /** Requests that this entry has open there. */
+  readonly inFlight: number;
+  readonly isLeaving: boolean;
+}
+
+interface BackendState {
+  host: BackendHost;
+  load: EngineLoad | undefined;
+  inFlight: number;
+  saidLeaving: boolean;
+}
+
+/**
+ * The backend servers known to this entry: the host list, their load
+ * reports, and this entry's own count of open requests.
+ *
+ * @example
+ * ```ts
+ * const directory = BackendDirectory.create();
+ * directory.replaceHosts(await hostList.read());
+ * directory.listServing({model: 'quick', version: 'v1'});
+ * ```
+ */
+export class BackendDirectory {
+  private readonly states = new Map<string, BackendState>();
+
+  private constructor() {}
+
+  static create(): BackendDirectory {
+    return new BackendDirectory();
+  }
+
+  /** Takes a new host list; open requests at removed hosts go on. */
+  replaceHosts(hosts: readonly BackendHost[]): void {
+    const listed = new Set<string>();
+    for (const host of hosts) {
+      if (host.role === 'entry') continue;
+      listed.add(host.host);
+      const state = this.states.get(host.host);
+      if (state === undefined || state.host.address !== host.address) {
+        this.states.set(host.host, createState(host));
+      } else {
+        state.host = host;
+      }
+    }
+    for (const name of this.states.keys()) {
+      if (!listed.has(name)) this.states.delete(name);
+    }
+  }
+
+  /** Takes a load report; a server that says it drains is leaving. */
+  recordLoad(hostName: string, load: EngineLoad): void {
+    const state = this.states.get(hostName);
+    if (state === undefined) return;
+    state.load = load;
+    state.saidLeaving = load.isDraining;
+  }
+
+  /** Notes the server's own refusal because it drains. */
+  recordDraining(hostName: string): void {
+    const state = this.states.get(hostName);
+    if (state !== undefined) state.saidLeaving = true;
+  }
+
+  /** Counts an open request; call the returned function when it ends. */
+  openRequest(hostName: string): () => void {
+    const state = this.states.get(hostName);
+    if (state === undefined) return () => undefined;
+    state.inFlight += 1;
+    let isOpen = true;
+    return () => {
+      if (isOpen) state.inFlight -= 1;
+      isOpen = false;
+    };
+  }
+
+  /** Engines that have the version loaded and take new work. */
+  listServing(wanted: ModelVersion): readonly BackendView[] {
+    const name = formatModelVersion(wanted);
+    return this.listRole('engine').filter(view =>
+      view.load?.loaded.some(each => formatModelVersion(each) === name),
+    );
+  }
+
+  /** Servers of a role that take new work. */
+  listRole(role: string): readonly BackendView[] {
+    return this.listAll().filter(
+      view => view.host.role === role && !view.isLeaving,
+    );
+  }
+
+  /** All servers, leaving ones too. */
+  listAll(): readonly BackendView[] {
+    return [...this.states.values()].map(toView);
+  }
+}
+
+function createState(host: BackendHost): BackendState {
+  return {host, load: undefined, inFlight: 0, saidLeaving: false};
+}
+
+function toView(state: BackendState): BackendView {
+  return {
+    host: state.host,
+    load: state.load,
+    inFlight: state.inFlight,
+    isLeaving: state.saidLeaving || state.host.state === 'leaving',
+  };
+}
--- /dev/null
+++ b/packages/entry/src/backends/watch_backends.ts
@@ -0,0 +1,77 @@
+import type {Logger} from '@anvilrudder/observability';
+import type {
+  BackendDirectory,
+  BackendHost,
+  EngineLoad,
+} from './backend_directory.js';
+
+/** Reads the host list and the engines' load reports. */
+export interface BackendReader {
+  readHosts(): Promise<readonly BackendHost[]>;
+  readLoad(address: string): Promise<EngineLoad>;
+}
+
+/** Options of {@link watchBackends}. */
+export interface WatchBackendsOptions {
+  readonly directory: BackendDirectory;
+  readonly reader: BackendReader;
+  readonly logger: Logger;
+  readonly pollMs: number;
+}
+
+/**
+ * Keeps a directory up to date until the returned function is called. A
+ * failed read keeps what is known.
+ *
+ * @example
+ * ```ts
+ * const stopWatching = await watchBackends({directory, reader, logger, pollMs: 1000});
+ * ```
+ */
+export async function watchBackends(
+  options: WatchBackendsOptions,
+): Promise<() => void> {
+  let timer: NodeJS.Timeout | undefined;
+  let isStopped = false;
+
+  async function refresh(): Promise<void> {
+    await refreshHosts(options);
+    await refreshLoads(options);
+    if (!isStopped) timer = setTimeout(() => void refresh(), options.pollMs);
+  }
+
+  await refresh();
+  return () => {
+    isStopped = true;
+    clearTimeout(timer);
+  };
+}
+
+async function refreshHosts(options: WatchBackendsOptions): Promise<void> {
+  try {
+    options.directory.replaceHosts(await options.reader.readHosts());
+  } catch (error) {
+    options.logger.warn('host_list_unavailable', {
+      reason: (error as Error).message,
+    });
+  }
+}
+
+async function refreshLoads(options: WatchBackendsOptions): Promise<void> {
+  const engines = options.directory
+    .listAll()
+    .filter(view => view.host.role === 'engine');
+  await Promise.all(
+    engines.map(async ({host}) => {
+      try {
+        const load = await options.reader.readLoad(host.address);
+        options.directory.recordLoad(host.host, load);
+      } catch (error) {
+        options.logger.debug('load_report_failed', {
+          server: host.host,
+          reason: (error as Error).message,
+        });
+      }
+    }),
+  );
+}
--- /dev/null
+++ b/packages/entry/src/control/claim_runner.ts
@@ -0,0 +1,78 @@
+import {createHash} from 'node:crypto';
+import {
+  RouterError,
+  isRouterError,
+  type CallResult,
+  type ServiceRule,
+} from '@anvilrudder/core';
+import type {ServiceAnswer} from '@anvilrudder/platform';
+import type {ClaimRunner} from '../entry_context.js';
+import type {ServiceRequest} from '../stages/caller_request.js';
+import type {ClaimKeeper} from './claims/claim_keeper.js';
+
+const CONTENT_TYPE = 'application/json';
+
+/**
+ * Creates the runner of service calls: a non-idempotent call with a key goes
+ * through a claim; every other call is sent as it is, since without a key
+ * nothing can tell a second call from a new one.
+ *
+ * @example
+ * ```ts
+ * const answer = await runner.run(request, rule, () => callServers());
+ * ```
+ */
+export function createClaimRunner(keeper: ClaimKeeper): ClaimRunner {
+  return {
+    async run(request, rule, call) {
+      const {idempotencyKey} = request;
+      if (rule.isIdempotent || idempotencyKey === undefined) return call();
+      return runClaimed(keeper, {...request, idempotencyKey}, rule, call);
+    },
+  };
+}
+
+async function runClaimed(
+  keeper: ClaimKeeper,
+  request: ServiceRequest & {readonly idempotencyKey: string},
+  rule: ServiceRule,
+  call: () => Promise<ServiceAnswer>,
+): Promise<ServiceAnswer> {
+  let failure: RouterError | undefined;
+  const send = async (): Promise<CallResult> => {
+    try {
+      const {status, body, contentType = CONTENT_TYPE} = await call();
+      return {
+        status: 'answered',
+        answer: {httpStatus: status, body, contentType},
+      };
+    } catch (error) {
+      if (!isRouterError(error)) throw error;
+      failure = error;
+      const isNotRun = error.execution === 'notRun';
+      return {status: isNotRun ? 'notRun' : 'unknown'};
+    }
+  };
+  try {
+    const {answer} = await keeper.runOnce({
+      idempotencyKey: request.idempotencyKey,
+      organisation: request.organisation,
+      requestDigest: digestRequest(request),
+      deadlineMs: request.receivedAtMs + rule.timeoutMs,
+      send,
+    });
+    return {
+      status: answer.httpStatus,
+      contentType: answer.contentType,
+      body: answer.body ?? '{}',
+    };
+  } catch (error) {
+    throw failure ?? error;
+  }
+}
+
+function digestRequest(request: ServiceRequest): string {
+  return createHash('sha256')
+    .update(`${request.service}\n${request.body}`)
+    .digest('hex');
+}
--- /dev/null
+++ b/packages/entry/src/entry_context.ts
@@ -0,0 +1,68 @@
+import type {ModelChooser, ModelVersion, ServiceRule, SessionKeyRing} from '@anvilrudder/core';
+import type {Logger, MetricRegistry} from '@anvilrudder/observability';
+import type {
+  EngineClient,
+  ServiceAnswer,
+  ServiceClient,
+} from '@anvilrudder/platform';
+import type {BackendDirectory} from './backends/backend_directory.js';
+import type {Settings} from './config/settings_schema.js';
+import type {RulesKeeper} from './control/rules_keeper.js';
+import type {OpenRequests} from './server/open_requests.js';
+import type {Authenticator} from './stages/authenticate.js';
+import type {ServiceRequest} from './stages/caller_request.js';
+
+/** What one model version did for a billed request. */
+export interface BilledStep {
+  readonly model: string;
+  readonly version: string;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+}
+
+/** One billed request; its id makes it idempotent. */
+export interface BillingRecord {
+  readonly requestId: string;
+  readonly organisation: string;
+  readonly steps: readonly BilledStep[];
+}
+
+/** Keeps the record of each answered request exactly once. */
+export interface BillingSink {
+  /** Resolves once the loss of this host no longer loses the record. */
+  record(record: BillingRecord): Promise<void>;
+}
+
+/** Runs calls that may not be repeated at most once. */
+export interface ClaimRunner {
+  run(
+    request: ServiceRequest,
+    rule: ServiceRule,
+    call: () => Promise<ServiceAnswer>,
+  ): Promise<ServiceAnswer>;
+}
+
+/** Versions stopped on evidence, until an operator overrules. */
+export interface StoppedVersions {
+  isStopped(version: ModelVersion): boolean;
+}
+
+/** Everything that the stages of a request use. */
+export interface EntryContext {
+  readonly settings: Settings;
+  readonly logger: Logger;
+  readonly metrics: MetricRegistry;
+  readonly callers: Authenticator;
+  readonly sessionKeys: SessionKeyRing;
+  readonly keeper: RulesKeeper;
+  readonly chooser: ModelChooser;
+  readonly stoppedVersions: StoppedVersions;
+  readonly backends: BackendDirectory;
+  readonly engines: EngineClient;
+  readonly services: ServiceClient;
+  readonly openRequests: OpenRequests;
+  /** False once a planned stop has begun. */
+  readonly isAccepting: () => boolean;
+  readonly claims: ClaimRunner;
+  readonly billing: BillingSink;
+}
--- /dev/null
+++ b/packages/entry/src/server/caller_routes.ts
@@ -0,0 +1,81 @@
+import type {IncomingMessage} from 'node:http';
+import type {EntryContext} from '../entry_context.js';
+import {serveServiceCall} from '../stages/call_service.js';
+import type {RawRequest} from '../stages/caller_request.js';
+import {serveGenerate} from '../stages/generate.js';
+import type {AnswerWriter} from './answer_writer.js';
+
+/** Answers one request whose body was read. */
+export type RouteHandler = (
+  context: EntryContext,
+  raw: RawRequest,
+  answer: AnswerWriter,
+) => Promise<void>;
+
+/** A path and the method it takes. */
+export interface CallerRoute {
+  readonly method: 'GET' | 'POST';
+  readonly handle: RouteHandler;
+}
+
+const SERVICE_PATH = /^\/v1\/services\/([a-z0-9][a-z0-9._-]{0,62})$/;
+
+const ROUTES: Readonly<Record<string, CallerRoute>> = {
+  '/v1/generate': {method: 'POST', handle: serveGenerate},
+  '/livez': {method: 'GET', handle: answerLive},
+  '/readyz': {method: 'GET', handle: answerReady},
+  '/metrics': {method: 'GET', handle: answerMetrics},
+};
+
+/**
+ * Finds the route of a request path; the query is not part of it.
+ *
+ * @example
+ * ```ts
+ * findRoute('/v1/services/booking')?.method; // 'POST'
+ * ```
+ */
+export function findRoute(url: string): CallerRoute | undefined {
+  const path = url.split('?', 1)[0];
+  if (Object.hasOwn(ROUTES, path)) return ROUTES[path];
+  const service = SERVICE_PATH.exec(path)?.[1];
+  if (service === undefined) return undefined;
+  return {
+    method: 'POST',
+    handle: (context, raw, answer) =>
+      serveServiceCall(context, service, raw, answer),
+  };
+}
+
+/** True when the request carries a body that must be read. */
+export function hasBody(request: IncomingMessage): boolean {
+  return request.method === 'POST';
+}
+
+async function answerLive(
+  context: EntryContext,
+  raw: RawRequest,
+  answer: AnswerWriter,
+): Promise<void> {
+  answer.writeJson(200, {host: context.settings.host});
+}
+
+async function answerReady(
+  context: EntryContext,
+  raw: RawRequest,
+  answer: AnswerWriter,
+): Promise<void> {
+  const isReady = context.isAccepting() && context.keeper.inForce() !== undefined;
+  answer.writeJson(isReady ? 200 : 503, {
+    isReady,
+    revision: context.keeper.status().revision,
+  });
+}
+
+async function answerMetrics(
+  context: EntryContext,
+  raw: RawRequest,
+  answer: AnswerWriter,
+): Promise<void> {
+  answer.writeText(200, context.metrics.formatText());
+}
--- /dev/null
+++ b/packages/entry/src/server/caller_server.ts
@@ -0,0 +1,154 @@
+import {randomUUID} from 'node:crypto';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {
+  RouterError,
+  createErrorBody,
+  normalizeError,
+  type RouterError as RouterErrorType,
+} from '@anvilrudder/core';
+import type {EntryContext} from '../entry_context.js';
+import type {RawRequest} from '../stages/caller_request.js';
+import {createAnswerWriter, type AnswerWriter} from './answer_writer.js';
+import {findRoute, hasBody} from './caller_routes.js';
+import {readBody} from './request_body.js';
+
+const MAX_HEADER_BYTES = 16_384;
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 30_000;
+const KEEP_ALIVE_TIMEOUT_MS = 15_000;
+const REQUEST_ID = /^[A-Za-z0-9_-]{1,64}$/;
+const SINGLE_HEADERS = ['authorization', 'idempotency-key', 'x-request-id'];
+
+/**
+ * Creates the HTTP server for callers. Every answer, also to malformed
+ * requests, is typed JSON or a stream of events.
+ *
+ * @example
+ * ```ts
+ * createCallerServer(context).listen(8080, '127.0.0.1');
+ * ```
+ */
+export function createCallerServer(context: EntryContext): Server {
+  const server = createServer(
+    {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      insecureHTTPParser: false,
+    },
+    (request, response) => {
+      void serveRequest(context, request, response);
+    },
+  );
+  server.on('clientError', answerMalformed);
+  return server;
+}
+
+async function serveRequest(
+  context: EntryContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const receivedAtMs = performance.now();
+  const requestId = resolveRequestId(request);
+  const caller = new AbortController();
+  response.on('close', () => {
+    if (!response.writableFinished) caller.abort();
+  });
+  const answer = createAnswerWriter(response, {
+    requestId,
+    isClosing: () => !context.isAccepting(),
+  });
+  try {
+    const handle = resolveHandler(request);
+    const raw: RawRequest = {
+      requestId,
+      headers: request.headers,
+      body: hasBody(request)
+        ? await readBody(request, context.settings.requests.maxBodyBytes)
+        : '',
+      receivedAtMs,
+      signal: caller.signal,
+    };
+    await handle(context, raw, answer);
+    context.metrics.count('answers_total', {code: 'ok'});
+  } catch (error) {
+    answerError(context, requestId, error, answer);
+  }
+}
+
+function resolveHandler(
+  request: IncomingMessage,
+): NonNullable<ReturnType<typeof findRoute>>['handle'] {
+  const route = findRoute(request.url ?? '/');
+  if (route === undefined) {
+    throw RouterError.create('No such path.', {code: 'not_found'});
+  }
+  if (route.method !== request.method) {
+    throw RouterError.create(`This path takes ${route.method}.`, {
+      code: 'method_not_allowed',
+    });
+  }
+  for (const name of SINGLE_HEADERS) {
+    if ((request.headersDistinct[name]?.length ?? 0) > 1) {
+      throw RouterError.create(`Header ${name} is given twice.`, {
+        code: 'invalid_request',
+      });
+    }
+  }
+  return route.handle;
+}
+
+// The caller's id is kept where it is well formed, so that both sides log it.
+function resolveRequestId(request: IncomingMessage): string {
+  const given = request.headers['x-request-id'];
+  const prefix =
+    typeof given === 'string' && REQUEST_ID.test(given) ? `${given}-` : '';
+  return `${prefix}${randomUUID()}`;
+}
+
+function answerError(
+  context: EntryContext,
+  requestId: string,
+  thrown: unknown,
+  answer: AnswerWriter,
+): void {
+  const error: RouterErrorType = normalizeError(thrown);
+  context.metrics.count('answers_total', {code: error.code});
+  const fields = {
+    requestId,
+    code: error.code,
+    execution: error.execution,
+    message: error.message,
+  };
+  if (error.code === 'internal') {
+    context.logger.error('request_failed', {...fields, stack: error.stack});
+  } else {
+    context.logger.info('request_refused', fields);
+  }
+  answer.writeError(error);
+}
+
+function answerMalformed(error: Error, socket: Duplex): void {
+  if (!socket.writable) return;
+  const body = JSON.stringify(
+    createErrorBody(
+      RouterError.create('The request is not valid HTTP.', {
+        code: 'invalid_request',
+      }),
+      randomUUID(),
+    ),
+  );
+  socket.end(
+    'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n' +
+      'Content-Type: application/json\r\n' +
+      `Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+  );
+}
--- /dev/null
+++ b/packages/entry/src/stages/call_service.ts
@@ -0,0 +1,152 @@
+import {
+  RouterError,
+  resolveService,
+  type ErrorCode,
+  type Execution,
+  type ServiceRule,
+} from '@anvilrudder/core';
+import {
+  isBackendError,
+  type BackendError,
+  type ServiceAnswer,
+} from '@anvilrudder/platform';
+import {createSendGate, mayHaveRun} from '../backends/send_gate.js';
+import type {EntryContext} from '../entry_context.js';
+import type {AnswerWriter} from '../server/answer_writer.js';
+import {resolveOrganisation} from './authenticate.js';
+import type {RawRequest, ServiceRequest} from './caller_request.js';
+import {assertServiceAllowed, resolveInForce} from './check_rules.js';
+import {parseIdempotencyKey, parseJson} from './parse_request.js';
+
+const RETRY_AFTER_MS = 1000;
+const MAX_ATTEMPTS = 3;
+const SERVICE_PATHS: Readonly<Record<string, string>> = {
+  booking: '/v1/confirmations',
+};
+
+/**
+ * Serves one call of a plain service.
+ *
+ * @throws RouterError when the call ends without the service's answer.
+ * @example
+ * ```ts
+ * await serveServiceCall(context, 'booking', raw, answer);
+ * ```
+ */
+export async function serveServiceCall(
+  context: EntryContext,
+  service: string,
+  raw: RawRequest,
+  answer: AnswerWriter,
+): Promise<void> {
+  const request = createServiceRequest(context, service, raw);
+  const rule = resolveServiceRule(context, service);
+  assertServiceAllowed(context.keeper, request);
+  const result = await context.claims.run(request, rule, () =>
+    callServers(context, request, rule),
+  );
+  context.metrics.count('service_calls_total', {service});
+  answer.writeRawJson(result.status, result.body);
+}
+
+function createServiceRequest(
+  context: EntryContext,
+  service: string,
+  raw: RawRequest,
+): ServiceRequest {
+  const organisation = resolveOrganisation(
+    context.callers,
+    raw.headers.authorization,
+  );
+  parseJson(raw.body);
+  return {
+    requestId: raw.requestId,
+    organisation,
+    service,
+    idempotencyKey: parseIdempotencyKey(raw.headers['idempotency-key']),
+    body: raw.body,
+    receivedAtMs: raw.receivedAtMs,
+    signal: raw.signal,
+  };
+}
+
+function resolveServiceRule(
+  context: EntryContext,
+  service: string,
+): ServiceRule {
+  const {rules} = resolveInForce(context.keeper);
+  const rule = resolveService(rules, service);
+  if (rule === undefined) {
+    throw RouterError.create(`No rule names the service ${service}.`, {
+      code: 'unknown_kind',
+    });
+  }
+  return rule;
+}
+
+// A call that may not be repeated goes on to another server only while no
+// byte of it has left or the server itself said that nothing ran.
+async function callServers(
+  context: EntryContext,
+  request: ServiceRequest,
+  rule: ServiceRule,
+): Promise<ServiceAnswer> {
+  const failures: BackendError[] = [];
+  const avoided = new Set<string>();
+  for (let number = 0; number < MAX_ATTEMPTS; number += 1) {
+    const server = context.backends
+      .listRole(request.service)
+      .filter(view => !avoided.has(view.host.host))
+      .sort((a, b) => a.inFlight - b.inFlight)[0];
+    if (server === undefined) break;
+    const close = context.backends.openRequest(server.host.host);
+    const gate = createSendGate(() =>
+      assertServiceAllowed(context.keeper, request),
+    );
+    try {
+      return await context.services.call(server.host.address, {
+        path: SERVICE_PATHS[request.service] ?? `/v1/${request.service}`,
+        body: request.body,
+        idempotencyKey: request.idempotencyKey,
+        timeoutMs: rule.timeoutMs,
+        signal: request.signal,
+        confirmSend: gate.confirmSend,
+      });
+    } catch (error) {
+      gate.rethrow(error);
+      if (!isBackendError(error)) throw error;
+      failures.push(error);
+      avoided.add(server.host.host);
+      if (mayHaveRun([error]) && !rule.isIdempotent) break;
+    } finally {
+      close();
+    }
+  }
+  throw createCallError(request, failures);
+}
+
+function createCallError(
+  request: ServiceRequest,
+  failures: readonly BackendError[],
+): RouterError {
+  const cause = failures.at(-1);
+  const isUnknown = mayHaveRun(failures);
+  const code: ErrorCode = isUnknown
+    ? 'outcome_unknown'
+    : cause === undefined
+      ? 'no_backend'
+      : 'backend_refused';
+  const execution: Execution = isUnknown ? 'unknown' : 'notRun';
+  const reason = cause?.failure ?? 'no server in service';
+  return RouterError.create(
+    `The call of ${request.service} has no answer: ${reason}.`,
+    {
+      code,
+      execution,
+      cause,
+      ...(isUnknown
+        ? {}
+        : {retryAfterMs: cause?.retryAfterMs ?? RETRY_AFTER_MS}),
+    },
+  );
+}
--- /dev/null
+++ b/packages/entry/src/stages/cascade.ts
@@ -0,0 +1,116 @@
+import {
+  RouterError,
+  isRouterError,
+  type ModelVersion,
+} from '@anvilrudder/core';
+import type {EntryContext} from '../entry_context.js';
+import type {AnswerWriter} from '../server/answer_writer.js';
+import type {GenerateRequest} from './caller_request.js';
+import {passesCheck} from './check_answer.js';
+import {runStep, type StepResult, type TokenSink} from './dispatch.js';
+import type {RoutePlan} from './route.js';
+
+/** A step that an engine ran to its end. */
+export interface RunStep extends ModelVersion {
+  readonly result: StepResult;
+}
+
+/** How a plan ended: which step answered and which ones ran. */
+export interface PlanOutcome {
+  readonly answered: ModelVersion;
+  readonly result: StepResult;
+  readonly steps: readonly RunStep[];
+}
+
+interface BufferedToken {
+  readonly index: number;
+  readonly text: string;
+}
+
+/**
+ * Runs the steps of a plan in turn. The answer of a step that another can
+ * replace is held back until its check passes; the last one streams at once.
+ *
+ * @throws RouterError when no step gives a whole answer.
+ * @example
+ * ```ts
+ * const outcome = await runPlan(context, request, plan, answer);
+ * ```
+ */
+export async function runPlan(
+  context: EntryContext,
+  request: GenerateRequest,
+  plan: RoutePlan,
+  answer: AnswerWriter,
+): Promise<PlanOutcome> {
+  const ran: RunStep[] = [];
+  for (const [stepIndex, version] of plan.steps.entries()) {
+    const isLast = stepIndex === plan.steps.length - 1;
+    const step = {...version, request, stepIndex};
+    const relay = createRelay(context, request, plan, version, answer);
+    try {
+      const held: BufferedToken[] = [];
+      const sink: TokenSink = isLast
+        ? relay
+        : async (index, text) => void held.push({index, text});
+      const result = await runStep(context, step, sink);
+      ran.push({...version, result});
+      if (!isLast && !passesCheck(result, plan.checkThresholds[stepIndex])) {
+        context.metrics.count('cascade_escalations_total', {kind: request.kind});
+        continue;
+      }
+      for (const token of held) await relay(token.index, token.text);
+      return {answered: version, result, steps: ran};
+    } catch (error) {
+      if (isLast || !canEscalate(error)) {
+        throw ran.length > 0 ? markRan(error) : error;
+      }
+    }
+  }
+  throw RouterError.create('The plan has no step.', {code: 'not_allowed'});
+}
+
+function createRelay(
+  context: EntryContext,
+  request: GenerateRequest,
+  plan: RoutePlan,
+  version: ModelVersion,
+  answer: AnswerWriter,
+): TokenSink {
+  let lastTokenAtMs: number | undefined;
+  return async (index, text) => {
+    const nowMs = performance.now();
+    if (lastTokenAtMs === undefined) {
+      const waitedMs = nowMs - request.receivedAtMs;
+      context.metrics.recordMs('first_token_seconds', {}, waitedMs);
+      await answer.writeEvent('start', {
+        requestId: request.requestId,
+        model: version.model,
+        version: version.version,
+        revision: plan.revision,
+      });
+    } else {
+      const gapMs = nowMs - lastTokenAtMs;
+      context.metrics.recordMs('inter_token_seconds', {}, gapMs);
+    }
+    lastTokenAtMs = nowMs;
+    await answer.writeEvent('token', {index, text});
+  };
+}
+
+// A step that could not be run may be replaced by the next one; a caller
+// that left or a passed deadline ends the plan.
+function canEscalate(error: unknown): boolean {
+  return isRouterError(error) && error.code !== 'deadline_exceeded';
+}
+
+// An earlier step ran, so the request is never told as not run.
+function markRan(error: unknown): unknown {
+  if (!isRouterError(error) || error.execution !== 'notRun') return error;
+  return RouterError.create(error.publicMessage, {
+    code: error.code,
+    retryAfterMs: error.retryAfterMs,
+    execution: 'ran',
+    cause: error,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/stages/check_rules.ts
@@ -0,0 +1,109 @@
+import {
+  RouterError,
+  formatModelVersion,
+  isDispatchAllowed,
+  isServiceAllowed,
+  isWithdrawn,
+  type ModelVersion,
+  type RuleSet,
+} from '@anvilrudder/core';
+import type {RulesInForce, RulesKeeper} from '../control/rules_keeper.js';
+
+const NOT_READY_RETRY_MS = 1000;
+
+/**
+ * Returns the rules that a dispatch must satisfy now.
+ *
+ * @throws RouterError `not_ready` while this entry must not dispatch.
+ * @example
+ * ```ts
+ * const inForce = resolveInForce(keeper);
+ * ```
+ */
+export function resolveInForce(keeper: RulesKeeper): RulesInForce {
+  const inForce = keeper.inForce();
+  if (inForce === undefined) {
+    throw RouterError.create('This entry has no confirmed rules.', {
+      code: 'not_ready',
+      retryAfterMs: NOT_READY_RETRY_MS,
+    });
+  }
+  return inForce;
+}
+
+/**
+ * Lists the rule sets that a dispatch must satisfy, the revision in force
+ * first.
+ *
+ * @example
+ * ```ts
+ * listRuleSets(inForce).every(rules => isDispatchAllowed(rules, wanted));
+ * ```
+ */
+export function listRuleSets(inForce: RulesInForce): readonly RuleSet[] {
+  const {rules, pendingRules} = inForce;
+  return pendingRules === undefined ? [rules] : [rules, pendingRules];
+}
+
+/** What a generation attempt needs permission for. */
+export interface DispatchQuestion extends ModelVersion {
+  readonly organisation: string;
+  readonly kind: string;
+}
+
+/**
+ * Checks one attempt against the rules in force at this moment. Every first
+ * attempt, retry, cascade step and hedge calls it in the turn of the event
+ * loop that writes the first byte.
+ *
+ * @throws RouterError `not_ready`, `version_withdrawn` or `not_allowed`.
+ * @example
+ * ```ts
+ * assertDispatchAllowed(keeper, {organisation, kind, model, version});
+ * ```
+ */
+export function assertDispatchAllowed(
+  keeper: RulesKeeper,
+  question: DispatchQuestion,
+): void {
+  const ruleSets = listRuleSets(resolveInForce(keeper));
+  if (ruleSets.some(rules => isWithdrawn(rules, question))) {
+    throw createWithdrawnError(question);
+  }
+  if (!ruleSets.every(rules => isDispatchAllowed(rules, question))) {
+    throw RouterError.create(
+      `No rule allows ${formatModelVersion(question)} for this organisation.`,
+      {code: 'not_allowed'},
+    );
+  }
+}
+
+/**
+ * Checks a service call against the rules in force at this moment.
+ *
+ * @throws RouterError `not_ready` or `not_allowed`.
+ * @example
+ * ```ts
+ * assertServiceAllowed(keeper, {organisation, service: 'booking'});
+ * ```
+ */
+export function assertServiceAllowed(
+  keeper: RulesKeeper,
+  question: {readonly organisation: string; readonly service: string},
+): void {
+  const ruleSets = listRuleSets(resolveInForce(keeper));
+  if (!ruleSets.every(rules => isServiceAllowed(rules, question))) {
+    throw RouterError.create(
+      `No rule allows service ${question.service} for this organisation.`,
+      {code: 'not_allowed'},
+    );
+  }
+}
+
+/** The answer to a session or caller whose version was withdrawn. */
+export function createWithdrawnError(wanted: ModelVersion): RouterError {
+  return RouterError.create(
+    `${formatModelVersion(wanted)} was withdrawn; send the request without its session or version.`,
+    {code: 'version_withdrawn'},
+  );
+}
--- /dev/null
+++ b/packages/entry/src/stages/model_options.ts
@@ -0,0 +1,51 @@
+import {
+  resolveOptions,
+  type ModelOption,
+  type RuleSet,
+  type WorkScope,
+} from '@anvilrudder/core';
+
+type OptionsByScope = Map<string, readonly ModelOption[]>;
+
+const OPTIONS_BY_RULES = new WeakMap<RuleSet, OptionsByScope>();
+
+/**
+ * Lists the options of the rules for an organisation and kind. The same rules
+ * give the same array, so that what the chooser derives from it is kept.
+ *
+ * @example
+ * ```ts
+ * resolveModelOptions(rules, {organisation: 'school-a', kind: 'icebreaker'});
+ * ```
+ */
+export function resolveModelOptions(
+  rules: RuleSet,
+  scope: WorkScope,
+): readonly ModelOption[] {
+  let byScope = OPTIONS_BY_RULES.get(rules);
+  if (byScope === undefined) {
+    byScope = new Map();
+    OPTIONS_BY_RULES.set(rules, byScope);
+  }
+  const key = `${scope.organisation}/${scope.kind}`;
+  let options = byScope.get(key);
+  if (options === undefined) {
+    options = createOptions(rules, scope);
+    byScope.set(key, options);
+  }
+  return options;
+}
+
+function createOptions(
+  rules: RuleSet,
+  {organisation, kind}: WorkScope,
+): readonly ModelOption[] {
+  return resolveOptions(rules, {organisation, kind}).map(option => ({
+    model: option.model,
+    version: option.version,
+    costPerMtok: option.costPerMtok,
+    quality: option.quality,
+    share: option.share,
+    sourceLine: option.sources[0]?.line ?? 0,
+  }));
+}
--- /dev/null
+++ b/packages/entry/src/stages/parse_request.ts
@@ -0,0 +1,110 @@
+import {RouterError} from '@anvilrudder/core';
+import {z} from 'zod';
+import type {Settings} from '../config/settings_schema.js';
+import type {GenerateBody} from './caller_request.js';
+
+const MAX_NAME_LENGTH = 64;
+const MAX_IDEMPOTENCY_KEY_LENGTH = 128;
+const IDEMPOTENCY_KEY = /^[\x21-\x7e]+$/;
+
+const NAME = z.string().min(1).max(MAX_NAME_LENGTH);
+
+const GENERATE_BODY = z.strictObject({
+  kind: NAME,
+  prompt: z.string().min(1),
+  maxTokens: z.number().int().positive().optional(),
+  session: z.string().min(1).optional(),
+  deadlineMs: z.number().int().positive().optional(),
+  model: NAME.optional(),
+  version: NAME.optional(),
+});
+
+/**
+ * Parses and checks the body of `POST /v1/generate`.
+ *
+ * @throws RouterError `invalid_json` or `invalid_request`, naming all faults.
+ * @example
+ * ```ts
+ * parseGenerateBody('{"kind":"icebreaker","prompt":"Hi"}', settings).kind;
+ * ```
+ */
+export function parseGenerateBody(
+  text: string,
+  settings: Settings,
+): GenerateBody {
+  const result = GENERATE_BODY.safeParse(parseJson(text));
+  if (!result.success) {
+    throw createInvalidError(formatIssues(result.error.issues));
+  }
+  const body = result.data;
+  if ((body.model === undefined) !== (body.version === undefined)) {
+    throw createInvalidError('model and version go together');
+  }
+  const {maxTokens, maxDeadlineMs} = settings.requests;
+  return {
+    kind: body.kind,
+    prompt: body.prompt,
+    maxTokens: Math.min(body.maxTokens ?? maxTokens, maxTokens),
+    sessionToken: body.session,
+    deadlineMs:
+      body.deadlineMs === undefined
+        ? undefined
+        : Math.min(body.deadlineMs, maxDeadlineMs),
+    model: body.model,
+    version: body.version,
+  };
+}
+
+/**
+ * Checks the `Idempotency-Key` header.
+ *
+ * @throws RouterError `invalid_request` when the key is malformed.
+ * @example
+ * ```ts
+ * parseIdempotencyKey(request.headers['idempotency-key']);
+ * ```
+ */
+export function parseIdempotencyKey(
+  header: string | readonly string[] | undefined,
+): string | undefined {
+  if (header === undefined) return undefined;
+  const isOneKey = typeof header === 'string' && IDEMPOTENCY_KEY.test(header);
+  if (!isOneKey || header.length > MAX_IDEMPOTENCY_KEY_LENGTH) {
+    throw createInvalidError(
+      `Idempotency-Key takes 1 to ${MAX_IDEMPOTENCY_KEY_LENGTH} printable characters`,
+    );
+  }
+  return header;
+}
+
+/**
+ * Parses JSON text.
+ *
+ * @throws RouterError `invalid_json`.
+ * @example
+ * ```ts
+ * parseJson('{"a":1}');
+ * ```
+ */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    throw RouterError.create('The body is not valid JSON.', {
+      code: 'invalid_json',
+    });
+  }
+}
+
+function formatIssues(issues: readonly z.core.$ZodIssue[]): string {
+  return issues
+    .map(issue => {
+      const path = issue.path.length === 0 ? 'body' : issue.path.join('.');
+      return `${path}: ${issue.message}`;
+    })
+    .join('; ');
+}
+
+function createInvalidError(message: string): RouterError {
+  return RouterError.create(message, {code: 'invalid_request'});
+}
--- /dev/null
+++ b/packages/entry/src/stages/route.ts
@@ -0,0 +1,236 @@
+import {
+  RouterError,
+  findPin,
+  formatModelVersion,
+  isSameModelVersion,
+  isWithdrawn,
+  listPinnedVersions,
+  parseModelVersion,
+  resolveCascade,
+  resolveKind,
+  type ModelOption,
+  type ModelVersion,
+  type ResolvedKind,
+} from '@anvilrudder/core';
+import type {EntryContext} from '../entry_context.js';
+import type {GenerateRequest} from './caller_request.js';
+import {
+  createWithdrawnError,
+  listRuleSets,
+  resolveInForce,
+} from './check_rules.js';
+import {resolveModelOptions} from './model_options.js';
+
+const NO_BACKEND_RETRY_MS = 2000;
+
+/** The model versions to run for a request, cheapest first. */
+export interface RoutePlan {
+  readonly revision: number;
+  readonly steps: readonly ModelVersion[];
+  /** Lowest check score that makes a step final, for each step but the last. */
+  readonly checkThresholds: readonly number[];
+}
+
+type PlannedSteps = Omit<RoutePlan, 'revision'>;
+
+type PlanSource = 'explicit' | 'session' | 'chosen';
+
+interface PlanInput {
+  readonly context: EntryContext;
+  readonly request: GenerateRequest;
+  readonly options: readonly ModelOption[];
+  /** Models that may be tried in turn, cheapest first. */
+  readonly cascadeModels: readonly string[];
+}
+
+/**
+ * Resolves the kind of a request in the rules in force.
+ *
+ * @throws RouterError `not_ready` or `unknown_kind`.
+ * @example
+ * ```ts
+ * const kind = resolveRequestKind(context, 'school-a', 'icebreaker');
+ * ```
+ */
+export function resolveRequestKind(
+  context: EntryContext,
+  organisation: string,
+  kindName: string,
+): ResolvedKind {
+  const {rules} = resolveInForce(context.keeper);
+  const kind = resolveKind(rules, organisation, kindName);
+  if (kind === undefined) {
+    throw RouterError.create(`No rule names the kind ${kindName}.`, {
+      code: 'unknown_kind',
+    });
+  }
+  return kind;
+}
+
+/**
+ * Chooses the models and versions of a request within the rules in force.
+ *
+ * @throws RouterError `not_ready`, `unknown_model`, `not_allowed` or
+ *     `version_withdrawn`.
+ * @example
+ * ```ts
+ * const plan = resolveRoute(context, request);
+ * ```
+ */
+export function resolveRoute(
+  context: EntryContext,
+  request: GenerateRequest,
+): RoutePlan {
+  const {revision, rules} = resolveInForce(context.keeper);
+  const source = resolvePlanSource(request);
+  const plan = PLAN_HANDLERS[source]({
+    context,
+    request,
+    options: listCommonOptions(context, request),
+    cascadeModels: resolveCascade(rules, request.kind)?.models ?? [],
+  });
+  return {revision, ...plan};
+}
+
+function resolvePlanSource(request: GenerateRequest): PlanSource {
+  if (request.model !== undefined) return 'explicit';
+  const pin = request.session && findPin(request.session, request.kind);
+  return pin === undefined ? 'chosen' : 'session';
+}
+
+const PLAN_HANDLERS: Readonly<
+  Record<PlanSource, (input: PlanInput) => PlannedSteps>
+> = {
+  explicit: planExplicit,
+  session: planPinned,
+  chosen: planChosen,
+};
+
+function planExplicit(input: PlanInput): PlannedSteps {
+  const {model = '', version = ''} = input.request;
+  const wanted = {model, version};
+  assertNotWithdrawn(input.context, wanted);
+  const rules = resolveInForce(input.context.keeper).rules;
+  const isKnown = rules.models.some(
+    rule => rule.model === model && rule.version === version,
+  );
+  if (!isKnown) {
+    throw RouterError.create(`No rule names ${formatModelVersion(wanted)}.`, {
+      code: 'unknown_model',
+    });
+  }
+  assertPinnedVersion(input.request, wanted);
+  if (!input.options.some(option => isSameModelVersion(option, wanted))) {
+    throw createNotAllowedError(input.request);
+  }
+  return {steps: [wanted], checkThresholds: []};
+}
+
+function planPinned(input: PlanInput): PlannedSteps {
+  const {request, context, options} = input;
+  const pin = request.session && findPin(request.session, request.kind);
+  const steps = (pin?.steps ?? []).flatMap(
+    step => parseModelVersion(step) ?? [],
+  );
+  const open = steps.filter(step => !isWithdrawnNow(context, step));
+  if (open.length === 0) throw createWithdrawnError(steps[0]);
+  const allowed = open.filter(step =>
+    options.some(option => isSameModelVersion(option, step)),
+  );
+  if (allowed.length === 0) throw createNotAllowedError(request);
+  return {
+    steps: allowed,
+    checkThresholds: allowed.slice(1).map(() => request.qualityTarget),
+  };
+}
+
+function planChosen(input: PlanInput): PlannedSteps {
+  const {context, request, options, cascadeModels} = input;
+  const plan = context.chooser.choose({
+    organisation: request.organisation,
+    kind: request.kind,
+    key: request.session?.sessionId ?? request.requestId,
+    qualityTarget: request.qualityTarget,
+    options: listSessionOptions(request, options),
+    cascadeModels,
+    excluded: listExcluded(context, options),
+  });
+  if (plan !== undefined) return plan;
+  if (options.length === 0) throw createNotAllowedError(request);
+  throw RouterError.create(
+    `No backend server in service has a model for ${request.kind}.`,
+    {code: 'no_backend', retryAfterMs: NO_BACKEND_RETRY_MS},
+  );
+}
+
+// A session keeps the version of each model it has used; other models are
+// open to it as to new work.
+function listSessionOptions(
+  request: GenerateRequest,
+  options: readonly ModelOption[],
+): readonly ModelOption[] {
+  if (request.session === undefined) return options;
+  const pinned = listPinnedVersions(request.session);
+  return options.flatMap(option => {
+    const version = pinned.get(option.model);
+    if (version === undefined) return [option];
+    return version === option.version ? [{...option, share: 1}] : [];
+  });
+}
+
+function listExcluded(
+  context: EntryContext,
+  options: readonly ModelOption[],
+): readonly ModelVersion[] {
+  return options.filter(
+    option =>
+      context.stoppedVersions.isStopped(option) ||
+      context.backends.listServing(option).length === 0,
+  );
+}
+
+// While a change is undecided, an option must be open under both revisions.
+function listCommonOptions(
+  context: EntryContext,
+  request: GenerateRequest,
+): readonly ModelOption[] {
+  const [current, ...pending] = listRuleSets(resolveInForce(context.keeper));
+  const options = resolveModelOptions(current, request);
+  if (pending.length === 0) return options;
+  return options.filter(option =>
+    pending.every(rules =>
+      resolveModelOptions(rules, request).some(other =>
+        isSameModelVersion(other, option),
+      ),
+    ),
+  );
+}
+
+function isWithdrawnNow(context: EntryContext, wanted: ModelVersion): boolean {
+  const ruleSets = listRuleSets(resolveInForce(context.keeper));
+  return ruleSets.some(rules => isWithdrawn(rules, wanted));
+}
+
+function assertNotWithdrawn(context: EntryContext, wanted: ModelVersion): void {
+  if (isWithdrawnNow(context, wanted)) throw createWithdrawnError(wanted);
+}
+
+function assertPinnedVersion(
+  request: GenerateRequest,
+  wanted: ModelVersion,
+): void {
+  if (request.session === undefined) return;
+  const version = listPinnedVersions(request.session).get(wanted.model);
+  if (version === undefined || version === wanted.version) return;
+  throw RouterError.create(
+    `The session keeps ${wanted.model}@${version}; ask without its session for another version.`,
+    {code: 'invalid_request'},
+  );
+}
+
+function createNotAllowedError(request: GenerateRequest): RouterError {
+  return RouterError.create(
+    `No rule allows this organisation a model for ${request.kind}.`,
+    {code: 'not_allowed'},
+  );
+}
--- /dev/null
+++ b/packages/entry/src/start_entry.ts
@@ -0,0 +1,103 @@
+import {ModelChooser} from '@anvilrudder/core';
+import {MetricRegistry, createLogger} from '@anvilrudder/observability';
+import {BackendDirectory} from './backends/backend_directory.js';
+import {createBackendClients} from './backends/create_backend_clients.js';
+import {watchBackends} from './backends/watch_backends.js';
+import type {Settings} from './config/settings_schema.js';
+import {startControl} from './control/start_control.js';
+import type {EntryContext} from './entry_context.js';
+import {createCallerServer} from './server/caller_server.js';
+import {listen} from './server/listen.js';
+import {OpenRequests} from './server/open_requests.js';
+import {stopCallers} from './server/stop_callers.js';
+import {createAuthenticator} from './stages/authenticate.js';
+
+/** A running entry. */
+export interface RunningEntry {
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly context: EntryContext;
+  /** Stops gracefully; resolves when no request is open. */
+  stop(): Promise<void>;
+}
+
+/**
+ * Starts an entry: control first, then the server for callers.
+ *
+ * @throws Error when an address cannot be listened on.
+ * @example
+ * ```ts
+ * const entry = await startEntry(settings);
+ * await entry.stop();
+ * ```
+ */
+export async function startEntry(settings: Settings): Promise<RunningEntry> {
+  const logger = createLogger({
+    name: 'anvilrudder-entry',
+    host: settings.host,
+    level: settings.log.level,
+  });
+  const metrics = MetricRegistry.create();
+  const clients = createBackendClients(settings);
+  const backends = BackendDirectory.create();
+  const control = await startControl({settings, logger, metrics});
+  const stopWatching = await watchBackends({
+    directory: backends,
+    reader: clients.reader,
+    logger,
+    pollMs: settings.platform.hostPollMs,
+  });
+  let isAccepting = true;
+  const context: EntryContext = {
+    settings,
+    logger,
+    metrics,
+    callers: createAuthenticator(
+      settings.organisations.map(({name, apiKeySha256}) => ({
+        name,
+        digests: apiKeySha256,
+      })),
+    ),
+    sessionKeys: {
+      keys: settings.sessions.keys.map(({id, secretBase64}) => ({
+        id,
+        secret: Buffer.from(secretBase64, 'base64'),
+      })),
+    },
+    keeper: control.keeper,
+    chooser: ModelChooser.create({weights: settings.decisions.weights}),
+    stoppedVersions: {isStopped: () => false},
+    claims: control.claims,
+    billing: control.billing,
+    backends,
+    engines: clients.engines,
+    services: clients.services,
+    openRequests: OpenRequests.create(),
+    isAccepting: () => isAccepting,
+  };
+  metrics.registerGauge('open_requests', () => context.openRequests.count);
+  metrics.registerGauge(
+    'rules_revision',
+    () => control.keeper.status().revision,
+  );
+  const server = createCallerServer(context);
+  const callerAddress = await listen(server, settings.listen);
+  logger.info('entry_started', {
+    callerAddress,
+    peerAddress: control.peerAddress,
+    failureDomain: settings.failureDomain,
+  });
+  return {
+    callerAddress,
+    peerAddress: control.peerAddress,
+    context,
+    async stop() {
+      isAccepting = false;
+      await stopCallers(context, server);
+      stopWatching();
+      await control.stop();
+      await clients.close();
+      logger.info('entry_stopped', {});
+    },
+  };
+}
