Serve the operators' calls at an entry

Cause: the control service had a protocol and no server.

Change: createControlRoutes answers the six calls through a RulesKeeper, an audit reader and an explainer. An interceptor asks for an operator's bearer token before any method runs; the digest of the token is compared with every known digest in constant time, and a change is recorded under the name of the token. A differing name is refused. Errors carry the stable code of the product in a header; unexpected ones lose their message.

Ruled out: a check of the token inside each method, which a new method could forget.

Conclusion: 14 tests of packages/entry/test/operators pass, over a real HTTP server on loopback.

--- /dev/null
+++ b/packages/entry/src/control/operators/connect_errors.ts
@@ -0,0 +1,44 @@
+import {isRouterError, type ErrorCode} from '@anvilrudder/core';
+import {Code, ConnectError} from '@connectrpc/connect';
+
+/** Response header that carries the stable error code of the product. */
+export const ERROR_CODE_HEADER = 'anvilrudder-error-code';
+
+const CONNECT_CODES: ReadonlyMap<ErrorCode, Code> = new Map([
+  ['invalid_request', Code.InvalidArgument],
+  ['body_too_large', Code.InvalidArgument],
+  ['unauthenticated', Code.Unauthenticated],
+  ['not_allowed', Code.PermissionDenied],
+  ['not_found', Code.NotFound],
+  ['unknown_kind', Code.NotFound],
+  ['unknown_model', Code.NotFound],
+  ['limit_exceeded', Code.ResourceExhausted],
+  ['overloaded', Code.Unavailable],
+  ['not_ready', Code.Unavailable],
+  ['platform_unavailable', Code.Unavailable],
+  ['outcome_unknown', Code.Unknown],
+  ['deadline_exceeded', Code.DeadlineExceeded],
+]);
+
+/** Creates the error of a request that the service refuses by itself. */
+export function createRefusal(
+  message: string,
+  connectCode: Code,
+  errorCode: ErrorCode,
+): ConnectError {
+  const headers = {[ERROR_CODE_HEADER]: errorCode};
+  return new ConnectError(message, connectCode, headers);
+}
+
+/**
+ * Turns a thrown value into a Connect error. Unexpected values become
+ * `internal` without their message, which may hold secrets.
+ */
+export function toConnectError(error: unknown): ConnectError {
+  if (error instanceof ConnectError) return error;
+  if (!isRouterError(error)) {
+    return createRefusal('Unexpected fault.', Code.Internal, 'internal');
+  }
+  const connectCode = CONNECT_CODES.get(error.code) ?? Code.Internal;
+  return createRefusal(error.publicMessage, connectCode, error.code);
+}
--- /dev/null
+++ b/packages/entry/src/control/operators/control_routes.ts
@@ -0,0 +1,206 @@
+import {MAX_RULE_FILE_BYTES} from '@anvilrudder/core';
+import {ControlService} from '@anvilrudder/peers';
+import type * as wire from '@anvilrudder/peers';
+import {
+  Code,
+  createContextKey,
+  type ConnectError,
+  type ConnectRouter,
+  type Interceptor,
+  type ServiceImpl,
+} from '@connectrpc/connect';
+import type {ApplyRulesRequest, RulesKeeper} from '../rules_keeper.js';
+import type {AuditQuery, AuditReader} from './audit_reader.js';
+import {createRefusal, toConnectError} from './connect_errors.js';
+import {
+  createOperatorDirectory,
+  readBearerToken,
+  type OperatorDirectory,
+  type OperatorToken,
+} from './operator_tokens.js';
+import {createRulesExplainer, type Explainer} from './rules_explainer.js';
+import {
+  encodeAuditRecord,
+  encodeOption,
+  encodeOutcome,
+  encodeStatus,
+} from './wire_messages.js';
+
+/** What the operators' service needs of its entry. */
+export interface ControlRoutesOptions {
+  /** Name of this entry host, shown in the status. */
+  readonly host: string;
+  readonly keeper: RulesKeeper;
+  readonly audit: AuditReader;
+  readonly operatorTokens: readonly OperatorToken[];
+  /** Explains by the rules in force alone when it is left out. */
+  readonly explain?: Explainer;
+}
+
+/** Registers the operators' service on a router. */
+export type ControlRoutes = (router: ConnectRouter) => void;
+
+/** Most bytes of a control request: a rule file and room for its frame. */
+export const MAX_CONTROL_REQUEST_BYTES = MAX_RULE_FILE_BYTES + 64 * 1024;
+
+const MAX_ID_LENGTH = 128;
+const MAX_TEXT_LENGTH = 1024;
+const MAX_WITHOUT_HOSTS = 1000;
+const DEFAULT_AUDIT_LIMIT = 100;
+const MAX_AUDIT_LIMIT = 1000;
+const CHANGE_ID = /^[\w.:-]+$/;
+// eslint-disable-next-line no-control-regex
+const CONTROL_CHARACTER = /[\u0000-\u001f\u007f]/;
+
+/**
+ * Creates the operators' service. Every call needs the bearer token of an
+ * operator; a change is recorded under the name that belongs to the token.
+ *
+ * @example
+ * ```ts
+ * const handler = connectNodeAdapter({
+ *   routes: createControlRoutes({host, keeper, audit, operatorTokens}),
+ *   readMaxBytes: MAX_CONTROL_REQUEST_BYTES,
+ * });
+ * ```
+ */
+export function createControlRoutes(
+  options: ControlRoutesOptions,
+): ControlRoutes {
+  const directory = createOperatorDirectory(options.operatorTokens);
+  const interceptors = [createOperatorInterceptor(directory)];
+  const service = createService(options);
+  return router => {
+    router.service(ControlService, service, {interceptors});
+  };
+}
+
+const operatorKey = createContextKey('', {description: 'operator'});
+
+function createOperatorInterceptor(directory: OperatorDirectory): Interceptor {
+  return next => async request => {
+    const token = readBearerToken(request.header.get('authorization'));
+    const operator =
+      token === undefined ? undefined : directory.findOperator(token);
+    if (operator === undefined) {
+      throw createRefusal(
+        'The operator token is missing or unknown.',
+        Code.Unauthenticated,
+        'unauthenticated',
+      );
+    }
+    request.contextValues.set(operatorKey, operator);
+    try {
+      return await next(request);
+    } catch (error) {
+      throw toConnectError(error);
+    }
+  };
+}
+
+function createService(
+  options: ControlRoutesOptions,
+): ServiceImpl<typeof ControlService> {
+  const {host, keeper, audit} = options;
+  const explain = options.explain ?? createRulesExplainer(keeper);
+  return {
+    async applyRules(request, context) {
+      const change = decodeChange(request, context.values.get(operatorKey));
+      const outcome = await keeper.apply(change);
+      return {outcome: encodeOutcome(outcome)};
+    },
+    async getChange({changeId}) {
+      checkChangeId(changeId);
+      const outcome = await keeper.findChange(changeId);
+      return outcome === undefined ? {} : {outcome: encodeOutcome(outcome)};
+    },
+    getStatus() {
+      return encodeStatus(host, keeper.status());
+    },
+    getRules() {
+      const revision = BigInt(keeper.status().revision);
+      return {revision, content: keeper.content()};
+    },
+    async listAudit(request) {
+      const records = await audit.list(decodeAuditQuery(request));
+      return {records: records.map(encodeAuditRecord)};
+    },
+    explain({organisation, kind}) {
+      const {revision, options: explained} = explain({organisation, kind});
+      return {
+        revision: BigInt(revision),
+        options: explained.map(encodeOption),
+      };
+    },
+  };
+}
+
+function decodeChange(
+  request: wire.ApplyRulesRequest,
+  operator: string,
+): ApplyRulesRequest {
+  const {changeId, who, why, content, withoutHosts} = request;
+  if (who !== '' && who !== operator) {
+    throw createRefusal(
+      `The token belongs to ${operator}, not to ${JSON.stringify(who)}.`,
+      Code.PermissionDenied,
+      'not_allowed',
+    );
+  }
+  checkChangeId(changeId);
+  checkText('why', why);
+  if (Buffer.byteLength(content) > MAX_RULE_FILE_BYTES) {
+    throw createInvalid(`content exceeds ${MAX_RULE_FILE_BYTES} bytes.`);
+  }
+  if (withoutHosts.length > MAX_WITHOUT_HOSTS) {
+    throw createInvalid(`without_hosts exceeds ${MAX_WITHOUT_HOSTS} hosts.`);
+  }
+  for (const withoutHost of withoutHosts) {
+    checkText('without_hosts', withoutHost);
+  }
+  return {
+    changeId,
+    who: operator,
+    why,
+    content,
+    baseRevision: decodeInteger('base_revision', request.baseRevision),
+    withoutHosts,
+  };
+}
+
+function decodeAuditQuery(request: wire.ListAuditRequest): AuditQuery {
+  const {who, action, limit} = request;
+  return {
+    who: who === '' ? undefined : who,
+    action: action === '' ? undefined : action,
+    afterSequence: decodeInteger('after_sequence', request.afterSequence),
+    limit: Math.min(limit === 0 ? DEFAULT_AUDIT_LIMIT : limit, MAX_AUDIT_LIMIT),
+  };
+}
+
+function decodeInteger(field: string, value: bigint): number {
+  if (value <= BigInt(Number.MAX_SAFE_INTEGER)) return Number(value);
+  throw createInvalid(`${field} is too large.`);
+}
+
+function checkChangeId(changeId: string): void {
+  if (changeId.length <= MAX_ID_LENGTH && CHANGE_ID.test(changeId)) return;
+  throw createInvalid(
+    `change_id must be 1 to ${MAX_ID_LENGTH} letters, digits and ._:-`,
+  );
+}
+
+function checkText(field: string, text: string): void {
+  const isValid =
+    text.trim() !== '' &&
+    text.length <= MAX_TEXT_LENGTH &&
+    !CONTROL_CHARACTER.test(text);
+  if (isValid) return;
+  throw createInvalid(
+    `${field} must be one line of 1 to ${MAX_TEXT_LENGTH} characters.`,
+  );
+}
+
+function createInvalid(message: string): ConnectError {
+  return createRefusal(message, Code.InvalidArgument, 'invalid_request');
+}
--- /dev/null
+++ b/packages/entry/src/control/operators/operator_tokens.ts
@@ -0,0 +1,91 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+
+/** An operator and the digest of the token that proves who it is. */
+export interface OperatorToken {
+  readonly name: string;
+  /** SHA-256 of the token, in hexadecimal. */
+  readonly sha256: string;
+}
+
+/** Finds operators by the token they present. */
+export interface OperatorDirectory {
+  /** Returns the operator's name, or undefined for an unknown token. */
+  findOperator(token: string): string | undefined;
+}
+
+interface KnownDigest {
+  readonly name: string;
+  readonly digest: Buffer;
+}
+
+const HEX_SHA256 = /^[0-9a-f]{64}$/i;
+const BEARER = /^Bearer ([!-~]{1,512})$/i;
+
+/**
+ * Creates a directory of operators. A look-up compares the digest of the
+ * presented token with every known digest in constant time.
+ *
+ * @throws TypeError when a digest is not a SHA-256 in hexadecimal.
+ * @example
+ * ```ts
+ * const directory = createOperatorDirectory([
+ *   {name: 'kim', sha256: digestOperatorToken('secret')},
+ * ]);
+ * directory.findOperator('secret'); // 'kim'
+ * ```
+ */
+export function createOperatorDirectory(
+  tokens: readonly OperatorToken[],
+): OperatorDirectory {
+  const known = tokens.map(createKnownDigest);
+  return {
+    findOperator: token => findName(known, computeDigest(token)),
+  };
+}
+
+/**
+ * Computes the digest of a token as settings hold it.
+ *
+ * @example
+ * ```ts
+ * digestOperatorToken('secret').length; // 64
+ * ```
+ */
+export function digestOperatorToken(token: string): string {
+  return computeDigest(token).toString('hex');
+}
+
+/**
+ * Reads the token of an `Authorization: Bearer` header.
+ *
+ * @example
+ * ```ts
+ * readBearerToken('Bearer abc'); // 'abc'
+ * ```
+ */
+export function readBearerToken(header: string | null): string | undefined {
+  return BEARER.exec(header ?? '')?.[1];
+}
+
+function createKnownDigest({name, sha256}: OperatorToken): KnownDigest {
+  if (!HEX_SHA256.test(sha256)) {
+    throw new TypeError(`The token digest of operator ${name} is malformed.`);
+  }
+  return {name, digest: Buffer.from(sha256, 'hex')};
+}
+
+// Every digest is compared, so that the time does not tell which one matched.
+function findName(
+  known: readonly KnownDigest[],
+  digest: Buffer,
+): string | undefined {
+  let found: string | undefined;
+  for (const candidate of known) {
+    if (timingSafeEqual(candidate.digest, digest)) found = candidate.name;
+  }
+  return found;
+}
+
+function computeDigest(token: string): Buffer {
+  return createHash('sha256').update(token).digest();
+}
--- /dev/null
+++ b/packages/entry/test/operators/control_routes.test.ts
@@ -0,0 +1,299 @@
+import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {after, before, describe, test} from 'node:test';
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import {parseRules, RouterError} from '@anvilrudder/core';
+import {ControlService, type ApplyRulesRequestSchema} from '@anvilrudder/peers';
+import {
+  Code,
+  ConnectError,
+  createClient,
+  type Client,
+} from '@connectrpc/connect';
+import {
+  connectNodeAdapter,
+  createConnectTransport,
+} from '@connectrpc/connect-node';
+import {
+  createControlRoutes,
+  digestOperatorToken,
+  ERROR_CODE_HEADER,
+  MAX_CONTROL_REQUEST_BYTES,
+  type AuditQuery,
+  type AuditRecord,
+} from '../../src/control/operators/index.js';
+import type {
+  ApplyRulesRequest,
+  RulesInForce,
+  RulesKeeper,
+} from '../../src/control/rules_keeper.js';
+
+const CONTENT = [
+  'model name=quick version=v1 cost-per-mtok=0.2 quality=0.7 # Kim: base',
+  'kind name=icebreaker quality=0.6 deadline-ms=8000 # Kim: base',
+  'allow organisation=hana model=* version=* kind=* # Kim: base',
+].join('\n');
+
+const RECORD: AuditRecord = {
+  sequence: 7,
+  timeMs: 1_800_000_000_000,
+  host: 'entry-1',
+  action: 'apply',
+  who: 'kim',
+  why: 'test',
+  beforeRevision: 1,
+  afterRevision: 2,
+  outcome: 'accepted',
+  id: 'c-1',
+};
+
+const APPLY = {changeId: 'c-1', why: 'test', content: CONTENT};
+
+type RefusedCase = readonly [
+  string,
+  MessageInitShape<typeof ApplyRulesRequestSchema>,
+  string,
+];
+
+class FakeKeeper implements RulesKeeper {
+  readonly applied: ApplyRulesRequest[] = [];
+  failure: Error | undefined;
+  rulesInForce: RulesInForce | undefined;
+
+  inForce(): RulesInForce | undefined {
+    return this.rulesInForce;
+  }
+
+  async apply(request: ApplyRulesRequest) {
+    if (this.failure !== undefined) throw this.failure;
+    this.applied.push(request);
+    const {changeId} = request;
+    return {
+      changeId,
+      state: 'refused' as const,
+      revision: 0,
+      reason: 'findings',
+      findings: parseRules('alow x=y').findings,
+      silentHosts: ['entry-2'],
+    };
+  }
+
+  async findChange() {
+    return undefined;
+  }
+
+  content(): string {
+    return CONTENT;
+  }
+
+  status() {
+    return {
+      revision: 3,
+      digest: 'd',
+      pendingChangeId: undefined,
+      isServing: true,
+      servesBy: 'store' as const,
+      confirmedAgeMs: 12.6,
+      members: [
+        {
+          host: 'entry-2',
+          incarnation: 'i',
+          failureDomain: 'a',
+          heardAgeMs: undefined,
+          revision: 0,
+        },
+      ],
+    };
+  }
+
+  async stop(): Promise<void> {}
+}
+
+describe('operators service', () => {
+  const keeper = new FakeKeeper();
+  const queries: AuditQuery[] = [];
+  const routes = createControlRoutes({
+    host: 'entry-1',
+    keeper,
+    audit: {
+      list: async query => {
+        queries.push(query);
+        return [RECORD];
+      },
+    },
+    operatorTokens: [
+      {name: 'lee', sha256: digestOperatorToken('lee-token')},
+      {name: 'kim', sha256: digestOperatorToken('kim-token')},
+    ],
+  });
+  const server = createServer(
+    connectNodeAdapter({routes, readMaxBytes: MAX_CONTROL_REQUEST_BYTES}),
+  );
+  let client: Client<typeof ControlService>;
+
+  before(async () => {
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const baseUrl = `http://127.0.0.1:${port}`;
+    const transport = createConnectTransport({baseUrl, httpVersion: '1.1'});
+    client = createClient(ControlService, transport);
+  });
+
+  after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+
+  const headers = (token: string) => ({
+    headers: {authorization: `Bearer ${token}`},
+  });
+  const kim = headers('kim-token');
+
+  async function readFailure(call: Promise<unknown>): Promise<string> {
+    const error = await call.then(
+      () => assert.fail('the call succeeded'),
+      (reason: unknown) => ConnectError.from(reason),
+    );
+    return `${Code[error.code]} ${error.metadata.get(ERROR_CODE_HEADER)}`;
+  }
+
+  test('refuses every method without a known operator token', async () => {
+    const options = [undefined, headers('nope'), headers('')];
+    for (const option of options) {
+      const calls = [
+        client.applyRules(APPLY, option),
+        client.getChange({changeId: 'c'}, option),
+        client.getStatus({}, option),
+        client.getRules({}, option),
+        client.listAudit({}, option),
+        client.explain({}, option),
+      ];
+      for (const call of calls) {
+        const failure = await readFailure(call);
+        assert.equal(failure, 'Unauthenticated unauthenticated');
+      }
+    }
+    assert.deepEqual(keeper.applied, []);
+  });
+
+  test('records the operator of the token and returns all findings', async () => {
+    const request = {
+      ...APPLY,
+      who: 'kim',
+      baseRevision: 3n,
+      withoutHosts: ['e'],
+    };
+    const {outcome} = await client.applyRules(request, kim);
+    assert.deepEqual(keeper.applied.pop(), {
+      ...APPLY,
+      who: 'kim',
+      baseRevision: 3,
+      withoutHosts: ['e'],
+    });
+    assert.equal(outcome?.state, 'refused');
+    assert.equal(outcome.findings[0].hint, 'did you mean "allow"?');
+    assert.deepEqual(outcome.silentHosts, ['entry-2']);
+  });
+
+  const REFUSED: readonly RefusedCase[] = [
+    [
+      "another operator's name",
+      {...APPLY, who: 'lee'},
+      'PermissionDenied not_allowed',
+    ],
+    [
+      'an empty change id',
+      {...APPLY, changeId: ''},
+      'InvalidArgument invalid_request',
+    ],
+    [
+      'a malformed change id',
+      {...APPLY, changeId: 'a/b'},
+      'InvalidArgument invalid_request',
+    ],
+    ['a blank reason', {...APPLY, why: ' '}, 'InvalidArgument invalid_request'],
+    [
+      'a reason of two lines',
+      {...APPLY, why: 'a\nwho=root'},
+      'InvalidArgument invalid_request',
+    ],
+    [
+      'an empty host name',
+      {...APPLY, withoutHosts: ['']},
+      'InvalidArgument invalid_request',
+    ],
+    [
+      'a revision beyond the safe integers',
+      {...APPLY, baseRevision: 2n ** 60n},
+      'InvalidArgument invalid_request',
+    ],
+    [
+      'a file over the size limit',
+      {...APPLY, content: ' '.repeat(1_048_577)},
+      'InvalidArgument invalid_request',
+    ],
+  ];
+
+  for (const [name, request, expected] of REFUSED) {
+    test(`refuses to apply ${name}`, async () => {
+      const call = client.applyRules(request, kim);
+      assert.equal(await readFailure(call), expected);
+      assert.deepEqual(keeper.applied, []);
+    });
+  }
+
+  test('maps errors and hides unexpected ones', async () => {
+    keeper.failure = RouterError.create('Out.', {code: 'platform_unavailable'});
+    const typed = await readFailure(client.applyRules(APPLY, kim));
+    keeper.failure = new Error('secret');
+    const call = client.applyRules(APPLY, kim);
+    await assert.rejects(call, error => !String(error).includes('secret'));
+    keeper.failure = undefined;
+    assert.equal(typed, 'Unavailable platform_unavailable');
+  });
+
+  test('reads status, rules, change and audit', async () => {
+    const status = await client.getStatus({}, kim);
+    assert.equal(status.host, 'entry-1');
+    assert.equal(status.confirmedAgeMs, 13);
+    assert.equal(status.members[0].heardAgeMs, undefined);
+    assert.equal(status.members[0].revision, 0n);
+    const rules = await client.getRules({}, kim);
+    assert.equal(rules.content, CONTENT);
+    assert.equal(rules.revision, 3n);
+    const change = await client.getChange({changeId: 'c'}, kim);
+    assert.equal(change.outcome, undefined);
+    const {records} = await client.listAudit({who: 'kim', limit: 9999}, kim);
+    assert.equal(records[0].sequence, 7n);
+    assert.deepEqual(queries, [
+      {who: 'kim', action: undefined, afterSequence: 0, limit: 1000},
+    ]);
+  });
+
+  test('explains by the rules in force', async () => {
+    const scope = {organisation: 'hana', kind: 'icebreaker'};
+    const failure = await readFailure(client.explain(scope, kim));
+    assert.equal(failure, 'Unavailable not_ready');
+    const {rules} = parseRules(CONTENT);
+    assert.ok(rules !== undefined);
+    keeper.rulesInForce = {revision: 3, rules, pendingRules: undefined};
+    const {revision, options} = await client.explain(scope, kim);
+    assert.equal(revision, 3n);
+    assert.equal(options[0].verdict, 'chosen');
+    assert.equal(options[0].rules[0].who, 'Kim');
+  });
+});
+
+test('refuses a malformed token digest at creation', () => {
+  assert.throws(
+    () =>
+      createControlRoutes({
+        host: 'e',
+        keeper: new FakeKeeper(),
+        audit: {list: async () => []},
+        operatorTokens: [{name: 'kim', sha256: 'plain'}],
+      }),
+    TypeError,
+  );
+});
