--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -9,6 +9,10 @@
 import {listen} from '../server/listen.js';
 import {createClaimRunner} from './claim_runner.js';
 import {createClaimKeeper} from './claims/claim_keeper.js';
+import {
+  MAX_CONTROL_REQUEST_BYTES,
+  createControlRoutes,
+} from './operators/index.js';
 import {createPollingRulesKeeper} from './polling_rules_keeper.js';
 import type {RulesKeeper} from './rules_keeper.js';
 
@@ -57,7 +61,16 @@
   });
   const server = createServer(
     connectNodeAdapter({
-      routes: () => undefined,
+      routes: createControlRoutes({
+        host: settings.host,
+        keeper,
+        audit: {list: async () => []},
+        operatorTokens: settings.operators.map(({name, tokenSha256}) => ({
+          name,
+          sha256: tokenSha256,
+        })),
+      }),
+      readMaxBytes: MAX_CONTROL_REQUEST_BYTES,
     }),
   );
   const peerAddress = await listen(server, settings.peer);
