Add the clients of engines, plain services, host list, ratings and weights

Cause: dispatch needs each failed call's phase, and whether it ran. Ruled out: taking any 429 or 503 for a refusal (a proxy or a crash answers them too); only codes listed for the status prove that nothing ran. Ending the connection when the last event is read: a test showed one new connection a generation, so the rest of an answer is read and dropped instead. Change: BackendError carries phase, failure, execution, code and the count of tokens received in order. A token stream leaves out repeats and fails when a token is missing or the count of the end differs.

--- /dev/null
+++ b/packages/platform/src/engine/token_sequence.ts
@@ -0,0 +1,75 @@
+import {parseJsonObject, readNumber, readString} from '../http/json.js';
+import type {ServerSentEvent} from '../utils/sse_parser.js';
+import type {EngineEvent} from './engine_types.js';
+
+/** What an event of a stream means for the answer. */
+export type SequenceStep =
+  | {readonly kind: 'event'; readonly event: EngineEvent}
+  | {readonly kind: 'skip'}
+  | {readonly kind: 'incomplete'}
+  | {readonly kind: 'badAnswer'}
+  | {readonly kind: 'failed'; readonly code: string};
+
+type StepHandler = (data: string, sequence: TokenSequence) => SequenceStep;
+
+const SKIP: SequenceStep = {kind: 'skip'};
+const INCOMPLETE: SequenceStep = {kind: 'incomplete'};
+const BAD_ANSWER: SequenceStep = {kind: 'badAnswer'};
+
+const STEP_BY_NAME: Readonly<Record<string, StepHandler>> = {
+  token: (data, sequence) => sequence.acceptToken(data),
+  done: (data, sequence) => sequence.acceptDone(data),
+  error: data => {
+    const body = parseJsonObject(data);
+    const code = (body && readString(body, 'code')) ?? 'failed';
+    return {kind: 'failed', code};
+  },
+};
+
+/**
+ * Checks that a stream's tokens come in order: a repeated token is skipped,
+ * and a missing one makes the answer incomplete.
+ */
+export class TokenSequence {
+  private nextIndex: number;
+
+  private constructor(firstIndex: number) {
+    this.nextIndex = firstIndex;
+  }
+
+  static create(firstIndex: number): TokenSequence {
+    return new TokenSequence(firstIndex);
+  }
+
+  /** Tokens accepted, those before the first index included. */
+  get count(): number {
+    return this.nextIndex;
+  }
+
+  /** Classifies the next event of the stream. */
+  accept(event: ServerSentEvent): SequenceStep {
+    return STEP_BY_NAME[event.name]?.(event.data, this) ?? SKIP;
+  }
+
+  acceptToken(data: string): SequenceStep {
+    const body = parseJsonObject(data);
+    const index = body && readNumber(body, 'index');
+    const text = body && readString(body, 'text');
+    if (index === undefined || text === undefined) return BAD_ANSWER;
+    if (index < this.nextIndex) return SKIP;
+    if (index > this.nextIndex) return INCOMPLETE;
+    this.nextIndex += 1;
+    return {kind: 'event', event: {kind: 'token', index, text}};
+  }
+
+  acceptDone(data: string): SequenceStep {
+    const body = parseJsonObject(data);
+    const tokenCount = body && readNumber(body, 'tokenCount');
+    if (body === undefined || tokenCount === undefined) return BAD_ANSWER;
+    if (tokenCount !== this.nextIndex) return INCOMPLETE;
+    const promptTokens = readNumber(body, 'promptTokens') ?? 0;
+    const cachedPromptTokens = readNumber(body, 'cachedPromptTokens') ?? 0;
+    const counts = {tokenCount, promptTokens, cachedPromptTokens};
+    return {kind: 'event', event: {kind: 'done', ...counts}};
+  }
+}
--- a/packages/platform/src/http/http_exchange.ts
+++ b/packages/platform/src/http/http_exchange.ts
@@ -26,9 +26,15 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly chunks: AsyncIterableIterator<Buffer>;
+  /**
+   * Drops the rest of the answer, so that its connection can serve again; an
+   * answer that does not end soon is cut.
+   */
+  discard(): void;
 }
 
 const FIRST_FINAL_STATUS = 200;
+const DISCARD_TIMEOUT_MS = 1000;
 
 /** Follows one request from its queue to the end of its answer. */
 export class HttpExchange implements Dispatcher.DispatchHandler {
@@ -36,6 +42,7 @@
   readonly opened: Promise<HttpStream>;
   private phase: RequestPhase = 'beforeFirstByte';
   private isOver = false;
+  private isDiscarding = false;
   private controller: Dispatcher.DispatchController | undefined;
   private timer: NodeJS.Timeout | undefined;
   private readonly chunks: ChunkQueue;
@@ -87,14 +94,19 @@
     if (status < FIRST_FINAL_STATUS || this.isOver) return;
     this.phase = 'streaming';
     this.arm(this.options.idleTimeoutMs);
-    this.resolveOpened({status, headers, chunks: this.chunks});
+    this.resolveOpened({
+      status,
+      headers,
+      chunks: this.chunks,
+      discard: () => this.discard(),
+    });
   }
 
   onResponseData(
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    if (this.isOver) return;
+    if (this.isOver || this.isDiscarding) return;
     this.arm(this.options.idleTimeoutMs);
     this.chunks.push(chunk);
   }
@@ -122,6 +134,14 @@
     this.controller?.abort(error);
   }
 
+  private discard(): void {
+    if (this.isOver) return;
+    this.isDiscarding = true;
+    this.chunks.finish();
+    this.arm(DISCARD_TIMEOUT_MS);
+    this.controller?.resume();
+  }
+
   private close(): void {
     this.isOver = true;
     clearTimeout(this.timer);
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,6 +1,12 @@
+export * from './engine/engine_types.js';
+export * from './engine/http_engine_client.js';
 export * from './errors/backend_error.js';
 export * from './errors/object_store_error.js';
 export * from './errors/transport_error.js';
+export * from './hosts/host_list_client.js';
 export type {ExchangeOptions, HttpStream} from './http/http_exchange.js';
 export * from './http/http_transport.js';
 export * from './objects/http_object_store.js';
+export * from './services/rating_client.js';
+export * from './services/service_client.js';
+export * from './services/weight_client.js';
--- /dev/null
+++ b/packages/platform/src/utils/sse_parser.ts
@@ -0,0 +1,64 @@
+/** One server-sent event. */
+export interface ServerSentEvent {
+  readonly name: string;
+  readonly data: string;
+}
+
+const DEFAULT_NAME = 'message';
+const MAX_EVENT_CHARACTERS = 1024 * 1024;
+const EVENT_END = /\r?\n\r?\n/;
+
+function parseBlock(block: string): ServerSentEvent | undefined {
+  let name = DEFAULT_NAME;
+  const data: string[] = [];
+  for (const line of block.split(/\r?\n/)) {
+    const colon = line.indexOf(':');
+    if (colon <= 0) continue;
+    const value = line.slice(colon + 1).replace(/^ /, '');
+    const field = line.slice(0, colon);
+    if (field === 'event') name = value;
+    if (field === 'data') data.push(value);
+  }
+  return data.length === 0 ? undefined : {name, data: data.join('\n')};
+}
+
+/**
+ * Splits bytes into server-sent events, whatever the chunks they come in.
+ *
+ * @example
+ * ```ts
+ * const parser = SseParser.create();
+ * parser.push(Buffer.from('event: a\ndata: 1\n\n')); // [{name: 'a', data: '1'}]
+ * ```
+ */
+export class SseParser {
+  private readonly decoder = new TextDecoder();
+  private rest = '';
+
+  private constructor() {}
+
+  static create(): SseParser {
+    return new SseParser();
+  }
+
+  /**
+   * Returns the events that the chunk completes.
+   *
+   * @throws RangeError when an event exceeds a megabyte.
+   */
+  push(chunk: Uint8Array): readonly ServerSentEvent[] {
+    this.rest += this.decoder.decode(chunk, {stream: true});
+    const events: ServerSentEvent[] = [];
+    let end = EVENT_END.exec(this.rest);
+    while (end !== null) {
+      const event = parseBlock(this.rest.slice(0, end.index));
+      if (event !== undefined) events.push(event);
+      this.rest = this.rest.slice(end.index + end[0].length);
+      end = EVENT_END.exec(this.rest);
+    }
+    if (this.rest.length > MAX_EVENT_CHARACTERS) {
+      throw new RangeError('a server-sent event exceeds a megabyte');
+    }
+    return events;
+  }
+}
--- /dev/null
+++ b/packages/platform/test/faults/service_client.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {Execution} from '@anvilrudder/core';
+import {startBookingStandIn, type BookingFaults} from '@anvilrudder/stand-ins';
+import {
+  HttpServiceClient,
+  isBackendError,
+  type BackendPhase,
+  type ServiceCall,
+} from '../../src/index.js';
+
+const CALL: ServiceCall = {
+  path: '/v1/confirmations',
+  body: '{"pairing":1}',
+  idempotencyKey: 'k',
+  timeoutMs: 2000,
+};
+
+interface ServiceFaultCase {
+  readonly fault: string;
+  readonly faults: Partial<BookingFaults>;
+  readonly call?: Partial<ServiceCall>;
+  readonly phase: BackendPhase;
+  readonly execution: Execution;
+  /** What the service counts in truth. */
+  readonly executions: number;
+}
+
+const SERVICE_FAULT_CASES: readonly ServiceFaultCase[] = [
+  {
+    fault: 'the service refuses',
+    faults: {refuse: 1},
+    phase: 'refused',
+    execution: 'notRun',
+    executions: 0,
+  },
+  {
+    fault: 'withheld right before the first byte',
+    faults: {},
+    call: {confirmSend: () => false},
+    phase: 'beforeFirstByte',
+    execution: 'notRun',
+    executions: 0,
+  },
+  {
+    fault: 'cut off before it runs',
+    faults: {dropBeforeRun: 1},
+    phase: 'sent',
+    execution: 'unknown',
+    executions: 0,
+  },
+  {
+    fault: 'cut off after it ran',
+    faults: {dropAfterRun: 1},
+    phase: 'sent',
+    execution: 'unknown',
+    executions: 1,
+  },
+  {
+    fault: 'the answer is later than the timeout',
+    faults: {delayMs: 200},
+    call: {timeoutMs: 60},
+    phase: 'sent',
+    execution: 'unknown',
+    executions: 1,
+  },
+];
+
+for (const row of SERVICE_FAULT_CASES) {
+  const {fault, phase, execution, executions} = row;
+  test(`[at-most-once] ${fault}: ${phase}, ${execution}`, async t => {
+    const booking = await startBookingStandIn();
+    t.after(() => booking.stop());
+    const services = HttpServiceClient.create();
+    t.after(() => services.close());
+    booking.setFaults(row.faults);
+    const calling = services.call(booking.address, {...CALL, ...row.call});
+    await assert.rejects(calling, error => {
+      assert.ok(isBackendError(error), String(error));
+      assert.deepEqual([error.phase, error.execution], [phase, execution]);
+      return true;
+    });
+    assert.equal(booking.executions().k ?? 0, executions);
+  });
+}
--- /dev/null
+++ b/packages/platform/test/support/engine_run.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import type {TestContext} from 'node:test';
+import {
+  startEngineStandIn,
+  type EngineStandIn,
+  type EngineStandInOptions,
+} from '@anvilrudder/stand-ins';
+import {
+  HttpEngineClient,
+  isBackendError,
+  type BackendError,
+  type EngineEvent,
+  type GenerateOptions,
+  type GenerateRequest,
+} from '../../src/index.js';
+
+/** The client under test. */
+export const engines = HttpEngineClient.create();
+
+/** Tokens of the request's whole answer. */
+export const TOKEN_COUNT = 6;
+
+/** A request that the started engines take. */
+export const REQUEST: GenerateRequest = {
+  requestId: 'r-1',
+  model: 'quick',
+  version: 'v1',
+  prompt: 'hello',
+  maxTokens: TOKEN_COUNT,
+  priority: 'normal',
+  deadlineMs: 5000,
+};
+
+/** Starts an engine that has the request's version loaded. */
+export async function startEngine(
+  t: TestContext,
+  options: EngineStandInOptions = {},
+): Promise<EngineStandIn> {
+  const loaded = [{model: 'quick', version: 'v1'}];
+  const engine = await startEngineStandIn({loaded, ...options});
+  t.after(() => engine.stop());
+  return engine;
+}
+
+/** What a generation gave before it ended. */
+export interface Outcome {
+  readonly texts: readonly string[];
+  readonly last: EngineEvent | undefined;
+  readonly error: BackendError | undefined;
+}
+
+/** Runs a generation to its end or failure. */
+export async function run(
+  address: string,
+  request: GenerateRequest = REQUEST,
+  options?: GenerateOptions,
+): Promise<Outcome> {
+  const texts: string[] = [];
+  let last: EngineEvent | undefined;
+  try {
+    for await (const event of engines.generate(address, request, options)) {
+      if (event.kind === 'token') texts.push(event.text);
+      last = event;
+    }
+  } catch (error) {
+    assert.ok(isBackendError(error), String(error));
+    return {texts, last, error};
+  }
+  return {texts, last, error: undefined};
+}
