--- a/packages/demo/src/caller.ts
+++ b/packages/demo/src/caller.ts
@@ -62,7 +62,11 @@
   const retryAfter = response.headers['retry-after'];
   if (response.statusCode !== 200) {
     const {error} = JSON.parse(text) as EventData;
-    return createFailure(response.statusCode, error?.code ?? 'none', retryAfter);
+    return createFailure(
+      response.statusCode,
+      error?.code ?? 'none',
+      retryAfter,
+    );
   }
   const events = parseEvents(text);
   const last = events.at(-1);
--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -12,8 +12,7 @@
 const ENTRY = join(PACKAGES, 'entry/dist/src/main.js');
 const EXAMPLES = join(PACKAGES, '../examples');
 const STAND_IN_READY = /listening address=(\S+)/;
-const ENTRY_READY =
-  /event=entry_started callerAddress=(\S+) peerAddress=(\S+)/;
+const ENTRY_READY = /event=entry_started callerAddress=(\S+) peerAddress=(\S+)/;
 const FAILURE_DOMAINS = ['domain-a', 'domain-b', 'domain-c', 'domain-a'];
 
 /** One organisation of the demo and its API key. */
--- a/packages/demo/src/process_group.ts
+++ b/packages/demo/src/process_group.ts
@@ -53,7 +53,9 @@
       createInterface({input: child.stderr}).on('line', onLine);
       child.once('exit', code => {
         clearTimeout(timer);
-        reject(new Error(`${options.name} exited ${code}: ${lines.join('\n')}`));
+        reject(
+          new Error(`${options.name} exited ${code}: ${lines.join('\n')}`),
+        );
       });
     });
     const entry = {name: options.name, child, ready: await ready, lines};
--- a/packages/entry/src/backends/backend_directory.ts
+++ b/packages/entry/src/backends/backend_directory.ts
@@ -1,7 +1,4 @@
-import {
-  formatModelVersion,
-  type ModelVersion,
-} from '@anvilrudder/core';
+import {formatModelVersion, type ModelVersion} from '@anvilrudder/core';
 
 /** What a backend server does. */
 export type BackendRole = 'engine' | 'booking' | 'rating';
--- a/packages/entry/src/config/parse_settings.ts
+++ b/packages/entry/src/config/parse_settings.ts
@@ -23,7 +23,10 @@
  */
 export function parseSettings(text: string): ParsedSettings {
   const lineCounter = new LineCounter();
-  const document = parseDocument(text, {lineCounter, maxAliasCount: 0} as never);
+  const document = parseDocument(text, {
+    lineCounter,
+    maxAliasCount: 0,
+  } as never);
   if (document.errors.length > 0) {
     return {
       settings: undefined,
--- a/packages/entry/src/control/polling_rules_keeper.ts
+++ b/packages/entry/src/control/polling_rules_keeper.ts
@@ -112,7 +112,8 @@
         ? {kind: 'absent'}
         : {kind: 'version', version: known.storeVersion},
     );
-    if (result.status === 'conflict') return refuse('another change came first');
+    if (result.status === 'conflict')
+      return refuse('another change came first');
     await refresh();
     return {...refuse(''), state: 'accepted', revision: head.revision};
   }
--- a/packages/entry/src/entry_context.ts
+++ b/packages/entry/src/entry_context.ts
@@ -1,4 +1,9 @@
-import type {ModelChooser, ModelVersion, ServiceRule, SessionKeyRing} from '@anvilrudder/core';
+import type {
+  ModelChooser,
+  ModelVersion,
+  ServiceRule,
+  SessionKeyRing,
+} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {
   EngineClient,
--- a/packages/entry/src/server/caller_routes.ts
+++ b/packages/entry/src/server/caller_routes.ts
@@ -65,7 +65,8 @@
   raw: RawRequest,
   answer: AnswerWriter,
 ): Promise<void> {
-  const isReady = context.isAccepting() && context.keeper.inForce() !== undefined;
+  const isReady =
+    context.isAccepting() && context.keeper.inForce() !== undefined;
   answer.writeJson(isReady ? 200 : 503, {
     isReady,
     revision: context.keeper.status().revision,
--- a/packages/entry/src/stages/cascade.ts
+++ b/packages/entry/src/stages/cascade.ts
@@ -1,8 +1,4 @@
-import {
-  RouterError,
-  isRouterError,
-  type ModelVersion,
-} from '@anvilrudder/core';
+import {RouterError, isRouterError, type ModelVersion} from '@anvilrudder/core';
 import type {EntryContext} from '../entry_context.js';
 import type {AnswerWriter} from '../server/answer_writer.js';
 import type {GenerateRequest} from './caller_request.js';
@@ -56,7 +52,9 @@
       const result = await runStep(context, step, sink);
       ran.push({...version, result});
       if (!isLast && !passesCheck(result, plan.checkThresholds[stepIndex])) {
-        context.metrics.count('cascade_escalations_total', {kind: request.kind});
+        context.metrics.count('cascade_escalations_total', {
+          kind: request.kind,
+        });
         continue;
       }
       for (const token of held) await relay(token.index, token.text);
--- a/packages/entry/src/stages/generate.ts
+++ b/packages/entry/src/stages/generate.ts
@@ -1,7 +1,4 @@
-import {
-  formatModelVersion,
-  verifySession,
-} from '@anvilrudder/core';
+import {formatModelVersion, verifySession} from '@anvilrudder/core';
 import type {EntryContext} from '../entry_context.js';
 import type {AnswerWriter} from '../server/answer_writer.js';
 import {admitRequest} from './admit.js';
--- a/packages/platform/src/engine/engine_types.ts
+++ b/packages/platform/src/engine/engine_types.ts
@@ -40,6 +40,8 @@
   readonly tokenCount: number;
   readonly promptTokens: number;
   readonly cachedPromptTokens: number;
+  /** The engine's own estimate of its answer between 0 and 1, if it gives one. */
+  readonly confidence?: number;
 }
 
 /** What an engine streams. */
--- a/packages/platform/src/engine/token_sequence.ts
+++ b/packages/platform/src/engine/token_sequence.ts
@@ -69,7 +69,13 @@
     if (tokenCount !== this.nextIndex) return INCOMPLETE;
     const promptTokens = readNumber(body, 'promptTokens') ?? 0;
     const cachedPromptTokens = readNumber(body, 'cachedPromptTokens') ?? 0;
-    const counts = {tokenCount, promptTokens, cachedPromptTokens};
+    const confidence = readNumber(body, 'confidence');
+    const counts = {
+      tokenCount,
+      promptTokens,
+      cachedPromptTokens,
+      confidence,
+    };
     return {kind: 'event', event: {kind: 'done', ...counts}};
   }
 }
