--- a/packages/platform/test/engine/http_engine_client.test.ts
+++ b/packages/platform/test/engine/http_engine_client.test.ts
@@ -11,6 +11,8 @@
   startEngine,
 } from '../support/engine_run.js';
 
+const LATE_END_MS = 20;
+
 after(() => engines.close());
 
 test('a whole answer holds its tokens and ends with their count', async t => {
@@ -78,7 +80,7 @@
   const server = createServer((_, response) => {
     response.writeHead(200);
     response.write('event: done\ndata: {"tokenCount":0}\n\n');
-    setImmediate(() => response.end());
+    setTimeout(() => response.end(), LATE_END_MS);
   });
   server.on('connection', () => (connections += 1));
   server.listen(0, '127.0.0.1');
