--- a/packages/platform/test/http/http_transport.test.ts
+++ b/packages/platform/test/http/http_transport.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {EventEmitter, once} from 'node:events';
 import type {Socket} from 'node:net';
 import {after, test, type TestContext} from 'node:test';
 import {
@@ -125,9 +126,10 @@
 test('a request given up in the queue is never written later', async t => {
   const single = HttpTransport.create({connectionsPerAddress: 1});
   t.after(() => single.close());
-  const held: Socket[] = [];
+  const held = new EventEmitter();
+  const holding = once(held, 'socket') as Promise<[Socket]>;
   const server = await startServer(t, (socket, count) => {
-    if (count === 1) held.push(socket);
+    if (count === 1) held.emit('socket', socket);
     else socket.write(formatAnswer(200, {count}));
   });
   const request = createRequest(server.address);
@@ -142,7 +144,8 @@
   abort.abort();
   await assertFails(second, 'beforeFirstByte', 'aborted');
   await assertFails(third, 'beforeFirstByte', 'timeout');
-  held[0].write(formatAnswer(200, {}));
+  const [socket] = await holding;
+  socket.write(formatAnswer(200, {}));
   await first;
   await single.send({...request, path: '/fourth'});
   assert.deepEqual(server.heads, ['POST /x HTTP/1.1', 'POST /fourth HTTP/1.1']);
