--- a/packages/platform/src/errors/object_store_error.ts
+++ b/packages/platform/src/errors/object_store_error.ts
@@ -14,6 +14,7 @@
   | 'historyGone'
   | 'tooLarge'
   | 'badAnswer'
+  | 'stale'
   | 'budget'
   | 'circuitOpen';
 
--- a/packages/platform/src/http/http_exchange.ts
+++ b/packages/platform/src/http/http_exchange.ts
@@ -36,6 +36,10 @@
 const FIRST_FINAL_STATUS = 200;
 const DISCARD_TIMEOUT_MS = 1000;
 
+function parseLength(header: string | undefined): number | undefined {
+  return header === undefined ? undefined : Number(header);
+}
+
 /** Follows one request from its queue to the end of its answer. */
 export class HttpExchange implements Dispatcher.DispatchHandler {
   /** Settles with the head of the answer. */
@@ -43,6 +47,7 @@
   private phase: RequestPhase = 'beforeFirstByte';
   private isOver = false;
   private isDiscarding = false;
+  private missingBytes: number | undefined;
   private controller: Dispatcher.DispatchController | undefined;
   private timer: NodeJS.Timeout | undefined;
   private readonly chunks: ChunkQueue;
@@ -93,6 +98,7 @@
   ): void {
     if (status < FIRST_FINAL_STATUS || this.isOver) return;
     this.phase = 'streaming';
+    this.missingBytes = parseLength(headers['content-length']);
     this.arm(this.options.idleTimeoutMs);
     this.resolveOpened({
       status,
@@ -106,6 +112,7 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (this.missingBytes !== undefined) this.missingBytes -= chunk.length;
     if (this.isOver || this.isDiscarding) return;
     this.arm(this.options.idleTimeoutMs);
     this.chunks.push(chunk);
@@ -121,6 +128,12 @@
     _controller: Dispatcher.DispatchController,
     error: Error,
   ): void {
+    // When the peer closes while the reader is paused behind the last byte,
+    // undici reports a cut although the whole body arrived.
+    if (this.missingBytes === 0) {
+      this.onResponseEnd();
+      return;
+    }
     this.fail(this.phase === 'beforeFirstByte' ? 'connect' : 'cut', error);
   }
 
--- /dev/null
+++ b/packages/platform/src/objects/retrying_store.ts
@@ -0,0 +1,124 @@
+import type {ObjectStore} from '@anvilrudder/core';
+import {
+  createObjectStoreError,
+  isObjectStoreError,
+  type ObjectStoreFailure,
+} from '../errors/object_store_error.js';
+import {
+  computeBackoffMs,
+  type BackoffOptions,
+  type RandomSource,
+} from '../utils/backoff.js';
+import {
+  CircuitBreaker,
+  type CircuitBreakerOptions,
+} from '../utils/circuit_breaker.js';
+import {delay} from '../utils/delay.js';
+import {wrapObjectStore, type ObjectStoreMethod} from './store_wrapper.js';
+
+/** How often and when a failed call is repeated. */
+export interface RetryingStoreOptions {
+  readonly random: RandomSource;
+  /** Calls sent at most for one call made. Default 3. */
+  readonly maxAttempts?: number;
+  /** Default between 0 and 50, 100, … 1000 milliseconds. */
+  readonly backoff?: BackoffOptions;
+  /** Default opens after 5 failures in a row for 1000 milliseconds at most. */
+  readonly circuit?: CircuitBreakerOptions;
+}
+
+/** Which failed calls of a method may be repeated. */
+type RetryRule = 'never' | 'ifNotRun' | 'always';
+
+const DEFAULT_MAX_ATTEMPTS = 3;
+const DEFAULT_BACKOFF: BackoffOptions = {baseMs: 50, maxMs: 1000};
+const DEFAULT_CIRCUIT: CircuitBreakerOptions = {
+  failureThreshold: 5,
+  openMs: 1000,
+};
+
+const RETRY_RULE_BY_METHOD: Readonly<Record<ObjectStoreMethod, RetryRule>> = {
+  get: 'always',
+  list: 'always',
+  put: 'ifNotRun',
+  delete: 'ifNotRun',
+  watch: 'never',
+};
+
+/** Failures that speak of the store's health rather than of the call. */
+const HEALTH_FAILURES: readonly ObjectStoreFailure[] = [
+  'unavailable',
+  'connect',
+  'timeout',
+  'cut',
+  'badAnswer',
+];
+
+function isHealthFailure(error: unknown): boolean {
+  return isObjectStoreError(error) && HEALTH_FAILURES.includes(error.failure);
+}
+
+function mayRetry(method: ObjectStoreMethod, error: unknown): boolean {
+  if (!isObjectStoreError(error) || !isHealthFailure(error)) return false;
+  const rule = RETRY_RULE_BY_METHOD[method];
+  return (
+    rule === 'always' || (rule === 'ifNotRun' && error.execution === 'notRun')
+  );
+}
+
+function createCircuitOpenError(): Error {
+  return createObjectStoreError('the object API keeps failing', {
+    execution: 'notRun',
+    failure: 'circuitOpen',
+  });
+}
+
+/**
+ * Repeats failed reads, and failed writes that took no effect, after a
+ * jittered backoff. While the store keeps failing, calls are refused at once
+ * as `circuitOpen`, save one probe at a time.
+ *
+ * @example
+ * ```ts
+ * const store = createRetryingStore(httpStore, {random: Math.random});
+ * ```
+ */
+export function createRetryingStore(
+  inner: ObjectStore,
+  options: RetryingStoreOptions,
+): ObjectStore {
+  const {random} = options;
+  const maxAttempts = options.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+  const backoff = options.backoff ?? DEFAULT_BACKOFF;
+  const circuit = CircuitBreaker.create(
+    options.circuit ?? DEFAULT_CIRCUIT,
+    random,
+  );
+  return wrapObjectStore(inner, async (method, call, signal) => {
+    for (let attempt = 0; ; attempt += 1) {
+      try {
+        return await callThrough(circuit, call);
+      } catch (error) {
+        const isLast = attempt + 1 >= maxAttempts;
+        if (isLast || !mayRetry(method, error)) throw error;
+        await delay(computeBackoffMs(attempt, backoff, random), signal);
+      }
+    }
+  });
+}
+
+async function callThrough<T>(
+  circuit: CircuitBreaker,
+  call: () => Promise<T>,
+): Promise<T> {
+  if (!circuit.admit(performance.now())) throw createCircuitOpenError();
+  try {
+    const result = await call();
+    circuit.succeed();
+    return result;
+  } catch (error) {
+    if (isHealthFailure(error)) circuit.fail(performance.now());
+    else circuit.ignore();
+    throw error;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/objects/watch_objects.ts
@@ -0,0 +1,189 @@
+import type {ObjectStore, StoredObject, WatchEvent} from '@anvilrudder/core';
+import {
+  createObjectStoreError,
+  isObjectStoreError,
+  type ObjectStoreFailureError,
+} from '../errors/object_store_error.js';
+import {
+  computeBackoffMs,
+  type BackoffOptions,
+  type RandomSource,
+} from '../utils/backoff.js';
+import {delay} from '../utils/delay.js';
+
+/** What a watch reports; no call is made once the signal is aborted. */
+export interface WatchHandlers {
+  /** All objects below the prefix, at the start and after a gap. */
+  onSnapshot(objects: readonly StoredObject[]): void;
+  /** One change, in the order of versions. */
+  onEvent(event: WatchEvent): void;
+  /** A call failed; the watch goes on after a backoff. */
+  onError?(error: ObjectStoreFailureError): void;
+}
+
+/** How a watch waits and ends. */
+export interface WatchOptions {
+  /** Ends the watch. */
+  readonly signal: AbortSignal;
+  readonly random: RandomSource;
+  /** Time that one call waits for a change. Default 30000. */
+  readonly waitMs?: number;
+  /** Default between 0 and 100, 200, … 10000 milliseconds. */
+  readonly backoff?: BackoffOptions;
+}
+
+const DEFAULT_WAIT_MS = 30_000;
+const DEFAULT_BACKOFF: BackoffOptions = {baseMs: 100, maxMs: 10_000};
+
+interface Snapshot {
+  readonly objects: readonly StoredObject[];
+  readonly storeVersion: number;
+}
+
+/** The place of one watch in the changes of the store. */
+class ObjectWatch {
+  private isSynced = false;
+  private version = 0;
+
+  constructor(
+    private readonly store: ObjectStore,
+    private readonly prefix: string,
+    private readonly handlers: WatchHandlers,
+    private readonly options: WatchOptions,
+  ) {}
+
+  async run(): Promise<void> {
+    const {signal, random} = this.options;
+    const backoff = this.options.backoff ?? DEFAULT_BACKOFF;
+    let failures = 0;
+    while (!signal.aborted) {
+      try {
+        await this.step();
+        failures = 0;
+      } catch (error) {
+        if (!isObjectStoreError(error)) throw error;
+        if (signal.aborted) return;
+        this.handleError(error);
+        await delay(computeBackoffMs(failures, backoff, random), signal);
+        failures += 1;
+      }
+    }
+  }
+
+  private async step(): Promise<void> {
+    const {signal, waitMs = DEFAULT_WAIT_MS} = this.options;
+    if (!this.isSynced) await this.synchronize();
+    if (signal.aborted) return;
+    const page = await this.store.watch(
+      this.prefix,
+      this.version,
+      waitMs,
+      signal,
+    );
+    for (const event of page.events) {
+      if (signal.aborted) return;
+      if (event.version <= this.version) continue;
+      this.version = event.version;
+      this.handlers.onEvent(event);
+    }
+    this.version = Math.max(this.version, page.storeVersion);
+  }
+
+  private async synchronize(): Promise<void> {
+    const snapshot = await readSnapshot(this.store, this.prefix);
+    // A read may come from a replica behind the changes already reported.
+    if (snapshot.storeVersion < this.version) {
+      throw createObjectStoreError('the list is older than the watch', {
+        execution: 'notRun',
+        failure: 'stale',
+      });
+    }
+    if (this.options.signal.aborted) return;
+    this.version = snapshot.storeVersion;
+    this.isSynced = true;
+    this.handlers.onSnapshot(snapshot.objects);
+  }
+
+  private handleError(error: ObjectStoreFailureError): void {
+    if (error.failure === 'historyGone') this.isSynced = false;
+    this.handlers.onError?.(error);
+  }
+}
+
+/** Reads all pages; the version is that of the first one, read earliest. */
+async function readSnapshot(
+  store: ObjectStore,
+  prefix: string,
+): Promise<Snapshot> {
+  const first = await store.list(prefix);
+  const objects = [...first.objects];
+  let after = first.nextAfter;
+  while (after !== undefined) {
+    const page = await store.list(prefix, after);
+    objects.push(...page.objects);
+    after = page.nextAfter;
+  }
+  return {objects, storeVersion: first.storeVersion};
+}
+
+/**
+ * Watches the objects below a prefix until the signal is aborted. Failures are
+ * followed by a jittered backoff; after a gap in the history the objects are
+ * listed anew. The promise rejects with what a handler throws. What is reported never goes back to an earlier version. Objects
+ * of later pages of a snapshot may be reported again as events.
+ *
+ * @example
+ * ```ts
+ * await watchObjects(store, 'rules/', handlers, {signal, random: Math.random});
+ * ```
+ */
+export function watchObjects(
+  store: ObjectStore,
+  prefix: string,
+  handlers: WatchHandlers,
+  options: WatchOptions,
+): Promise<void> {
+  return new ObjectWatch(store, prefix, handlers, options).run();
+}
+
+/** What a watch of one object reports. */
+export interface WatchKeyHandlers {
+  /** The object, or undefined while it does not exist. */
+  onValue(object: StoredObject | undefined): void;
+  onError?(error: ObjectStoreFailureError): void;
+}
+
+/**
+ * Watches one object until the signal is aborted, as {@link watchObjects}.
+ *
+ * @example
+ * ```ts
+ * await watchKey(store, 'rules/head', {onValue: use}, {
+ *   signal,
+ *   random: Math.random,
+ * });
+ * ```
+ */
+export function watchKey(
+  store: ObjectStore,
+  key: string,
+  handlers: WatchKeyHandlers,
+  options: WatchOptions,
+): Promise<void> {
+  return watchObjects(
+    store,
+    key,
+    {
+      onSnapshot: objects =>
+        handlers.onValue(objects.find(object => object.key === key)),
+      onEvent: ({key: changed, version, value}) => {
+        if (changed !== key) return;
+        handlers.onValue(
+          value === undefined ? undefined : {key, version, value},
+        );
+      },
+      onError: error => handlers.onError?.(error),
+    },
+    options,
+  );
+}
--- a/packages/platform/test/http/http_transport.test.ts
+++ b/packages/platform/test/http/http_transport.test.ts
@@ -189,6 +189,23 @@
   assert.equal(receivedBytes, sizeBytes);
 });
 
+test('an answer is whole though its peer closes before it is read', async t => {
+  // The queue pauses the connection at this size, right behind the last byte.
+  const sizeBytes = 64 * 1024;
+  const sockets: Socket[] = [];
+  const server = await startServer(t, socket => {
+    sockets.push(socket);
+    socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${sizeBytes}\r\n\r\n`);
+    socket.end(Buffer.alloc(sizeBytes));
+  });
+  const stream = await transport.open(createRequest(server.address));
+  const [socket] = sockets;
+  if (!socket.closed) await once(socket, 'close');
+  let receivedBytes = 0;
+  for await (const chunk of stream.chunks) receivedBytes += chunk.length;
+  assert.equal(receivedBytes, sizeBytes);
+});
+
 test('a reader that leaves ends the request', async t => {
   const closed = new Promise<void>(resolve => {
     void startServer(t, socket => {
--- /dev/null
+++ b/packages/platform/test/support/scripted_store.ts
@@ -0,0 +1,35 @@
+import type {ObjectStore, WriteResult} from '@anvilrudder/core';
+import {
+  createObjectStoreError,
+  type ObjectStoreErrorOptions,
+} from '../../src/index.js';
+
+/** A store whose calls fail as scripted and then succeed. */
+export interface ScriptedStore extends ObjectStore {
+  /** Methods called, in order. */
+  readonly calls: readonly string[];
+}
+
+/** Creates a store whose n-th call fails with the n-th failure. */
+export function createScriptedStore(
+  failures: readonly ObjectStoreErrorOptions[],
+): ScriptedStore {
+  const calls: string[] = [];
+  const answer = <T>(method: string, value: T): Promise<T> => {
+    const failure = failures[calls.length];
+    calls.push(method);
+    return failure === undefined
+      ? Promise.resolve(value)
+      : Promise.reject(createObjectStoreError('scripted', failure));
+  };
+  const written: WriteResult = {status: 'written', version: 1};
+  const page = {objects: [], storeVersion: 1, nextAfter: undefined};
+  return {
+    calls,
+    get: () => answer('get', undefined),
+    put: () => answer('put', written),
+    delete: () => answer('delete', written),
+    list: () => answer('list', page),
+    watch: () => answer('watch', {events: [], storeVersion: 1}),
+  };
+}
--- a/packages/stand-ins/src/objects/object_stand_in.ts
+++ b/packages/stand-ins/src/objects/object_stand_in.ts
@@ -29,12 +29,16 @@
   readonly staleReads: boolean;
 }
 
-/** Calls counted since the start; `rejected` ones were answered 503. */
+/**
+ * Calls counted since the start; `rejected` ones were answered 503,
+ * `conflicts` are writes whose condition did not hold.
+ */
 export interface ObjectCounters {
   readonly reads: number;
   readonly writes: number;
   readonly watches: number;
   readonly rejected: number;
+  readonly conflicts: number;
 }
 
 /** Settings of the object API stand-in. */
@@ -74,7 +78,13 @@
 /** State and handlers of one object API. */
 class ObjectService {
   private faults = NO_FAULTS;
-  private readonly counts = {reads: 0, writes: 0, watches: 0, rejected: 0};
+  private readonly counts = {
+    reads: 0,
+    writes: 0,
+    watches: 0,
+    rejected: 0,
+    conflicts: 0,
+  };
   private readonly objects: VersionedObjects;
   private staleCopy: VersionedObjects | undefined;
   private readonly stopSignal = new AbortController();
@@ -185,6 +195,7 @@
       return;
     }
     const result = apply();
+    if (!result.isApplied) this.counts.conflicts += 1;
     if (this.takeFault('loseWriteAnswers')) cutConnection(exchange.response);
     else if (result.isApplied) {
       sendJson(exchange.response, 200, {version: result.version});
