Add the load tool

Ruled out: a closed loop (a stall of the target would slow the load and hide itself); latency from the real send time (the same). Arrivals are planned ahead and each latency counts from its planned time; the tool's own lag is shown apart. Change: anvilrudder-load run and compare, with a verdict on each answer (whole, incomplete, foreign, session moved), a check of the booking stand-in's executions against what callers were told, JSON and SVG reports. The stand-in engine leaves the number of the attempt out of its tokens, so that a resumed answer is whole. Targets off the loopback are refused.

--- /dev/null
+++ b/packages/load/src/commands/commands.ts
@@ -0,0 +1,98 @@
+import {defineCommand} from 'citty';
+import {compareReports, formatComparison} from '../compare/compare_reports.js';
+import {formatReport} from '../report/table.js';
+import {writeReports, type NamedReport} from '../report/write_report.js';
+import {isCorrect, runLoad} from '../run/run_load.js';
+import {
+  LOAD_ARGS,
+  parseList,
+  resolveLoadOptions,
+  type LoadArgs,
+} from './args.js';
+
+/** Exit status when an answer was not whole or a booking contradicts. */
+const INCORRECT_EXIT_CODE = 2;
+
+async function finish(
+  args: LoadArgs,
+  reports: readonly NamedReport[],
+): Promise<void> {
+  if (args.report !== '') await writeReports(args.report, reports);
+  const isAllCorrect = reports.every(({report}) => isCorrect(report));
+  if (!isAllCorrect) process.exitCode = INCORRECT_EXIT_CODE;
+}
+
+function printJson(value: unknown): void {
+  process.stdout.write(`${JSON.stringify(value, undefined, 2)}\n`);
+}
+
+const run = defineCommand({
+  meta: {name: 'run', description: 'Send a load and measure it'},
+  args: {
+    target: {
+      type: 'string',
+      required: true,
+      description: 'http://127.0.0.1:port,… of entries, or engines if direct',
+    },
+    direct: {
+      type: 'boolean',
+      default: false,
+      description: 'call the protocol of engines',
+    },
+    ...LOAD_ARGS,
+  },
+  run: async ({args}) => {
+    const targets = parseList(args.target);
+    const options = resolveLoadOptions(args, targets, args.direct);
+    const report = await runLoad(options);
+    if (args.json) printJson(report);
+    else process.stdout.write(formatReport(report));
+    await finish(args, [{name: 'load', report}]);
+  },
+});
+
+const compare = defineCommand({
+  meta: {
+    name: 'compare',
+    description: 'Send the same load to engines and through entries',
+  },
+  args: {
+    engines: {
+      type: 'string',
+      required: true,
+      description: 'http://127.0.0.1:port,… of engines',
+    },
+    entries: {
+      type: 'string',
+      required: true,
+      description: 'http://127.0.0.1:port,… of entries',
+    },
+    ...LOAD_ARGS,
+  },
+  run: async ({args}) => {
+    const engines = parseList(args.engines);
+    const entries = parseList(args.entries);
+    const direct = await runLoad(resolveLoadOptions(args, engines, true));
+    const entry = await runLoad(resolveLoadOptions(args, entries, false));
+    const rows = compareReports(direct, entry);
+    if (args.json) printJson({direct, entry, rows});
+    else {
+      process.stdout.write(`direct: ${formatReport(direct)}\n`);
+      process.stdout.write(`entry: ${formatReport(entry)}\n`);
+      process.stdout.write(formatComparison(rows));
+    }
+    await finish(args, [
+      {name: 'direct', report: direct},
+      {name: 'entry', report: entry},
+    ]);
+  },
+});
+
+/** The command `anvilrudder-load`. */
+export const loadCommand = defineCommand({
+  meta: {
+    name: 'anvilrudder-load',
+    description: 'Open-loop load on loopback targets',
+  },
+  subCommands: {run, compare},
+});
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export * from './arrivals/arrivals.js';
+export * from './compare/compare_reports.js';
+export * from './measure/latency_recorder.js';
+export * from './measure/load_recorder.js';
+export * from './report/svg_plot.js';
+export * from './report/table.js';
+export * from './report/write_report.js';
+export * from './run/booking_check.js';
+export * from './run/load_options.js';
+export * from './run/run_load.js';
+export * from './targets/target.js';
+export * from './targets/verify_answer.js';
--- /dev/null
+++ b/packages/load/src/targets/engine_target.ts
@@ -0,0 +1,83 @@
+import {HttpEngineClient, isBackendError} from '@anvilrudder/platform';
+import type {LoadOptions} from '../run/load_options.js';
+import type {PlannedGeneration} from '../workload/workload.js';
+import type {Outcome, RequestObserver, Target} from './target.js';
+import {verifyAnswer} from './verify_answer.js';
+
+const CONNECTIONS_PER_ADDRESS = 4096;
+
+function createFailure(error: unknown): Outcome {
+  if (!isBackendError(error)) throw error;
+  const code = error.code ?? `client_${error.failure}`;
+  const {execution, tokenCount} = error;
+  return {code, execution, tokenCount};
+}
+
+/** Engines called directly, in turn. */
+export class EngineTarget implements Target {
+  private turn = 0;
+
+  private constructor(
+    private readonly client: HttpEngineClient,
+    private readonly options: LoadOptions,
+  ) {}
+
+  static create(options: LoadOptions): EngineTarget {
+    const {timeoutMs} = options;
+    const client = HttpEngineClient.create({
+      connectionsPerAddress: CONNECTIONS_PER_ADDRESS,
+      firstByteTimeoutMs: timeoutMs,
+      idleTimeoutMs: timeoutMs,
+    });
+    return new EngineTarget(client, options);
+  }
+
+  async generate(
+    request: PlannedGeneration,
+    observer: RequestObserver,
+  ): Promise<Outcome> {
+    const {model, version, timeoutMs} = this.options;
+    const {requestId, prompt, maxTokens} = request;
+    const texts: string[] = [];
+    const generation = this.client.generate(this.nextAddress(), {
+      requestId,
+      model,
+      version,
+      prompt,
+      maxTokens,
+      priority: 'normal',
+      deadlineMs: timeoutMs,
+    });
+    try {
+      for await (const event of generation) {
+        if (event.kind === 'done') continue;
+        observer.onToken();
+        texts.push(event.text);
+      }
+    } catch (error) {
+      return createFailure(error);
+    }
+    const source = {requestId, prompt, model, version};
+    return {
+      code: 'ok',
+      execution: 'ran',
+      verdict: verifyAnswer(source, maxTokens, texts),
+      modelVersion: `${model}@${version}`,
+      tokenCount: texts.length,
+    };
+  }
+
+  confirm(): Promise<Outcome> {
+    throw new Error('engines take no service calls');
+  }
+
+  close(): Promise<void> {
+    return this.client.close();
+  }
+
+  private nextAddress(): string {
+    const {targets} = this.options;
+    this.turn += 1;
+    return new URL(targets[this.turn % targets.length]).host;
+  }
+}
--- /dev/null
+++ b/packages/load/test/commands/load_command.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtemp, readFile, readdir, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {text} from 'node:stream/consumers';
+import {test} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {startEngineStandIn} from '@anvilrudder/stand-ins';
+import type {ComparisonRow, LoadReport} from '../../src/index.js';
+import {formatAnswer, startFakeEntry} from '../support/fake_entry.js';
+
+const MAIN = fileURLToPath(new URL('../../src/main.js', import.meta.url));
+
+async function runCommand(args: readonly string[]): Promise<string> {
+  const child = spawn(process.execPath, [MAIN, ...args], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const output = text(child.stdout);
+  const [code] = (await once(child, 'exit')) as [number];
+  assert.equal(code, 0);
+  return output;
+}
+
+test('compare sends one load both ways and writes a report', async t => {
+  const loaded = [{model: 'quick', version: 'v1'}];
+  const engine = await startEngineStandIn({loaded});
+  const entry = await startFakeEntry({
+    generate: (body, response) => response.end(formatAnswer(body, 'v1')),
+  });
+  const folder = await mkdtemp(join(tmpdir(), 'load-report-'));
+  t.after(async () => {
+    await engine.stop();
+    entry.stop();
+    await rm(folder, {recursive: true});
+  });
+  const engines = `http://${engine.address}`;
+  const load = ['--rate', '50', '--duration-ms', '200', '--arrivals'];
+  const output = await runCommand([
+    ...['compare', '--engines', engines, '--entries', entry.url],
+    ...[...load, 'constant', '--json', '--report', folder],
+  ]);
+  const {direct, rows} = JSON.parse(output) as {
+    direct: LoadReport;
+    rows: readonly ComparisonRow[];
+  };
+  assert.equal(direct.measurement.ok, 10);
+  assert.equal(rows[0].measure, 'okPerS');
+  const files = await readdir(folder);
+  assert.deepEqual(files.sort(), [
+    'betweenTokens.svg',
+    'firstToken.svg',
+    'report.json',
+    'timeline.svg',
+    'whole.svg',
+  ]);
+  const plot = await readFile(join(folder, 'whole.svg'), 'utf8');
+  assert.equal(plot.match(/<polyline/g)?.length, 2);
+  const table = await runCommand([
+    ...['run', '--target', entry.url, ...load, 'constant'],
+  ]);
+  assert.match(table, /verdicts: whole=10/);
+});
--- a/packages/stand-ins/src/engine/tokens.ts
+++ b/packages/stand-ins/src/engine/tokens.ts
@@ -1,6 +1,10 @@
 import {createHash} from 'node:crypto';
 
-/** What the tokens of a stand-in engine depend on. */
+/**
+ * What the tokens of a stand-in engine depend on. The number of an attempt,
+ * the `.1` of `r-7.1`, does not count, so that a resumed answer goes on with
+ * the tokens of its first attempt.
+ */
 export interface TokenSource {
   readonly requestId: string;
   readonly prompt: string;
@@ -9,13 +13,15 @@
 }
 
 const SEED_LENGTH = 10;
+const ATTEMPT_SUFFIX = /\.\d+$/;
 const CHARACTERS_PER_TOKEN = 4;
 
 /** Creates the function that gives the text of each token of one answer. */
 export function createTokenText(
   source: TokenSource,
 ): (index: number) => string {
-  const {requestId, prompt, model, version} = source;
+  const {prompt, model, version} = source;
+  const requestId = source.requestId.replace(ATTEMPT_SUFFIX, '');
   const seed = createHash('sha256')
     .update(JSON.stringify([requestId, prompt, model, version]))
     .digest('hex')
--- a/packages/stand-ins/test/engine/engine_stand_in.test.ts
+++ b/packages/stand-ins/test/engine/engine_stand_in.test.ts
@@ -85,6 +85,13 @@
   assert.notDeepEqual(textsOf(other), textsOf(events));
 });
 
+test('a later attempt of a request continues the answer of the first', async t => {
+  const engine = await startEngine(t);
+  const body = {requestId: 'r-1.2', resumeFromToken: 3};
+  const events = await generate(engine, body);
+  assert.deepEqual(textsOf(events), expectedTokens(BODY, 4).slice(3));
+});
+
 test('a resumed stream goes on from the token asked for', async t => {
   const engine = await startEngine(t);
   const events = await generate(engine, {resumeFromToken: 2});
