--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,3 +6,4 @@
 export * from './types/object_store.js';
 export * from './steps/index.js';
 export * from './claims/index.js';
+export * from './billing/index.js';
--- a/packages/core/src/steps/retention.ts
+++ b/packages/core/src/steps/retention.ts
@@ -16,28 +16,42 @@
 /** No version has a known age. */
 export const NO_RETENTION_MARKS: RetentionMarks = {marks: []};
 
+/** What a collector saw since it last advanced the marks. */
+export interface RetentionStep {
+  /** Version of the store now. */
+  readonly storeVersion: number;
+  /** Time that the collector itself measured. */
+  readonly elapsedMs: number;
+  readonly retentionMs: number;
+}
+
+/** Marks kept at most for one retention. */
+const MARKS_PER_RETENTION = 48;
+
 /**
- * Ages the marks by `elapsedMs` and adds one for the version seen now. Of the
- * marks older than the retention only the newest is kept.
+ * Ages the marks and, when the newest is old enough, adds one for the version
+ * seen now. Of the marks older than the retention only the newest is kept.
  *
  * @example
  * ```ts
- * advanceRetention(marks, page.storeVersion, 600_000, 86_400_000);
+ * advanceRetention(marks, {storeVersion, elapsedMs, retentionMs: DAY_MS});
  * ```
  */
 export function advanceRetention(
   retention: RetentionMarks,
-  storeVersion: number,
-  elapsedMs: number,
-  retentionMs: number,
+  step: RetentionStep,
 ): RetentionMarks {
+  const {storeVersion, elapsedMs, retentionMs} = step;
   const aged = retention.marks.map(mark => ({
     storeVersion: mark.storeVersion,
     ageMs: mark.ageMs + elapsedMs,
   }));
   const expired = aged.filter(mark => mark.ageMs >= retentionMs);
   const kept = aged.filter(mark => mark.ageMs < retentionMs);
-  return {marks: [...expired.slice(-1), ...kept, {storeVersion, ageMs: 0}]};
+  const marks = [...expired.slice(-1), ...kept];
+  const newestAgeMs = kept.at(-1)?.ageMs ?? Infinity;
+  const isMarkDue = newestAgeMs >= retentionMs / MARKS_PER_RETENTION;
+  return {marks: isMarkDue ? [...marks, {storeVersion, ageMs: 0}] : marks};
 }
 
 /**
--- a/packages/core/test/support/protocol_explorer.ts
+++ b/packages/core/test/support/protocol_explorer.ts
@@ -1,3 +1,5 @@
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {StoreReply, StoreStep} from '../../src/steps/store_step.js';
 import type {StoredObject, WriteResult} from '../../src/types/object_store.js';
 
@@ -63,52 +65,80 @@
 export function exploreStates<World, Step, Reply>(
   exploration: Exploration<World, Step, Reply>,
 ): number {
-  const {actors, maxFaults} = exploration;
   const seen = new Set<string>();
-  const stack: Array<Node<World, Reply>> = [
-    {
-      world: exploration.world,
-      histories: actors.map(() => []),
-      faultCount: 0,
-      trace: [],
-    },
-  ];
+  const stack = [createRoot(exploration)];
   for (let node = stack.pop(); node !== undefined; node = stack.pop()) {
-    const {world, histories, faultCount, trace} = node;
+    const {world, histories, faultCount} = node;
     const stateKey = JSON.stringify([world, histories, faultCount]);
     if (seen.has(stateKey)) continue;
     seen.add(stateKey);
-    const runs = actors.map((actor, i) => replay(actor, histories[i]));
-    const isEnd = runs.every(run => run.step === undefined);
-    try {
-      exploration.check(
-        world,
-        runs.map(run => run.result),
-        isEnd,
-      );
-    } catch (error) {
-      throw new Error(`${String(error)}\n  ${trace.join('\n  ')}`);
-    }
-    for (const changed of exploration.listWorldChanges(world)) {
-      stack.push({...node, world: changed, trace: [...trace, 'late write']});
-    }
-    runs.forEach((run, i) => {
-      if (run.step === undefined) return;
-      for (const branch of exploration.listBranches(world, run.step, i)) {
-        if (faultCount + branch.faultCount > maxFaults) continue;
-        const entry = branch.reply ?? 'crash';
-        stack.push({
-          world: branch.world,
-          histories: histories.map((h, j) => (j === i ? [...h, entry] : h)),
-          faultCount: faultCount + branch.faultCount,
-          trace: [...trace, `${actors[i].name}: ${branch.label}`],
-        });
-      }
-    });
+    stack.push(...visit(exploration, node));
   }
   return seen.size;
 }
 
+/**
+ * Takes `walkCount` random ways through a state space that is too large to be
+ * visited whole.
+ */
+export function walkStates<World, Step, Reply>(
+  exploration: Exploration<World, Step, Reply>,
+  walkCount: number,
+  seed: number,
+): void {
+  const generator = xoroshiro128plus(seed);
+  for (let walk = 0; walk < walkCount; walk++) {
+    let nodes: Array<Node<World, Reply>> = [createRoot(exploration)];
+    while (nodes.length > 0) {
+      const index = uniformInt(generator, 0, nodes.length - 1);
+      nodes = visit(exploration, nodes[index]);
+    }
+  }
+}
+
+function createRoot<World, Step, Reply>(
+  exploration: Exploration<World, Step, Reply>,
+): Node<World, Reply> {
+  const histories = exploration.actors.map(() => []);
+  return {world: exploration.world, histories, faultCount: 0, trace: []};
+}
+
+/** Checks one state and lists the states that follow it. */
+function visit<World, Step, Reply>(
+  exploration: Exploration<World, Step, Reply>,
+  node: Node<World, Reply>,
+): Array<Node<World, Reply>> {
+  const {actors, maxFaults} = exploration;
+  const {world, histories, faultCount, trace} = node;
+  const runs = actors.map((actor, i) => replay(actor, histories[i]));
+  const isEnd = runs.every(run => run.step === undefined);
+  const results = runs.map(run => run.result);
+  try {
+    exploration.check(world, results, isEnd);
+  } catch (error) {
+    throw new Error(`${String(error)}\n  ${trace.join('\n  ')}`);
+  }
+  const next = exploration.listWorldChanges(world).map(changed => ({
+    ...node,
+    world: changed,
+    trace: [...trace, 'late write'],
+  }));
+  runs.forEach((run, i) => {
+    if (run.step === undefined) return;
+    for (const branch of exploration.listBranches(world, run.step, i)) {
+      if (faultCount + branch.faultCount > maxFaults) continue;
+      const entry = branch.reply ?? 'crash';
+      next.push({
+        world: branch.world,
+        histories: histories.map((h, j) => (j === i ? [...h, entry] : h)),
+        faultCount: faultCount + branch.faultCount,
+        trace: [...trace, `${actors[i].name}: ${branch.label}`],
+      });
+    }
+  });
+  return next;
+}
+
 interface Replay<Step> {
   readonly step: Step | undefined;
   readonly result: unknown;
