Keep billing records until they are durable, with a copy at a peer

Cause: an answer's end must not wait for a write a request, and the loss of one host must not lose a record. Ruled out: a write a request (the store takes several hundred a second); waiting for the batch before each answer's end while a peer can hold a copy.

--- /dev/null
+++ b/packages/entry/src/control/billing/billing_journal.ts
@@ -0,0 +1,271 @@
+import {
+  appendRecord,
+  closeOpenBatch,
+  countPendingRecords,
+  createJournalState,
+  dropDurableBatch,
+  listPendingBatches,
+  MAX_BATCH_RECORDS,
+  resolveShard,
+  writeBatch,
+  type BillingRecord,
+  type JournalState,
+  type ObjectStore,
+} from '@anvilrudder/core';
+import {runStoreProtocol} from '../steps/run_store_protocol.js';
+import type {BillingPeer} from './billing_peer.js';
+import {PeerCopier} from './peer_copier.js';
+
+/** Options of {@link createBillingJournal}. */
+export interface BillingJournalOptions {
+  readonly store: ObjectStore;
+  /** The run of this entry; batches are named by it. */
+  readonly incarnation: string;
+  /** Chooses a peer in another failure domain; none by default. */
+  readonly choosePeer?: (
+    excludedHosts: ReadonlySet<string>,
+  ) => BillingPeer | undefined;
+  /** Number of compactions that share the work; the same on every entry. */
+  readonly shardCount?: number;
+  /** A batch is written once its first record is this old. */
+  readonly maxBatchAgeMs?: number;
+  /** A batch is written once it has so many records. */
+  readonly maxBatchRecords?: number;
+  /** Records that are not durable at most; admission must refuse beyond. */
+  readonly maxPendingRecords?: number;
+  /** How long records are collected while no peer can hold copies. */
+  readonly groupCommitMs?: number;
+  /** How long `commit` waits when no peer can hold a copy. */
+  readonly durableWaitMs?: number;
+  readonly copyTimeoutMs?: number;
+  readonly peerExclusionMs?: number;
+  /** First and longest pause after a failed write. */
+  readonly firstRetryMs?: number;
+  readonly maxRetryMs?: number;
+  readonly nowMs?: () => number;
+  /** Uniform between 0 and 1; spreads retries. */
+  readonly random?: () => number;
+}
+
+/**
+ * Where a record stands. `durable`: in the object API. `peer`: a peer in
+ * another failure domain holds a copy. `unprotected`: only here, so the loss
+ * of this host loses it.
+ */
+export type RecordProtection = 'durable' | 'peer' | 'unprotected';
+
+/** How full the journal is. */
+export interface JournalStatus {
+  readonly pendingRecords: number;
+  readonly maxPendingRecords: number;
+  /** True when admission must refuse new requests. */
+  readonly isFull: boolean;
+  /** Records whose answer ended while they were unprotected. */
+  readonly unprotectedCount: number;
+  readonly durableThrough: number;
+}
+
+/** Keeps the billing records of this entry until they are durable. */
+export interface BillingJournal {
+  /** Keeps a record; to be awaited before the end of the answer is sent. */
+  commit(record: BillingRecord): Promise<RecordProtection>;
+  status(): JournalStatus;
+  /** Writes everything now; true once nothing is pending. */
+  flush(): Promise<boolean>;
+  /** Stops timers; pending records are left to `flush` or to a peer. */
+  stop(): void;
+}
+
+const DEFAULTS = {
+  shardCount: 1,
+  maxBatchAgeMs: 2000,
+  maxBatchRecords: MAX_BATCH_RECORDS,
+  maxPendingRecords: 100_000,
+  groupCommitMs: 100,
+  durableWaitMs: 2000,
+  copyTimeoutMs: 200,
+  peerExclusionMs: 5000,
+  firstRetryMs: 200,
+  maxRetryMs: 10_000,
+} as const;
+
+/**
+ * Creates the billing journal of one entry.
+ *
+ * @example
+ * ```ts
+ * const journal = createBillingJournal({store, incarnation, choosePeer});
+ * await journal.commit(record);
+ * response.end();
+ * ```
+ */
+export function createBillingJournal(
+  options: BillingJournalOptions,
+): BillingJournal {
+  return StoreBillingJournal.create(options);
+}
+
+class StoreBillingJournal implements BillingJournal {
+  private state: JournalState;
+  private durableThrough = 0;
+  private unprotectedCount = 0;
+  private writing: Promise<void> | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  /** When the timer of the open batch goes off; undefined without one. */
+  private dueAtMs: number | undefined;
+  /** Pause after the next failed write; defined while the store fails. */
+  private retryMs: number | undefined;
+  /** True when a caller waits for the open batch to be durable. */
+  private isCommitWaiting = false;
+  private isStopped = false;
+  private readonly copier: PeerCopier;
+  private readonly waiters = new Set<() => void>();
+
+  private constructor(
+    private readonly options: Required<BillingJournalOptions>,
+  ) {
+    const {incarnation, shardCount, nowMs, choosePeer} = options;
+    const shard = resolveShard(incarnation, shardCount);
+    this.state = createJournalState(shard, incarnation);
+    this.copier = PeerCopier.create({
+      choosePeer,
+      nowMs,
+      listPending: () => listPendingBatches(this.state),
+      durableThrough: () => this.durableThrough,
+      timeoutMs: options.copyTimeoutMs,
+      exclusionMs: options.peerExclusionMs,
+    });
+  }
+
+  static create(options: BillingJournalOptions): StoreBillingJournal {
+    return new StoreBillingJournal({
+      ...DEFAULTS,
+      choosePeer: () => undefined,
+      nowMs: () => performance.now(),
+      random: Math.random,
+      ...options,
+    });
+  }
+
+  async commit(record: BillingRecord): Promise<RecordProtection> {
+    this.state = appendRecord(this.state, record, this.options.nowMs());
+    const {sequence} = this.state.open;
+    this.schedule();
+    if (await this.copier.copy()) return 'peer';
+    this.isCommitWaiting = true;
+    this.schedule();
+    const isDurable = await this.waitDurable(sequence);
+    if (isDurable) return 'durable';
+    this.unprotectedCount += 1;
+    return 'unprotected';
+  }
+
+  status(): JournalStatus {
+    const {maxPendingRecords} = this.options;
+    const pendingRecords = countPendingRecords(this.state);
+    return {
+      pendingRecords,
+      maxPendingRecords,
+      isFull: pendingRecords >= maxPendingRecords,
+      unprotectedCount: this.unprotectedCount,
+      durableThrough: this.durableThrough,
+    };
+  }
+
+  async flush(): Promise<boolean> {
+    do {
+      this.retryMs = undefined;
+      this.closeBatch();
+      await this.writing;
+    } while (this.retryMs === undefined && this.countPending() > 0);
+    return this.countPending() === 0;
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    clearTimeout(this.timer);
+  }
+
+  private countPending(): number {
+    return countPendingRecords(this.state);
+  }
+
+  /** Sees to it that the open batch is written when it is due. */
+  private schedule(): void {
+    const {open, openedAtMs} = this.state;
+    const {maxBatchRecords, maxBatchAgeMs, groupCommitMs} = this.options;
+    if (open.records.length >= maxBatchRecords) return this.closeBatch();
+    if (openedAtMs === undefined || this.retryMs !== undefined) return;
+    const ageMs = this.isCommitWaiting ? groupCommitMs : maxBatchAgeMs;
+    this.startTimer(openedAtMs + ageMs);
+  }
+
+  /** Starts the timer unless it goes off sooner already. */
+  private startTimer(dueAtMs: number): void {
+    if (this.isStopped) return;
+    if (this.dueAtMs !== undefined && this.dueAtMs <= dueAtMs) return;
+    clearTimeout(this.timer);
+    this.dueAtMs = dueAtMs;
+    const delayMs = Math.max(0, dueAtMs - this.options.nowMs());
+    this.timer = setTimeout(() => {
+      this.dueAtMs = undefined;
+      this.closeBatch();
+    }, delayMs);
+    this.timer.unref();
+  }
+
+  /** While batches wait for the object API, the open one only fills up. */
+  private closeBatch(): void {
+    const {open, closed} = this.state;
+    const isFull = open.records.length >= this.options.maxBatchRecords;
+    if (closed.length === 0 || isFull) {
+      this.state = closeOpenBatch(this.state);
+      this.isCommitWaiting = false;
+    }
+    this.writing ??= this.writeClosed().finally(() => {
+      this.writing = undefined;
+      this.schedule();
+    });
+  }
+
+  private async writeClosed(): Promise<void> {
+    for (;;) {
+      const batch = this.state.closed[0];
+      if (batch === undefined) return;
+      const protocol = writeBatch(batch, 'origin');
+      const outcome = await runStoreProtocol(this.options.store, protocol);
+      if (outcome === 'failed') return this.retryLater();
+      this.retryMs = undefined;
+      this.state = dropDurableBatch(this.state);
+      this.durableThrough = batch.sequence;
+      for (const resolve of this.waiters) resolve();
+    }
+  }
+
+  private retryLater(): void {
+    const {random, firstRetryMs, maxRetryMs, nowMs} = this.options;
+    const retryMs = this.retryMs ?? firstRetryMs;
+    this.retryMs = Math.min(2 * retryMs, maxRetryMs);
+    this.startTimer(nowMs() + retryMs * (0.5 + random() / 2));
+  }
+
+  /** Waits until a batch is durable, for at most `durableWaitMs`. */
+  private async waitDurable(sequence: number): Promise<boolean> {
+    const isDurable = () => this.durableThrough >= sequence;
+    if (isDurable()) return true;
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(done, this.options.durableWaitMs);
+      const waiters = this.waiters;
+      function check(): void {
+        if (isDurable()) done();
+      }
+      function done(): void {
+        clearTimeout(timer);
+        waiters.delete(check);
+        resolve();
+      }
+      waiters.add(check);
+    });
+    return isDurable();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/control/billing/peer_copier.ts
@@ -0,0 +1,119 @@
+import type {BillingBatch} from '@anvilrudder/core';
+import type {BillingPeer} from './billing_peer.js';
+
+/** Options of {@link PeerCopier}. */
+export interface PeerCopierOptions {
+  /** Chooses a peer in another failure domain; undefined when none is left. */
+  readonly choosePeer: (
+    excludedHosts: ReadonlySet<string>,
+  ) => BillingPeer | undefined;
+  /** Batches that are not durable yet, oldest first. */
+  readonly listPending: () => readonly BillingBatch[];
+  /** The newest batch that is durable. */
+  readonly durableThrough: () => number;
+  readonly nowMs: () => number;
+  /** How long one copy may take before another peer is asked. */
+  readonly timeoutMs: number;
+  /** How long a peer that failed is not asked again. */
+  readonly exclusionMs: number;
+}
+
+/**
+ * Keeps a copy of each record that is not durable at one peer. Records of one
+ * turn travel together. When a peer fails, the next one gets all of them.
+ */
+export class PeerCopier {
+  private peer: BillingPeer | undefined;
+  /** Records of each batch that the peer has confirmed, by sequence. */
+  private held = new Map<number, number>();
+  private readonly excludedUntilMs = new Map<string, number>();
+  private sending: Promise<boolean> | undefined;
+  private queued: Promise<boolean> | undefined;
+
+  private constructor(private readonly options: PeerCopierOptions) {}
+
+  static create(options: PeerCopierOptions): PeerCopier {
+    return new PeerCopier(options);
+  }
+
+  /** Copies what the peer does not hold; true once it is held. */
+  async copy(): Promise<boolean> {
+    if (this.sending === undefined) return await this.start();
+    // Records added while a copy is under way join the next one.
+    this.queued ??= this.sending.then(() => {
+      this.queued = undefined;
+      return this.copy();
+    });
+    return await this.queued;
+  }
+
+  private async start(): Promise<boolean> {
+    this.sending = this.copyToSomePeer();
+    try {
+      return await this.sending;
+    } finally {
+      this.sending = undefined;
+    }
+  }
+
+  private async copyToSomePeer(): Promise<boolean> {
+    for (;;) {
+      this.peer ??= this.options.choosePeer(this.listExcluded());
+      if (this.peer === undefined) return false;
+      if (await this.copyTo(this.peer)) return true;
+      this.exclude(this.peer);
+    }
+  }
+
+  private async copyTo(peer: BillingPeer): Promise<boolean> {
+    const {listPending, durableThrough, timeoutMs} = this.options;
+    for (const batch of listPending()) {
+      const heldCount = this.held.get(batch.sequence) ?? 0;
+      const records = batch.records.slice(heldCount);
+      if (records.length === 0) continue;
+      const request = {
+        batch: {...batch, records},
+        durableThrough: durableThrough(),
+      };
+      const isHeld = await confirmWithin(peer.hold(request), timeoutMs);
+      if (!isHeld) return false;
+      this.held.set(batch.sequence, heldCount + records.length);
+    }
+    for (const sequence of this.held.keys()) {
+      if (sequence <= durableThrough()) this.held.delete(sequence);
+    }
+    return true;
+  }
+
+  private exclude(peer: BillingPeer): void {
+    const {nowMs, exclusionMs} = this.options;
+    this.excludedUntilMs.set(peer.host, nowMs() + exclusionMs);
+    this.peer = undefined;
+    this.held = new Map();
+  }
+
+  private listExcluded(): ReadonlySet<string> {
+    const nowMs = this.options.nowMs();
+    for (const [host, untilMs] of this.excludedUntilMs) {
+      if (untilMs <= nowMs) this.excludedUntilMs.delete(host);
+    }
+    return new Set(this.excludedUntilMs.keys());
+  }
+}
+
+async function confirmWithin(
+  work: Promise<void>,
+  timeoutMs: number,
+): Promise<boolean> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<boolean>(resolve => {
+    timer = setTimeout(() => resolve(false), timeoutMs);
+  });
+  const confirmed = work.then(
+    () => true,
+    () => false,
+  );
+  const isConfirmed = await Promise.race([confirmed, timeout]);
+  clearTimeout(timer);
+  return isConfirmed;
+}
