Hold duties under leases with fencing numbers

Cause: a duty needs one holder; a lease can lapse while its holder pauses. Change: a candidate takes a lease only after it has seen one version for a whole lease on its own clock; the holder counts from before its write. Conclusion: grants do not overlap in these cases; a pause between the check and the order remains and is what fencing numbers are for.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,3 +7,4 @@
 export * from './steps/index.js';
 export * from './claims/index.js';
 export * from './billing/index.js';
+export * from './leases/index.js';
--- /dev/null
+++ b/packages/core/src/leases/index.ts
@@ -0,0 +1,2 @@
+export * from './lease.js';
+export * from './lease_protocol.js';
--- a/packages/entry/src/control/steps/run_store_protocol.ts
+++ b/packages/entry/src/control/steps/run_store_protocol.ts
@@ -26,7 +26,8 @@
   return state.value;
 }
 
-async function runStoreStep(
+/** Makes one call; a failed call is a reply, not an error. */
+export async function runStoreStep(
   store: ObjectStore,
   step: StoreStep,
 ): Promise<StoreReply> {
--- /dev/null
+++ b/packages/entry/test/faults/leases_table.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  createLeaseKeeper,
+  type LeaseKeeper,
+} from '../../src/control/leases/lease_keeper.js';
+import {
+  MemoryObjectStore,
+  type ScriptedFault,
+} from '../support/memory_object_store.js';
+
+const LEASE_MS = 1000;
+const MARGIN_MS = 100;
+
+class Bench {
+  nowMs = 0;
+  readonly store = MemoryObjectStore.create();
+
+  createKeeper(host: string): LeaseKeeper {
+    return createLeaseKeeper({
+      store: this.store,
+      member: {host, incarnation: `${host}-1`},
+      duty: 'rollouts',
+      leaseMs: LEASE_MS,
+      marginMs: MARGIN_MS,
+      nowMs: () => this.nowMs,
+    });
+  }
+}
+
+interface Row {
+  readonly fault: string;
+  /** Faults of the first holder's second attempt. */
+  readonly faults?: readonly ScriptedFault[];
+  readonly isFirstPaused?: boolean;
+  readonly isFirstStopped?: boolean;
+  /** Fencing numbers of both after the first lease has run out. */
+  readonly first: number | undefined;
+  readonly second: number | undefined;
+}
+
+const ROWS: readonly Row[] = [
+  {fault: 'no fault', first: 1, second: undefined},
+  {
+    fault: 'a renewal whose answer is lost',
+    faults: [{method: 'put', fault: 'answerLost'}],
+    first: 1,
+    second: undefined,
+  },
+  {
+    fault: 'a renewal that takes effect while every answer is lost',
+    faults: [1, 2, 3].map(() => ({method: 'put', fault: 'answerLost'})),
+    first: undefined,
+    second: undefined,
+  },
+  {
+    fault: 'a renewal that is refused',
+    faults: [{method: 'put', fault: 'refused'}],
+    first: undefined,
+    second: 2,
+  },
+  {
+    fault: 'a holder that pauses',
+    isFirstPaused: true,
+    first: undefined,
+    second: 2,
+  },
+  {
+    fault: 'a holder that stops',
+    isFirstStopped: true,
+    first: undefined,
+    second: 2,
+  },
+];
+
+for (const row of ROWS) {
+  test(`[orders] ${row.fault}: at most one holder, with a higher number`, async () => {
+    const bench = new Bench();
+    const [first, second] = ['entry-1', 'entry-2'].map(h =>
+      bench.createKeeper(h),
+    );
+    assert.equal((await first.advance())?.fencing, 1);
+    assert.equal(await second.advance(), undefined);
+    bench.nowMs = 500;
+    bench.store.script(...(row.faults ?? []));
+    if (row.isFirstStopped) await first.stop();
+    else if (!row.isFirstPaused) await first.advance();
+    bench.nowMs = LEASE_MS;
+    const granted = await second.advance();
+    assert.equal(granted?.fencing, row.second);
+    assert.equal(first.current()?.fencing, row.first);
+  });
+}
+
+test('[orders] a holder stops before others may take the lease', async () => {
+  const bench = new Bench();
+  const first = bench.createKeeper('entry-1');
+  const second = bench.createKeeper('entry-2');
+  await first.advance();
+  await second.advance();
+  bench.nowMs = LEASE_MS - MARGIN_MS;
+  assert.equal(first.current(), undefined);
+  assert.equal(await second.advance(), undefined);
+});
+
+test('[orders] a paused holder that wakes learns of its successor', async () => {
+  const bench = new Bench();
+  const first = bench.createKeeper('entry-1');
+  const second = bench.createKeeper('entry-2');
+  await first.advance();
+  await second.advance();
+  bench.nowMs = LEASE_MS;
+  await second.advance();
+  assert.equal(await first.advance(), undefined);
+  bench.nowMs = 2 * LEASE_MS;
+  assert.equal((await first.advance())?.fencing, 3);
+  assert.equal(await second.advance(), undefined);
+});
+
+test('[orders] after a lost grant the same process takes the lease anew', async () => {
+  const bench = new Bench();
+  const first = bench.createKeeper('entry-1');
+  bench.store.script(
+    ...[1, 2, 3].map(() => ({method: 'put', fault: 'answerLost'}) as const),
+  );
+  assert.equal(await first.advance(), undefined);
+  assert.equal((await first.advance())?.fencing, 2);
+});
+
+test('[orders] the store is out beyond the lease: nobody acts, then one does', async () => {
+  const bench = new Bench();
+  const keepers = ['entry-1', 'entry-2', 'entry-3'].map(h =>
+    bench.createKeeper(h),
+  );
+  await keepers[0].advance();
+  bench.store.isDown = true;
+  bench.nowMs = 5 * LEASE_MS;
+  for (const keeper of keepers) {
+    assert.equal(await keeper.advance(), undefined);
+  }
+  bench.store.isDown = false;
+  const grants = await Promise.all(keepers.map(keeper => keeper.advance()));
+  assert.equal(grants.filter(grant => grant !== undefined).length, 1);
+});
