Carry out roll-outs as steps that any successor goes on with

Cause: a roll-out must not stop half-way with its holder, and some engines ignore fencing numbers. Ruled out: one object for a whole roll-out (2,600 runners at about 100 bytes each would be rewritten with each step). Change: a step is an object with the wanted state of one engine; it is read anew and the lease is checked in the turn that sends; a repair compares engines with their last applied step.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,3 +8,4 @@
 export * from './claims/index.js';
 export * from './billing/index.js';
 export * from './leases/index.js';
+export * from './orders/index.js';
--- /dev/null
+++ b/packages/core/src/orders/index.ts
@@ -0,0 +1,2 @@
+export * from './order.js';
+export * from './order_protocol.js';
