--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,3 +9,7 @@
 export * from './types/identity.js';
 export * from './types/object_store.js';
 export * from './utils/index.js';
+export * from './claims/index.js';
+export * from './billing/index.js';
+export * from './leases/index.js';
+export * from './orders/index.js';
