Learn the check's line and forget priors, for drift and few ratings

Change: check counts and the prior fade, ratings keep 0.98 of their weight with each new one, a shrunk line over the check score is the prior of each bin.

--- a/packages/core/src/routing/model_chooser.ts
+++ b/packages/core/src/routing/model_chooser.ts
@@ -15,6 +15,7 @@
 import {createPlanTable} from './plan_table.js';
 import {
   LearntQuality,
+  type LearntQualityOptions,
   type OutcomeObservation,
   type QualityModel,
   type RatingObservation,
@@ -35,6 +36,8 @@
   readonly explorationShare?: number;
   /** Standard errors taken off a quality at full weight of exposure; 1. */
   readonly maxCaution?: number;
+  /** How ratings are learnt from. */
+  readonly learning?: LearntQualityOptions;
   /** Replaces what is learnt from ratings. */
   readonly quality?: QualityModel;
 }
@@ -46,6 +49,7 @@
   fixedThreshold: 0.5,
   explorationShare: 0.02,
   maxCaution: 1,
+  learning: {},
 } as const satisfies ModelChooserOptions;
 
 const MAX_SURPLUS_REQUESTS = 3;
@@ -98,7 +102,9 @@
    * ```
    */
   static create(options: ModelChooserOptions = {}): ModelChooser {
-    const learnt = options.quality ? undefined : LearntQuality.create();
+    const learnt = options.quality
+      ? undefined
+      : LearntQuality.create(options.learning);
     const quality = options.quality ?? (learnt as QualityModel);
     const resolved = {...DEFAULTS, ...options, quality};
     const {cost, exposure} = resolved.weights;
--- a/packages/core/src/routing/quality_model.ts
+++ b/packages/core/src/routing/quality_model.ts
@@ -1,14 +1,18 @@
 import {clamp} from '../utils/math.js';
 import {formatModelVersion, type ModelVersion} from '../types/identity.js';
 import type {ModelOption} from './model_option.js';
-
-/** An estimated mean and the variance of that estimate. */
-export interface Estimate {
-  readonly mean: number;
-  readonly variance: number;
-  /** Ratings behind the estimate, without the prior. */
-  readonly ratingCount: number;
-}
+import {
+  addBinnedScore,
+  addScore,
+  createBinnedScores,
+  createTally,
+  estimateBin,
+  estimateTally,
+  resolveBin,
+  type BinnedScores,
+  type Estimate,
+  type Tally,
+} from './score_tally.js';
 
 /** Part of the answers whose check score lies in one interval. */
 export interface CheckBin {
@@ -64,65 +68,37 @@
 
 /** Options of {@link LearntQuality}. */
 export interface LearntQualityOptions {
-  /** Ratings that the quality stated in the rules counts for; 8. */
+  /** Ratings that the quality stated in the rules counts for; 6. */
   readonly priorWeight?: number;
   /** Ratings that the version's mean counts for within a check bin; 3. */
   readonly binPriorWeight?: number;
-  /** Weight that older ratings keep with each new one; 0.998. */
+  /** Weight that older ratings keep with each new one; 0.98. */
   readonly retention?: number;
-  /** Intervals of the check score; 8. */
+  /** Weight that older check scores keep with each new one; 0.999. */
+  readonly checkRetention?: number;
+  /** Intervals of the check score; 12. */
   readonly binCount?: number;
   /** Ratings between two changes of the revision; 20. */
   readonly ratingsPerRevision?: number;
 }
 
 const DEFAULTS: Required<LearntQualityOptions> = {
-  priorWeight: 8,
+  priorWeight: 6,
   binPriorWeight: 3,
-  retention: 0.998,
-  binCount: 8,
+  retention: 0.98,
+  checkRetention: 0.999,
+  binCount: 12,
   ratingsPerRevision: 20,
 };
-const SCORE_VARIANCE = 0.03;
-
-interface Tally {
-  weight: number;
-  sum: number;
-  count: number;
-}
 
 interface VersionRecord {
   readonly direct: Tally;
-  readonly byCheck: readonly Tally[];
+  readonly byCheck: BinnedScores;
   /** By the version of the first answer, then by its check bin. */
-  readonly byPrevious: Map<string, readonly Tally[]>;
+  readonly byPrevious: Map<string, BinnedScores>;
   readonly checkCounts: number[];
 }
 
-function createTally(): Tally {
-  return {weight: 0, sum: 0, count: 0};
-}
-
-function addScore(tally: Tally, score: number, retention: number): void {
-  tally.weight = tally.weight * retention + 1;
-  tally.sum = tally.sum * retention + score;
-  tally.count += 1;
-}
-
-function estimateTally(
-  tally: Tally | undefined,
-  priorMean: number,
-  priorWeight: number,
-): Estimate {
-  const weight = priorWeight + (tally?.weight ?? 0);
-  const sum = priorWeight * priorMean + (tally?.sum ?? 0);
-  return {
-    mean: sum / weight,
-    variance: SCORE_VARIANCE / weight,
-    ratingCount: tally?.count ?? 0,
-  };
-}
-
 /** Learns quality from ratings, with the rules' figure as the prior. */
 export class LearntQuality implements QualityModel {
   revision = 0;
@@ -151,11 +127,9 @@
 
   estimate(kind: string, option: ModelOption): Estimate {
     const record = this.find(kind, option);
-    return estimateTally(
-      record?.direct,
-      option.quality,
-      this.options.priorWeight,
-    );
+    const {priorWeight, retention} = this.options;
+    const kept = priorWeight * retention ** (record?.direct.count ?? 0);
+    return estimateTally(record?.direct, option.quality, kept);
   }
 
   checkBins(kind: string, option: ModelOption): readonly CheckBin[] {
@@ -166,7 +140,7 @@
     const total = counts.reduce((sum, count) => sum + count, binCount);
     return counts.map((count, bin) => ({
       probability: (count + 1) / total,
-      quality: estimateTally(record?.byCheck[bin], mean, binPriorWeight),
+      quality: estimateBin(record?.byCheck, bin, mean, binPriorWeight),
     }));
   }
 
@@ -178,12 +152,8 @@
   ): Estimate {
     const record = this.find(kind, option);
     const {mean} = this.estimate(kind, option);
-    const tallies = record?.byPrevious.get(formatModelVersion(first));
-    return estimateTally(
-      tallies?.[firstBin],
-      mean,
-      this.options.binPriorWeight,
-    );
+    const scores = record?.byPrevious.get(formatModelVersion(first));
+    return estimateBin(scores, firstBin, mean, this.options.binPriorWeight);
   }
 
   /** Takes in a rating; ratings may come late, in any order, or not at all. */
@@ -194,13 +164,12 @@
     if (rating.previous === undefined) {
       addScore(record.direct, score, retention);
     } else {
-      const bin = this.resolveBin(rating.previous.checkScore);
-      const tallies = this.resolvePrevious(record, rating.previous);
-      addScore(tallies[bin], score, retention);
+      const {checkScore} = rating.previous;
+      const scores = this.resolvePrevious(record, rating.previous);
+      addBinnedScore(scores, checkScore, score, retention);
     }
     if (rating.checkScore !== undefined) {
-      const bin = this.resolveBin(rating.checkScore);
-      addScore(record.byCheck[bin], score, retention);
+      addBinnedScore(record.byCheck, rating.checkScore, score, retention);
     }
     this.sinceRevision += 1;
     if (this.sinceRevision < ratingsPerRevision) return;
@@ -211,13 +180,11 @@
   /** Takes in the end of an answer. */
   observeOutcome(outcome: OutcomeObservation): void {
     if (outcome.checkScore === undefined) return;
-    const record = this.resolve(outcome.kind, outcome);
-    record.checkCounts[this.resolveBin(outcome.checkScore)] += 1;
-  }
-
-  private resolveBin(checkScore: number): number {
-    const {binCount} = this.options;
-    return clamp(Math.floor(checkScore * binCount), 0, binCount - 1);
+    const {checkCounts} = this.resolve(outcome.kind, outcome);
+    for (const bin of checkCounts.keys()) {
+      checkCounts[bin] *= this.options.checkRetention;
+    }
+    checkCounts[resolveBin(outcome.checkScore, checkCounts.length)] += 1;
   }
 
   private find(kind: string, version: ModelVersion) {
@@ -227,24 +194,24 @@
   private resolvePrevious(
     record: VersionRecord,
     first: ModelVersion,
-  ): readonly Tally[] {
+  ): BinnedScores {
     const key = formatModelVersion(first);
     const found = record.byPrevious.get(key);
     if (found !== undefined) return found;
-    const tallies = Array.from({length: this.options.binCount}, createTally);
-    record.byPrevious.set(key, tallies);
-    return tallies;
+    const scores = createBinnedScores(this.options.binCount);
+    record.byPrevious.set(key, scores);
+    return scores;
   }
 
   private resolve(kind: string, version: ModelVersion): VersionRecord {
     const found = this.find(kind, version);
     if (found !== undefined) return found;
-    const bins = Array.from({length: this.options.binCount});
+    const {binCount} = this.options;
     const record: VersionRecord = {
       direct: createTally(),
-      byCheck: bins.map(createTally),
+      byCheck: createBinnedScores(binCount),
       byPrevious: new Map(),
-      checkCounts: bins.map(() => 0),
+      checkCounts: new Array<number>(binCount).fill(0),
     };
     this.records.set(`${kind}/${formatModelVersion(version)}`, record);
     return record;
--- a/packages/experiments/src/model_choice/model_choice.ts
+++ b/packages/experiments/src/model_choice/model_choice.ts
@@ -30,7 +30,7 @@
   outageShare: 0,
 };
 
-const SCENARIOS: readonly Scenario[] = [
+export const SCENARIOS: readonly Scenario[] = [
   PLAIN,
   {...PLAIN, name: 'drift', driftSkill: -0.8},
   {
@@ -90,7 +90,7 @@
   });
 }
 
-function measureSegments(
+export function measureSegments(
   deployment: Deployment,
   truths: readonly TrueQuality[],
   segments: readonly Segment[],
@@ -124,7 +124,7 @@
 
 const truthCache = new Map<string, readonly TrueQuality[]>();
 
-function resolveTruths(deployment: Deployment, scenario: Scenario) {
+export function resolveTruths(deployment: Deployment, scenario: Scenario) {
   const key = `${deployment.name}/${scenario.driftSkill}`;
   const cached = truthCache.get(key);
   if (cached) return cached;
