--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,3 +6,4 @@
 export * from './types/object_store.js';
 export * from './routing/index.js';
 export * from './utils/index.js';
+export * from './rollouts/index.js';
--- /dev/null
+++ b/packages/experiments/src/bad_version/bad_version.ts
@@ -0,0 +1,146 @@
+import {
+  toMetrics,
+  type Experiment,
+  type GoalResult,
+  type Sample,
+  type SpreadReader,
+} from '../harness/experiment.js';
+import {
+  runRollout,
+  type RolloutScenario,
+  type RolloutWay,
+} from './rollout_run.js';
+
+const HOUR_MS = 3_600_000;
+const GOOD_QUALITY = 0.78;
+const GOOD_ERROR_RATE = 0.005;
+const EXPOSURE_GOAL_RATIO = 1 / 3;
+const FIXED = 'fixed-threshold';
+const PRODUCT = 'sequential';
+
+const BASE: RolloutScenario = {
+  name: 'good',
+  durationMs: 2 * HOUR_MS,
+  badFromMs: 0,
+  bad: {quality: GOOD_QUALITY, errorRate: GOOD_ERROR_RATE},
+  lossShare: 0.1,
+};
+
+const BAD_SCENARIOS: readonly RolloutScenario[] = [
+  {
+    ...BASE,
+    name: 'quality -0.15',
+    bad: {quality: GOOD_QUALITY - 0.15, errorRate: GOOD_ERROR_RATE},
+  },
+  {
+    ...BASE,
+    name: 'quality -0.40',
+    bad: {quality: GOOD_QUALITY - 0.4, errorRate: GOOD_ERROR_RATE},
+  },
+  {
+    ...BASE,
+    name: 'errors 20%',
+    bad: {quality: GOOD_QUALITY, errorRate: 0.2},
+  },
+  {
+    ...BASE,
+    name: 'turns bad after 1 h',
+    badFromMs: HOUR_MS,
+    bad: {quality: GOOD_QUALITY - 0.25, errorRate: GOOD_ERROR_RATE},
+  },
+];
+
+const WAYS: readonly RolloutWay[] = [
+  {
+    name: FIXED,
+    stop: 'fixed-threshold',
+    ramp: 'timed',
+    settings: {stepMs: 600_000},
+    focusesRatings: false,
+  },
+  {
+    name: 'fixed-threshold, 0.05 over 30 ratings',
+    stop: 'fixed-threshold',
+    ramp: 'timed',
+    settings: {stepMs: 600_000, fixedQualityDrop: 0.05, fixedMinRatings: 30},
+    focusesRatings: false,
+  },
+  {
+    name: 'fixed-threshold, ratings focused',
+    stop: 'fixed-threshold',
+    ramp: 'timed',
+    settings: {stepMs: 600_000},
+    focusesRatings: true,
+  },
+  {
+    name: 'sequential, timed ramp, ratings even, no checks',
+    stop: 'sequential',
+    ramp: 'timed',
+    settings: {stepMs: 600_000, usesChecks: false},
+    focusesRatings: false,
+  },
+  {
+    name: 'sequential, no checks',
+    stop: 'sequential',
+    ramp: 'evidence',
+    settings: {usesChecks: false},
+    focusesRatings: true,
+  },
+  {
+    name: PRODUCT,
+    stop: 'sequential',
+    ramp: 'evidence',
+    settings: {},
+    focusesRatings: true,
+  },
+];
+
+function run(seed: number): readonly Sample[] {
+  return [BASE, ...BAD_SCENARIOS].flatMap(scenario =>
+    WAYS.map(way => {
+      const result = runRollout(way, scenario, seed);
+      const isGood = scenario === BASE;
+      return {
+        scenario: scenario.name,
+        policy: way.name,
+        metrics: toMetrics({
+          ...(isGood
+            ? {falseStopShare: Number(result.isStopped)}
+            : {
+                exposedRequests: result.exposedRequests,
+                stoppedShare: Number(result.isStopped),
+                stopDelayS: result.stopDelayMs / 1000,
+                spreadS: result.spreadMs / 1000,
+              }),
+          fullShareS: result.fullShareMs / 1000,
+          bytesPerMemberPerS: result.bytesPerMemberPerS,
+        }),
+      };
+    }),
+  );
+}
+
+function checkGoals(read: SpreadReader): readonly GoalResult[] {
+  const falseStops = (policy: string) =>
+    read('good', policy, 'falseStopShare').mean;
+  return BAD_SCENARIOS.map(({name}) => {
+    const fixed = read(name, FIXED, 'exposedRequests').mean;
+    const product = read(name, PRODUCT, 'exposedRequests').mean;
+    const ratio = product / fixed;
+    const isFair = falseStops(PRODUCT) <= falseStops(FIXED);
+    return {
+      goal: `${name}: exposure at most a third of ${FIXED}'s at an equal or lower false-stop rate`,
+      measured: `${ratio.toFixed(3)} (${product.toFixed(0)} against ${fixed.toFixed(0)} requests), false stops ${falseStops(PRODUCT)} against ${falseStops(FIXED)}`,
+      isMet: isFair && ratio <= EXPOSURE_GOAL_RATIO,
+    };
+  });
+}
+
+/** Requests served by a bad version before it stops, and false stops. */
+export const BAD_VERSION: Experiment = {
+  name: 'bad-version',
+  description: 'requests served by a bad version, and false stops',
+  defaultSeedCount: 40,
+  run,
+  checkGoals,
+};
--- a/packages/experiments/src/registry.ts
+++ b/packages/experiments/src/registry.ts
@@ -1,5 +1,6 @@
+import {BAD_VERSION} from './bad_version/bad_version.js';
 import type {Experiment} from './harness/experiment.js';
 import {MODEL_CHOICE} from './model_choice/model_choice.js';
 
 /** Every experiment, in the order of `--list`. */
-export const EXPERIMENTS: readonly Experiment[] = [MODEL_CHOICE];
+export const EXPERIMENTS: readonly Experiment[] = [MODEL_CHOICE, BAD_VERSION];
