Choose the backend server by own load, reports and prefix homes

Cause: attempts need a server that is loaded with the version, not leaving, not failing and, where it can be, holds the prompt's prefix in its cache. Change: a hash ring a version with three homes a prefix under a load bound, else the best of three samples by load, slowness and failure domain; own requests count exactly, reports give the rest; ejection on failures in a row and on latency, with a cap and a slow return; leaving by any one source. Also: the rating budget no longer leaves unused what nobody else needs, and check scores get a wider tolerance than ratings. Ruled out: a crossing penalty on prefix homes (it undid locality at low load).

--- /dev/null
+++ b/packages/core/src/balancing/balancing_policies.ts
@@ -0,0 +1,129 @@
+import {clamp} from '../utils/math.js';
+import type {Random} from '../utils/random.js';
+import {isAvailable, readLoad, type ServerState} from './server_state.js';
+import type {VersionPool} from './version_pool.js';
+
+/** What a policy picks from. */
+export interface ServerPickContext {
+  readonly pool: VersionPool;
+  readonly failureDomain: string;
+  /** Load that a server in another failure domain must be below by. */
+  readonly crossingPenalty: number;
+  /** Load that the home of a prefix may have, over the mean of the pool. */
+  readonly loadBound: number;
+  /** Text that begins the prompt, or another key of cached work. */
+  readonly prefixKey: string | undefined;
+  /** Servers that the request already tried. */
+  readonly excluded: ReadonlySet<string>;
+  readonly nowMs: number;
+  readonly random: Random;
+}
+
+/** Picks a server that may get new work. */
+export type ServerPolicy = (
+  context: ServerPickContext,
+) => ServerState | undefined;
+
+const SAMPLE_ATTEMPTS = 12;
+const HOME_COUNT = 3;
+const CHOICE_COUNT = 3;
+const MAX_SLOWNESS = 6;
+const MIN_LOAD_MARGIN = 0.1;
+const MIN_LATENCY_COUNT = 5;
+
+function isUsable(context: ServerPickContext, state: ServerState): boolean {
+  return (
+    isAvailable(state, context.nowMs) && !context.excluded.has(state.server.id)
+  );
+}
+
+function sampleUsable(context: ServerPickContext): ServerState | undefined {
+  const {states} = context.pool;
+  for (let attempt = 0; attempt < SAMPLE_ATTEMPTS; attempt++) {
+    const state = states[Math.floor(context.random() * states.length)];
+    if (state !== undefined && isUsable(context, state)) return state;
+  }
+  const usable = states.filter(state => isUsable(context, state));
+  return usable[Math.floor(context.random() * usable.length)];
+}
+
+/** Load, raised for servers that answer slowly. */
+function scoreLoad(context: ServerPickContext, state: ServerState): number {
+  const {pool, nowMs} = context;
+  const {medianFirstTokenMs} = pool.readStatistics(nowMs);
+  const isMeasured =
+    state.firstTokenCount >= MIN_LATENCY_COUNT && medianFirstTokenMs > 0;
+  const slowness = isMeasured
+    ? clamp(state.firstTokenMs / medianFirstTokenMs, 1, MAX_SLOWNESS)
+    : 1;
+  return readLoad(state, nowMs) * slowness;
+}
+
+function scoreServer(context: ServerPickContext, state: ServerState): number {
+  const {failureDomain, crossingPenalty} = context;
+  const isCrossing = state.server.failureDomain !== failureDomain;
+  return scoreLoad(context, state) + (isCrossing ? crossingPenalty : 0);
+}
+
+function pickBestOf(
+  context: ServerPickContext,
+  count: number,
+  score: (state: ServerState) => number,
+): ServerState | undefined {
+  let best: ServerState | undefined;
+  let bestScore = Infinity;
+  for (let choice = 0; choice < count; choice++) {
+    const state = sampleUsable(context);
+    if (state === undefined) return best;
+    const value = score(state);
+    if (value >= bestScore) continue;
+    best = state;
+    bestScore = value;
+  }
+  return best;
+}
+
+function pickLeastLoaded(context: ServerPickContext): ServerState | undefined {
+  let best: ServerState | undefined;
+  let bestLoad = Infinity;
+  for (const state of context.pool.states) {
+    if (!isUsable(context, state)) continue;
+    const load = readLoad(state, context.nowMs);
+    if (load >= bestLoad) continue;
+    best = state;
+    bestLoad = load;
+  }
+  return best;
+}
+
+function pickPrefixHome(context: ServerPickContext): ServerState | undefined {
+  if (context.prefixKey === undefined) return undefined;
+  const homes = context.pool.findHomes(context.prefixKey, HOME_COUNT);
+  return homes.find(state => isUsable(context, state));
+}
+
+function pickBounded(context: ServerPickContext): ServerState | undefined {
+  const {pool, nowMs, prefixKey, loadBound} = context;
+  const spread = () =>
+    pickBestOf(context, CHOICE_COUNT, state => scoreServer(context, state));
+  if (prefixKey === undefined) return spread();
+  const {meanLoad} = pool.readStatistics(nowMs);
+  const limit = meanLoad * loadBound + MIN_LOAD_MARGIN;
+  for (const state of pool.findHomes(prefixKey, HOME_COUNT)) {
+    if (!isUsable(context, state)) continue;
+    if (scoreLoad(context, state) <= limit) return state;
+  }
+  return spread();
+}
+
+/** The policies that settings can name. */
+export const SERVER_POLICIES = {
+  random: sampleUsable,
+  'power-of-two': context =>
+    pickBestOf(context, 2, state => readLoad(state, context.nowMs)),
+  'least-loaded': pickLeastLoaded,
+  'prefix-only': context => pickPrefixHome(context) ?? sampleUsable(context),
+  'prefix-bounded': pickBounded,
+} as const satisfies Record<string, ServerPolicy>;
+
+export type ServerPolicyName = keyof typeof SERVER_POLICIES;
--- /dev/null
+++ b/packages/core/src/balancing/ejection.ts
@@ -0,0 +1,81 @@
+import type {Random} from '../utils/random.js';
+import {isAvailable, type ServerState} from './server_state.js';
+import type {VersionPool} from './version_pool.js';
+
+/** When a server is taken out for a while. */
+export interface EjectionSettings {
+  /** Failures in a row that take a server out. */
+  readonly consecutiveFailures: number;
+  /** Latency over the median of the pool that takes a server out. */
+  readonly latencyFactor: number;
+  /** Answers before the latency counts. */
+  readonly minLatencyCount: number;
+  /** First time out; doubles with each further ejection. */
+  readonly baseMs: number;
+  readonly maxMs: number;
+  /** Part of a pool that may be out at once; one server always stays. */
+  readonly maxEjectedShare: number;
+  /** Time in service after which an ejection is forgotten. */
+  readonly forgetMs: number;
+}
+
+export const DEFAULT_EJECTION_SETTINGS: EjectionSettings = {
+  consecutiveFailures: 3,
+  latencyFactor: 4,
+  minLatencyCount: 10,
+  baseMs: 2000,
+  maxMs: 60_000,
+  maxEjectedShare: 0.5,
+  forgetMs: 60_000,
+};
+
+const JITTER_SHARE = 0.2;
+
+/** Takes a server out when its failures or latency call for it. */
+export function ejectIfFailing(
+  state: ServerState,
+  pools: readonly VersionPool[],
+  settings: EjectionSettings,
+  nowMs: number,
+  random: Random,
+): boolean {
+  if (!isAvailable(state, nowMs)) return false;
+  if (!isFailing(state, pools, settings, nowMs)) return false;
+  if (!pools.every(pool => canSpareOne(pool, settings, nowMs))) return false;
+  if (nowMs - state.returnedMs > settings.forgetMs) state.ejectionCount = 0;
+  const plainMs = settings.baseMs * 2 ** state.ejectionCount;
+  const jitter = 1 + JITTER_SHARE * (2 * random() - 1);
+  state.ejectionCount += 1;
+  state.ejectedUntilMs = nowMs + Math.min(settings.maxMs, plainMs) * jitter;
+  state.returnedMs = state.ejectedUntilMs;
+  state.consecutiveFailures = 0;
+  state.firstTokenCount = 0;
+  state.firstTokenMs = 0;
+  return true;
+}
+
+function isFailing(
+  state: ServerState,
+  pools: readonly VersionPool[],
+  settings: EjectionSettings,
+  nowMs: number,
+): boolean {
+  if (state.consecutiveFailures >= settings.consecutiveFailures) return true;
+  if (state.firstTokenCount < settings.minLatencyCount) return false;
+  return pools.some(pool => {
+    const {medianFirstTokenMs} = pool.readStatistics(nowMs);
+    const limit = settings.latencyFactor * medianFirstTokenMs;
+    return medianFirstTokenMs > 0 && state.firstTokenMs > limit;
+  });
+}
+
+function canSpareOne(
+  pool: VersionPool,
+  settings: EjectionSettings,
+  nowMs: number,
+): boolean {
+  const size = pool.states.length;
+  const available = pool.states.filter(state => isAvailable(state, nowMs));
+  const out = size - available.length + 1;
+  return available.length > 1 && out <= size * settings.maxEjectedShare;
+}
--- /dev/null
+++ b/packages/core/src/balancing/version_pool.ts
@@ -0,0 +1,95 @@
+import {hashToUint32} from '../utils/hash.js';
+import {readQuantile} from '../utils/math.js';
+import {isAvailable, readLoad, type ServerState} from './server_state.js';
+
+const POINTS_PER_SERVER = 16;
+const STATISTICS_MAX_AGE_MS = 100;
+
+interface RingPoint {
+  readonly hash: number;
+  readonly state: ServerState;
+}
+
+/** Load and latency over a pool, taken at most every 100 ms. */
+export interface PoolStatistics {
+  readonly takenMs: number;
+  readonly availableCount: number;
+  readonly meanLoad: number;
+  readonly medianFirstTokenMs: number;
+}
+
+/** The servers of one model version and their hash ring. */
+export class VersionPool {
+  private readonly ring: readonly RingPoint[];
+  private statistics: PoolStatistics | undefined;
+
+  private constructor(readonly states: readonly ServerState[]) {
+    this.ring = states.flatMap(createPoints).sort((a, b) => a.hash - b.hash);
+  }
+
+  static create(states: readonly ServerState[]): VersionPool {
+    return new VersionPool(states);
+  }
+
+  /** Finds the first distinct servers after the hash of a key. */
+  findHomes(key: string, count: number): readonly ServerState[] {
+    const homes: ServerState[] = [];
+    let index = this.findPoint(hashToUint32(key));
+    for (let step = 0; step < this.ring.length; step++) {
+      const {state} = this.ring[index];
+      if (!homes.includes(state)) homes.push(state);
+      if (homes.length >= count) break;
+      index = (index + 1) % this.ring.length;
+    }
+    return homes;
+  }
+
+  /** Reads the statistics, at most 100 ms old. */
+  readStatistics(nowMs: number): PoolStatistics {
+    const known = this.statistics;
+    const isFresh =
+      known !== undefined && nowMs - known.takenMs < STATISTICS_MAX_AGE_MS;
+    if (isFresh) return known;
+    this.statistics = computeStatistics(this.states, nowMs);
+    return this.statistics;
+  }
+
+  private findPoint(hash: number): number {
+    let low = 0;
+    let high = this.ring.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if (this.ring[middle].hash < hash) low = middle + 1;
+      else high = middle;
+    }
+    return low === this.ring.length ? 0 : low;
+  }
+}
+
+function createPoints(state: ServerState): readonly RingPoint[] {
+  return Array.from({length: POINTS_PER_SERVER}, (_, index) => ({
+    hash: hashToUint32(`${state.server.id}#${index}`),
+    state,
+  }));
+}
+
+function computeStatistics(
+  states: readonly ServerState[],
+  nowMs: number,
+): PoolStatistics {
+  const available = states.filter(state => isAvailable(state, nowMs));
+  const totalLoad = available.reduce(
+    (sum, state) => sum + readLoad(state, nowMs),
+    0,
+  );
+  const latencies = states
+    .filter(({firstTokenCount}) => firstTokenCount > 0)
+    .map(({firstTokenMs}) => firstTokenMs)
+    .sort((a, b) => a - b);
+  return {
+    takenMs: nowMs,
+    availableCount: available.length,
+    meanLoad: totalLoad / Math.max(1, available.length),
+    medianFirstTokenMs: readQuantile(latencies, 0.5),
+  };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,3 +7,4 @@
 export * from './routing/index.js';
 export * from './utils/index.js';
 export * from './rollouts/index.js';
+export * from './balancing/index.js';
--- a/packages/core/src/rollouts/rating_budget.ts
+++ b/packages/core/src/rollouts/rating_budget.ts
@@ -31,7 +31,10 @@
  */
 export function planRatingShares(input: RatingBudgetInput): RatingShares {
   const {budgetPerS, candidateRequestsPerS, otherRequestsPerS} = input;
-  const focus = (input.focusShare ?? DEFAULT_FOCUS_SHARE) * budgetPerS;
+  const focusShare = input.focusShare ?? DEFAULT_FOCUS_SHARE;
+  // What the others cannot use is left to the candidate.
+  const unused = Math.max(0, (1 - focusShare) * budgetPerS - otherRequestsPerS);
+  const focus = focusShare * budgetPerS + unused;
   const candidate = resolveShare(focus, candidateRequestsPerS);
   const used = candidate * candidateRequestsPerS;
   return {candidate, other: resolveShare(budgetPerS - used, otherRequestsPerS)};
--- a/packages/core/src/rollouts/rollout_policies.ts
+++ b/packages/core/src/rollouts/rollout_policies.ts
@@ -16,6 +16,8 @@
   /** Length of a window. */
   readonly windowMs: number;
   readonly qualityTolerance: number;
+  /** Wider, as the check may judge two equal versions differently. */
+  readonly checkTolerance: number;
   readonly errorTolerance: number;
   /** Size of the loss of quality that the test looks for. */
   readonly effectSize: number;
@@ -40,6 +42,7 @@
   windowFalseStopRate: 0.0005,
   windowMs: 600_000,
   qualityTolerance: 0.02,
+  checkTolerance: 0.05,
   errorTolerance: 0.01,
   effectSize: 0.1,
   usesChecks: true,
@@ -74,7 +77,7 @@
   settings: RolloutSettings,
 ): StopReason | undefined {
   const {candidate, baseline, falseStopRate} = evidence;
-  const {qualityTolerance: tolerance, effectSize, usesChecks} = settings;
+  const {qualityTolerance, checkTolerance, effectSize, usesChecks} = settings;
   const channelCount = usesChecks ? 3 : 2;
   const limit = Math.log(channelCount / falseStopRate);
   const errors = computeErrorEvidence({
@@ -85,16 +88,16 @@
     tolerance: settings.errorTolerance,
   });
   if (errors > limit) return 'errors';
-  const compare = (channel: 'ratings' | 'checks') =>
+  const compare = (channel: 'ratings' | 'checks', tolerance: number) =>
     computeScoreEvidence({
       candidate: candidate[channel],
       baseline: baseline[channel],
       tolerance,
       effectSize,
     });
-  if (compare('ratings') > limit) return 'quality';
-  if (usesChecks && compare('checks') > limit) return 'checks';
-  return undefined;
+  if (compare('ratings', qualityTolerance) > limit) return 'quality';
+  if (!usesChecks) return undefined;
+  return compare('checks', checkTolerance) > limit ? 'checks' : undefined;
 }
 
 function findFixedStop(
--- a/packages/core/test/rollouts/rollout_monitor.test.ts
+++ b/packages/core/test/rollouts/rollout_monitor.test.ts
@@ -101,3 +101,12 @@
   assert.equal(shares.candidate, 0.5);
   assert.ok(shares.candidate + shares.other * 19 <= 1.0001);
 });
+
+test('a version at full share gets the whole budget of ratings', () => {
+  const input = {
+    budgetPerS: 1,
+    candidateRequestsPerS: 20,
+    otherRequestsPerS: 0,
+  };
+  assert.equal(planRatingShares(input).candidate, 0.05);
+});
