Admit, limit and retry within budgets

Cause: overload and faults must not collapse goodput, and limits hold over entries that come and go. Servers that cannot be reached are ejected without a cap, so that a version without any reachable server is known as such at once. Ruled out: shares frozen while a member is silent (the rest would starve until the host list drops it); a silent member counts for an equal part instead.

--- /dev/null
+++ b/packages/core/src/admission/index.ts
@@ -0,0 +1,3 @@
+export * from './admission_controller.js';
+export * from './concurrency_limit.js';
+export * from './priority_queue.js';
--- a/packages/core/src/balancing/backend_balancer.ts
+++ b/packages/core/src/balancing/backend_balancer.ts
@@ -131,8 +131,7 @@
     const state = this.states.get(id);
     if (state === undefined) return;
     state.inFlight = Math.max(0, state.inFlight - 1);
-    if (outcome.isFailure) state.consecutiveFailures += 1;
-    else state.consecutiveFailures = 0;
+    countFailures(state, outcome);
     if (outcome.firstTokenMs !== undefined) {
       applyLatency(state, outcome.firstTokenMs);
     }
@@ -177,3 +176,11 @@
     }
   }
 }
+
+function countFailures(state: ServerState, outcome: AttemptOutcome): void {
+  const {isFailure, isUnreachable = false} = outcome;
+  state.consecutiveFailures = isFailure ? state.consecutiveFailures + 1 : 0;
+  state.consecutiveUnreachable = isUnreachable
+    ? state.consecutiveUnreachable + 1
+    : 0;
+}
--- a/packages/core/src/balancing/ejection.ts
+++ b/packages/core/src/balancing/ejection.ts
@@ -6,6 +6,8 @@
 export interface EjectionSettings {
   /** Failures in a row that take a server out. */
   readonly consecutiveFailures: number;
+  /** Failed connections in a row that do; no share of the pool is kept. */
+  readonly consecutiveUnreachable: number;
   /** Latency over the median of the pool that takes a server out. */
   readonly latencyFactor: number;
   /** Answers before the latency counts. */
@@ -21,6 +23,7 @@
 
 export const DEFAULT_EJECTION_SETTINGS: EjectionSettings = {
   consecutiveFailures: 3,
+  consecutiveUnreachable: 2,
   latencyFactor: 4,
   minLatencyCount: 10,
   baseMs: 2000,
@@ -40,8 +43,12 @@
   random: Random,
 ): boolean {
   if (!isAvailable(state, nowMs)) return false;
-  if (!isFailing(state, pools, settings, nowMs)) return false;
-  if (!pools.every(pool => canSpareOne(pool, settings, nowMs))) return false;
+  const isUnreachable =
+    state.consecutiveUnreachable >= settings.consecutiveUnreachable;
+  const isFailingAndSpare =
+    isFailing(state, pools, settings, nowMs) &&
+    pools.every(pool => canSpareOne(pool, settings, nowMs));
+  if (!isUnreachable && !isFailingAndSpare) return false;
   if (nowMs - state.returnedMs > settings.forgetMs) state.ejectionCount = 0;
   const plainMs = settings.baseMs * 2 ** state.ejectionCount;
   const jitter = 1 + JITTER_SHARE * (2 * random() - 1);
@@ -49,6 +56,10 @@
   state.ejectedUntilMs = nowMs + Math.min(settings.maxMs, plainMs) * jitter;
   state.returnedMs = state.ejectedUntilMs;
   state.consecutiveFailures = 0;
+  // One more failed connection after the return takes it out again.
+  state.consecutiveUnreachable = isUnreachable
+    ? settings.consecutiveUnreachable - 1
+    : 0;
   state.firstTokenCount = 0;
   state.firstTokenMs = 0;
   return true;
--- a/packages/core/src/balancing/server_state.ts
+++ b/packages/core/src/balancing/server_state.ts
@@ -27,6 +27,8 @@
 export interface AttemptOutcome {
   /** True when the server failed or could not be reached. */
   readonly isFailure: boolean;
+  /** True when no connection to the server could be made or kept. */
+  readonly isUnreachable?: boolean;
   /** Time to the first token or answer, where there was one. */
   readonly firstTokenMs?: number;
 }
@@ -41,6 +43,7 @@
   othersInFlight: number;
   readonly leavingSources: Set<LeavingSource>;
   consecutiveFailures: number;
+  consecutiveUnreachable: number;
   /** Moving average of the time to the first token; 0 before any. */
   firstTokenMs: number;
   firstTokenCount: number;
@@ -63,6 +66,7 @@
     othersInFlight: 0,
     leavingSources: new Set(),
     consecutiveFailures: 0,
+    consecutiveUnreachable: 0,
     firstTokenMs: 0,
     firstTokenCount: 0,
     ejectedUntilMs: -Infinity,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,3 +8,6 @@
 export * from './utils/index.js';
 export * from './rollouts/index.js';
 export * from './balancing/index.js';
+export * from './admission/index.js';
+export * from './limits/index.js';
+export * from './retries/index.js';
--- /dev/null
+++ b/packages/core/src/limits/share_policies.ts
@@ -0,0 +1,48 @@
+/** The use that one entry makes of an organisation's limit. */
+export interface MemberUse {
+  /** Requests a second that callers ask of the entry. */
+  readonly demandPerS: number;
+  /** Part of the limit that the entry takes. */
+  readonly share: number;
+}
+
+/** What an entry knows when it sets its share of a limit. */
+export interface ShareContext {
+  readonly ownDemandPerS: number;
+  /** Live entries, this one included. */
+  readonly memberCount: number;
+  /** The other live entries that have been heard. */
+  readonly others: readonly MemberUse[];
+}
+
+/** Sets an entry's share of a limit. */
+export type SharePolicy = (context: ShareContext) => number;
+
+const RESERVED_SHARE = 0.1;
+
+// A tenth is split evenly, so that new demand is served at once anywhere; the
+// rest follows demand. An entry takes more only as far as the shares that the
+// others hold leave room. A member that is not heard may hold an equal part,
+// which is all that it takes itself when it hears nobody.
+function resolveDemandShare(context: ShareContext): number {
+  const {ownDemandPerS, memberCount, others} = context;
+  const silentCount = Math.max(0, memberCount - 1 - others.length);
+  const heldBySilent = silentCount / memberCount;
+  const heldByOthers = others.reduce((sum, use) => sum + use.share, 0);
+  const othersDemand = others.reduce((sum, use) => sum + use.demandPerS, 0);
+  const heardCount = others.length + 1;
+  const total = ownDemandPerS + othersDemand;
+  const byDemand = total > 0 ? ownDemandPerS / total : 1 / heardCount;
+  const wanted = RESERVED_SHARE / heardCount + (1 - RESERVED_SHARE) * byDemand;
+  const room = Math.max(0, 1 - heldByOthers - heldBySilent);
+  return Math.min(wanted * (1 - heldBySilent), room);
+}
+
+/** The policies that settings can name. */
+export const SHARE_POLICIES = {
+  'equal-share': ({memberCount}) => 1 / memberCount,
+  'demand-share': resolveDemandShare,
+  unshared: () => 1,
+} as const satisfies Record<string, SharePolicy>;
+
+export type SharePolicyName = keyof typeof SHARE_POLICIES;
--- a/packages/core/test/balancing/backend_balancer.test.ts
+++ b/packages/core/test/balancing/backend_balancer.test.ts
@@ -138,6 +138,16 @@
   }
 });
 
+test('servers that cannot be reached are all taken out, and tried again later', () => {
+  const balancer = createBalancer(3);
+  const outcome = {isFailure: true, isUnreachable: true};
+  for (let i = 0; i < 6; i++) balancer.finish(`s${i % 3}`, outcome, 0);
+  assert.equal(balancer.pick(VERSION, 10), undefined);
+  assert.equal(balancer.countAvailable(VERSION, 2500), 3);
+  balancer.finish('s0', outcome, 2500);
+  assert.equal(balancer.countAvailable(VERSION, 2501), 2);
+});
+
 test('a retry does not go to a server that was tried', () => {
   for (const policy of POLICIES) {
     const balancer = createBalancer(2, {policy});
