Bound a prefix home by the entry's own part of its slots

Cause: with the adaptive limit on single latencies, cached prompts (32 ms beside 320 ms) set a floor that shrank it to nothing: goodput 4.5 of 43/s. Change: the limit compares means, and never shrinks below the slots for late first tokens; pace per token, not the first token, tells a slow server; a home takes no more of an entry's own requests than the entry's part of its slots, and two samples, not three, decide otherwise. Ruled out: a cap on the home's reported load (7014 ms), slowness from first tokens.

--- a/packages/core/src/admission/admission_controller.ts
+++ b/packages/core/src/admission/admission_controller.ts
@@ -58,9 +58,12 @@
   readonly random: Random;
   /** `predictive`. */
   readonly policy?: AdmissionPolicyName;
-  /** Requests at the servers at first; 16. */
+  /**
+   * Requests at the servers at first, and the fewest that late first tokens
+   * leave: this entry's part of the pool's slots; 16.
+   */
   readonly initialConcurrency?: number;
-  /** Fewest requests at the servers; 2. */
+  /** Fewest requests at the servers that refusals leave; 2. */
   readonly minConcurrency?: number;
   /** Most requests at the servers; 1024. */
   readonly maxConcurrency?: number;
@@ -122,6 +125,7 @@
     this.concurrency = ConcurrencyLimit.create({
       initial: options.initialConcurrency,
       min: options.minConcurrency,
+      latencyMin: options.initialConcurrency,
       max: options.maxConcurrency,
     });
   }
--- a/packages/core/src/admission/concurrency_limit.ts
+++ b/packages/core/src/admission/concurrency_limit.ts
@@ -11,7 +11,10 @@
 /** Bounds of the adaptive limit. */
 export interface ConcurrencySettings {
   readonly initial: number;
+  /** Refusals shrink the limit no further. */
   readonly min: number;
+  /** Late first tokens shrink the limit no further. */
+  readonly latencyMin: number;
   readonly max: number;
 }
 
@@ -20,6 +23,7 @@
 const SHRINK_FACTOR = 0.9;
 const FLOOR_RISE = 0.002;
 const LATENCY_WEIGHT = 0.1;
+const MIN_COUNT = 20;
 const BUSY_SHARE = 0.8;
 
 /**
@@ -31,6 +35,7 @@
   private value: number;
   private floorMs = Infinity;
   private latencyMs = 0;
+  private count = 0;
   private shrunkMs = -Infinity;
 
   private constructor(private readonly settings: ConcurrencySettings) {
@@ -42,7 +47,7 @@
    *
    * @example
    * ```ts
-   * ConcurrencyLimit.create({initial: 16, min: 1, max: 512}).limit; // 16
+   * ConcurrencyLimit.create({initial: 16, min: 1, latencyMin: 8, max: 512}).limit; // 16
    * ```
    */
   static create(settings: ConcurrencySettings): ConcurrencyLimit {
@@ -56,11 +61,18 @@
   /** Takes in the end of a request that ran beside `inFlight` others. */
   observe(outcome: DispatchOutcome, inFlight: number, nowMs: number): void {
     const {firstTokenMs, wasRefused} = outcome;
-    if (wasRefused) return this.shrink(nowMs);
-    this.floorMs = Math.min(this.floorMs * (1 + FLOOR_RISE), firstTokenMs);
-    this.latencyMs += LATENCY_WEIGHT * (firstTokenMs - this.latencyMs);
+    const {min, latencyMin} = this.settings;
+    if (wasRefused) return this.shrink(min, nowMs);
+    this.count += 1;
+    const weight = Math.max(LATENCY_WEIGHT, 1 / this.count);
+    this.latencyMs += weight * (firstTokenMs - this.latencyMs);
+    if (this.count < MIN_COUNT) return;
+    // The floor is of means: single answers from a cached prefix are quicker
+    // than any idle server is on average.
+    const risenMs = this.floorMs * (1 + FLOOR_RISE);
+    this.floorMs = Math.min(risenMs, this.latencyMs);
     if (this.latencyMs > SHRINK_LATENCY_FACTOR * this.floorMs) {
-      return this.shrink(nowMs);
+      return this.shrink(Math.min(latencyMin, this.value), nowMs);
     }
     const isBusy = inFlight >= BUSY_SHARE * this.value;
     if (isBusy && this.latencyMs < GROWTH_LATENCY_FACTOR * this.floorMs) {
@@ -68,10 +80,10 @@
     }
   }
 
-  private shrink(nowMs: number): void {
+  private shrink(least: number, nowMs: number): void {
     const roundTripMs = Math.max(this.latencyMs, 1);
     if (nowMs - this.shrunkMs < roundTripMs) return;
     this.shrunkMs = nowMs;
-    this.value = Math.max(this.settings.min, this.value * SHRINK_FACTOR);
+    this.value = Math.max(least, this.value * SHRINK_FACTOR);
   }
 }
--- a/packages/core/src/balancing/backend_balancer.ts
+++ b/packages/core/src/balancing/backend_balancer.ts
@@ -7,7 +7,7 @@
   type EjectionSettings,
 } from './ejection.js';
 import {
-  applyLatency,
+  applyPace,
   applyReport,
   createServerState,
   isAvailable,
@@ -54,6 +54,8 @@
   private readonly states = new Map<string, ServerState>();
   private readonly pools = new Map<string, VersionPool>();
 
+  private entryCount = 1;
+
   private constructor(
     private readonly options: Required<BackendBalancerOptions>,
     private readonly ejection: EjectionSettings,
@@ -88,6 +90,11 @@
     this.rebuildPools();
   }
 
+  /** Tells how many entries send to the same servers, this one included. */
+  setEntryCount(count: number): void {
+    this.entryCount = Math.max(1, count);
+  }
+
   /** Marks a server as leaving, or takes back the word of one source. */
   markLeaving(id: string, source: LeavingSource, isLeaving: boolean): void {
     const sources = this.states.get(id)?.leavingSources;
@@ -116,6 +123,7 @@
       failureDomain,
       crossingPenalty,
       loadBound,
+      entryCount: this.entryCount,
       prefixKey: request.prefixKey,
       excluded: request.excluded ?? NO_EXCLUSIONS,
       nowMs,
@@ -132,8 +140,8 @@
     if (state === undefined) return;
     state.inFlight = Math.max(0, state.inFlight - 1);
     countFailures(state, outcome);
-    if (outcome.firstTokenMs !== undefined) {
-      applyLatency(state, outcome.firstTokenMs);
+    if (outcome.paceMs !== undefined) {
+      applyPace(state, outcome.paceMs);
     }
     const pools = this.listPools(state);
     ejectIfFailing(state, pools, this.ejection, nowMs, this.options.random);
--- a/packages/core/src/balancing/balancing_policies.ts
+++ b/packages/core/src/balancing/balancing_policies.ts
@@ -11,6 +11,8 @@
   readonly crossingPenalty: number;
   /** Load that the home of a prefix may have, over the mean of the pool. */
   readonly loadBound: number;
+  /** Live entries, this one included. */
+  readonly entryCount: number;
   /** Text that begins the prompt, or another key of cached work. */
   readonly prefixKey: string | undefined;
   /** Servers that the request already tried. */
@@ -26,10 +28,10 @@
 
 const SAMPLE_ATTEMPTS = 12;
 const HOME_COUNT = 3;
-const CHOICE_COUNT = 3;
+const CHOICE_COUNT = 2;
 const MAX_SLOWNESS = 6;
-const MIN_LOAD_MARGIN = 0.1;
-const MIN_LATENCY_COUNT = 5;
+const MIN_HOME_LOAD = 0.6;
+const MIN_PACE_COUNT = 5;
 
 function isUsable(context: ServerPickContext, state: ServerState): boolean {
   return (
@@ -50,11 +52,10 @@
 /** Load, raised for servers that answer slowly. */
 function scoreLoad(context: ServerPickContext, state: ServerState): number {
   const {pool, nowMs} = context;
-  const {medianFirstTokenMs} = pool.readStatistics(nowMs);
-  const isMeasured =
-    state.firstTokenCount >= MIN_LATENCY_COUNT && medianFirstTokenMs > 0;
+  const {medianPaceMs} = pool.readStatistics(nowMs);
+  const isMeasured = state.paceCount >= MIN_PACE_COUNT && medianPaceMs > 0;
   const slowness = isMeasured
-    ? clamp(state.firstTokenMs / medianFirstTokenMs, 1, MAX_SLOWNESS)
+    ? clamp(state.paceMs / medianPaceMs, 1, MAX_SLOWNESS)
     : 1;
   return readLoad(state, nowMs) * slowness;
 }
@@ -102,18 +103,29 @@
   return homes.find(state => isUsable(context, state));
 }
 
-function pickBounded(context: ServerPickContext): ServerState | undefined {
-  const {pool, nowMs, prefixKey, loadBound} = context;
-  const spread = () =>
-    pickBestOf(context, CHOICE_COUNT, state => scoreServer(context, state));
-  if (prefixKey === undefined) return spread();
+// Bounds this entry's own requests at a home to the entry's part of its
+// slots. Entries that share a home cannot overload it together then, however
+// late its load reports are.
+function canTakeHome(context: ServerPickContext, state: ServerState): boolean {
+  const {pool, nowMs, loadBound, entryCount, random} = context;
   const {meanLoad} = pool.readStatistics(nowMs);
-  const limit = meanLoad * loadBound + MIN_LOAD_MARGIN;
-  for (const state of pool.findHomes(prefixKey, HOME_COUNT)) {
-    if (!isUsable(context, state)) continue;
-    if (scoreLoad(context, state) <= limit) return state;
-  }
-  return spread();
+  const limit = Math.max(MIN_HOME_LOAD, meanLoad * loadBound);
+  if (scoreLoad(context, state) > limit) return false;
+  const ownPart = (state.slots * Math.min(1, limit)) / entryCount;
+  return state.inFlight + 1 <= Math.max(1, Math.floor(ownPart + random()));
+}
+
+function pickBounded(context: ServerPickContext): ServerState | undefined {
+  const {pool, prefixKey} = context;
+  const homes =
+    prefixKey === undefined ? [] : pool.findHomes(prefixKey, HOME_COUNT);
+  const home = homes.find(
+    state => isUsable(context, state) && canTakeHome(context, state),
+  );
+  if (home !== undefined) return home;
+  return pickBestOf(context, CHOICE_COUNT, state =>
+    scoreServer(context, state),
+  );
 }
 
 /** The policies that settings can name. */
--- a/packages/core/src/balancing/ejection.ts
+++ b/packages/core/src/balancing/ejection.ts
@@ -8,10 +8,10 @@
   readonly consecutiveFailures: number;
   /** Failed connections in a row that do; no share of the pool is kept. */
   readonly consecutiveUnreachable: number;
-  /** Latency over the median of the pool that takes a server out. */
-  readonly latencyFactor: number;
-  /** Answers before the latency counts. */
-  readonly minLatencyCount: number;
+  /** Pace over the median of the pool that takes a server out. */
+  readonly paceFactor: number;
+  /** Answers before the pace counts. */
+  readonly minPaceCount: number;
   /** First time out; doubles with each further ejection. */
   readonly baseMs: number;
   readonly maxMs: number;
@@ -24,8 +24,8 @@
 export const DEFAULT_EJECTION_SETTINGS: EjectionSettings = {
   consecutiveFailures: 3,
   consecutiveUnreachable: 2,
-  latencyFactor: 4,
-  minLatencyCount: 10,
+  paceFactor: 3,
+  minPaceCount: 10,
   baseMs: 2000,
   maxMs: 60_000,
   maxEjectedShare: 0.5,
@@ -34,7 +34,7 @@
 
 const JITTER_SHARE = 0.2;
 
-/** Takes a server out when its failures or latency call for it. */
+/** Takes a server out when its failures or pace call for it. */
 export function ejectIfFailing(
   state: ServerState,
   pools: readonly VersionPool[],
@@ -60,8 +60,8 @@
   state.consecutiveUnreachable = isUnreachable
     ? settings.consecutiveUnreachable - 1
     : 0;
-  state.firstTokenCount = 0;
-  state.firstTokenMs = 0;
+  state.paceCount = 0;
+  state.paceMs = 0;
   return true;
 }
 
@@ -72,11 +72,11 @@
   nowMs: number,
 ): boolean {
   if (state.consecutiveFailures >= settings.consecutiveFailures) return true;
-  if (state.firstTokenCount < settings.minLatencyCount) return false;
+  if (state.paceCount < settings.minPaceCount) return false;
   return pools.some(pool => {
-    const {medianFirstTokenMs} = pool.readStatistics(nowMs);
-    const limit = settings.latencyFactor * medianFirstTokenMs;
-    return medianFirstTokenMs > 0 && state.firstTokenMs > limit;
+    const {medianPaceMs} = pool.readStatistics(nowMs);
+    const limit = settings.paceFactor * medianPaceMs;
+    return medianPaceMs > 0 && state.paceMs > limit;
   });
 }
 
--- a/packages/core/src/balancing/server_state.ts
+++ b/packages/core/src/balancing/server_state.ts
@@ -29,8 +29,11 @@
   readonly isFailure: boolean;
   /** True when no connection to the server could be made or kept. */
   readonly isUnreachable?: boolean;
-  /** Time to the first token or answer, where there was one. */
-  readonly firstTokenMs?: number;
+  /**
+   * Time for each token after the first, or for the whole answer of a plain
+   * service. The time to the first token tells of queues and caches instead.
+   */
+  readonly paceMs?: number;
 }
 
 /** What is known of one server; changed by the balancer only. */
@@ -44,9 +47,9 @@
   readonly leavingSources: Set<LeavingSource>;
   consecutiveFailures: number;
   consecutiveUnreachable: number;
-  /** Moving average of the time to the first token; 0 before any. */
-  firstTokenMs: number;
-  firstTokenCount: number;
+  /** Moving average of the pace; 0 before any. */
+  paceMs: number;
+  paceCount: number;
   ejectedUntilMs: number;
   ejectionCount: number;
   /** End of the last ejection; new work grows from there. */
@@ -56,7 +59,7 @@
 /** Time over which a server that comes back gets its full share. */
 export const SLOW_RETURN_MS = 10_000;
 const MIN_RETURN_WEIGHT = 0.1;
-const LATENCY_WEIGHT = 0.1;
+const PACE_WEIGHT = 0.1;
 
 export function createServerState(server: BackendServer): ServerState {
   return {
@@ -67,8 +70,8 @@
     leavingSources: new Set(),
     consecutiveFailures: 0,
     consecutiveUnreachable: 0,
-    firstTokenMs: 0,
-    firstTokenCount: 0,
+    paceMs: 0,
+    paceCount: 0,
     ejectedUntilMs: -Infinity,
     ejectionCount: 0,
     returnedMs: -Infinity,
@@ -101,9 +104,9 @@
   else state.leavingSources.delete('server');
 }
 
-/** Takes in the latency of an answer. */
-export function applyLatency(state: ServerState, firstTokenMs: number): void {
-  state.firstTokenCount += 1;
-  const weight = Math.max(LATENCY_WEIGHT, 1 / state.firstTokenCount);
-  state.firstTokenMs += weight * (firstTokenMs - state.firstTokenMs);
+/** Takes in the pace of an answer. */
+export function applyPace(state: ServerState, paceMs: number): void {
+  state.paceCount += 1;
+  const weight = Math.max(PACE_WEIGHT, 1 / state.paceCount);
+  state.paceMs += weight * (paceMs - state.paceMs);
 }
--- a/packages/core/src/balancing/version_pool.ts
+++ b/packages/core/src/balancing/version_pool.ts
@@ -10,12 +10,12 @@
   readonly state: ServerState;
 }
 
-/** Load and latency over a pool, taken at most every 100 ms. */
+/** Load and pace over a pool, taken at most every 100 ms. */
 export interface PoolStatistics {
   readonly takenMs: number;
   readonly availableCount: number;
   readonly meanLoad: number;
-  readonly medianFirstTokenMs: number;
+  readonly medianPaceMs: number;
 }
 
 /** The servers of one model version and their hash ring. */
@@ -82,14 +82,14 @@
     (sum, state) => sum + readLoad(state, nowMs),
     0,
   );
-  const latencies = states
-    .filter(({firstTokenCount}) => firstTokenCount > 0)
-    .map(({firstTokenMs}) => firstTokenMs)
+  const paces = states
+    .filter(({paceCount}) => paceCount > 0)
+    .map(({paceMs}) => paceMs)
     .sort((a, b) => a - b);
   return {
     takenMs: nowMs,
     availableCount: available.length,
     meanLoad: totalLoad / Math.max(1, available.length),
-    medianFirstTokenMs: readQuantile(latencies, 0.5),
+    medianPaceMs: readQuantile(paces, 0.5),
   };
 }
--- /dev/null
+++ b/packages/experiments/src/service/backend_choice.ts
@@ -0,0 +1,81 @@
+import {SERVER_POLICIES, type ServerPolicyName} from '@anvilrudder/core';
+import {
+  toMetrics,
+  type Experiment,
+  type GoalResult,
+  type Sample,
+  type SpreadReader,
+} from '../harness/experiment.js';
+import {
+  PLAIN_SETTING,
+  runService,
+  summarizeFirstTokens,
+  type Fault,
+} from './service_run.js';
+import {PRODUCT_WAY} from './service_ways.js';
+
+interface ChoiceScenario {
+  readonly name: string;
+  readonly load: number;
+  readonly faults: readonly Fault[];
+}
+
+const SLOW_SPEED = 0.25;
+const SLOW_ENGINE: Fault = {
+  atMs: 0,
+  apply: ({engines}) => {
+    engines[3].speed = SLOW_SPEED;
+  },
+};
+
+const SCENARIOS: readonly ChoiceScenario[] = [
+  {name: 'load 0.5', load: 0.5, faults: []},
+  {name: 'load 0.85', load: 0.85, faults: []},
+  {name: 'load 0.7, one engine at a quarter', load: 0.7, faults: [SLOW_ENGINE]},
+];
+const POLICIES = Object.keys(SERVER_POLICIES) as ServerPolicyName[];
+const PRODUCT: ServerPolicyName = 'prefix-bounded';
+
+function run(seed: number): readonly Sample[] {
+  return SCENARIOS.flatMap(({name, load, faults}) =>
+    POLICIES.map(servers => {
+      const way = {...PRODUCT_WAY, servers};
+      const setting = {...PLAIN_SETTING, loadAt: () => load};
+      const result = runService(way, setting, faults, seed);
+      return {
+        scenario: name,
+        policy: servers,
+        metrics: toMetrics({
+          ...summarizeFirstTokens(result),
+          prefixHitShare: result.prefixHitShare,
+          crossingShare: result.crossingShare,
+          goodShare: result.goodCount / result.offeredCount,
+        }),
+      };
+    }),
+  );
+}
+
+function checkGoals(read: SpreadReader): readonly GoalResult[] {
+  return SCENARIOS.map(({name}) => {
+    const product = read(name, PRODUCT, 'firstTokenP95Ms').mean;
+    const others = POLICIES.filter(policy => policy !== PRODUCT).map(
+      policy => read(name, policy, 'firstTokenP95Ms').mean,
+    );
+    const best = Math.min(...others);
+    return {
+      goal: `${name}: p95 of the first token no worse than the best baseline's`,
+      measured: `${product.toFixed(0)} against ${best.toFixed(0)} ms`,
+      isMet: product <= best,
+    };
+  });
+}
+
+/** First token, prefix hits and crossings by server policy. */
+export const BACKEND_CHOICE: Experiment = {
+  name: 'backend-choice',
+  description: 'first token, prefix hits and crossings, by server policy',
+  defaultSeedCount: 10,
+  run,
+  checkGoals,
+};
