--- a/packages/core/src/balancing/balancing_policies.ts
+++ b/packages/core/src/balancing/balancing_policies.ts
@@ -27,6 +27,7 @@
 ) => ServerState | undefined;
 
 const SAMPLE_ATTEMPTS = 12;
+const OWN_WEIGHT = 0.5;
 const HOME_COUNT = 3;
 const CHOICE_COUNT = 2;
 const MAX_SLOWNESS = 6;
@@ -49,6 +50,12 @@
   return usable[Math.floor(context.random() * usable.length)];
 }
 
+// Own requests are known at once but tell of a part of the load only; reports
+// tell of all of it, too late.
+function mixLoads(ownLoad: number, reportedLoad: number): number {
+  return OWN_WEIGHT * ownLoad + (1 - OWN_WEIGHT) * reportedLoad;
+}
+
 /** Load, raised for servers that answer slowly. */
 function scoreLoad(context: ServerPickContext, state: ServerState): number {
   const {pool, nowMs} = context;
@@ -57,7 +64,8 @@
   const slowness = isMeasured
     ? clamp(state.paceMs / medianPaceMs, 1, MAX_SLOWNESS)
     : 1;
-  return readLoad(state, nowMs) * slowness;
+  const ownLoad = ((state.inFlight + 1) * context.entryCount) / state.slots;
+  return mixLoads(ownLoad, readLoad(state, nowMs)) * slowness;
 }
 
 function scoreServer(context: ServerPickContext, state: ServerState): number {
