--- a/packages/experiments/src/registry.ts
+++ b/packages/experiments/src/registry.ts
@@ -1,8 +1,11 @@
 import {BAD_VERSION} from './bad_version/bad_version.js';
+import {DECISION_COST} from './decision_cost/decision_cost.js';
 import type {Experiment} from './harness/experiment.js';
+import {LIMITS} from './limits/limits.js';
 import {MODEL_CHOICE} from './model_choice/model_choice.js';
 import {BACKEND_CHOICE} from './service/backend_choice.js';
 import {OVERLOAD} from './service/overload.js';
+import {RECOVERY} from './service/recovery.js';
 
 /** Every experiment, in the order of `--list`. */
 export const EXPERIMENTS: readonly Experiment[] = [
@@ -10,4 +13,7 @@
   BAD_VERSION,
   BACKEND_CHOICE,
   OVERLOAD,
+  LIMITS,
+  RECOVERY,
+  DECISION_COST,
 ];
