--- /dev/null
+++ b/packages/core/src/balancing/balancing_policies.ts
@@ -0,0 +1,149 @@
+import {clamp} from '../utils/math.js';
+import type {Random} from '../utils/random.js';
+import {isAvailable, readLoad, type ServerState} from './server_state.js';
+import type {VersionPool} from './version_pool.js';
+
+/** What a policy picks from. */
+export interface ServerPickContext {
+  readonly pool: VersionPool;
+  readonly failureDomain: string;
+  /** Load that a server in another failure domain must be below by. */
+  readonly crossingPenalty: number;
+  /** Load that the home of a prefix may have, over the mean of the pool. */
+  readonly loadBound: number;
+  /** Live entries, this one included. */
+  readonly entryCount: number;
+  /** Text that begins the prompt, or another key of cached work. */
+  readonly prefixKey: string | undefined;
+  /** Servers that the request already tried. */
+  readonly excluded: ReadonlySet<string>;
+  readonly nowMs: number;
+  readonly random: Random;
+}
+
+/** Picks a server that may get new work. */
+export type ServerPolicy = (
+  context: ServerPickContext,
+) => ServerState | undefined;
+
+const SAMPLE_ATTEMPTS = 12;
+const OWN_WEIGHT = 0.5;
+const HOME_COUNT = 3;
+const CHOICE_COUNT = 2;
+const MAX_SLOWNESS = 6;
+const MIN_HOME_LOAD = 0.6;
+const MIN_PACE_COUNT = 5;
+
+function isUsable(context: ServerPickContext, state: ServerState): boolean {
+  return (
+    isAvailable(state, context.nowMs) && !context.excluded.has(state.server.id)
+  );
+}
+
+function sampleUsable(context: ServerPickContext): ServerState | undefined {
+  const {states} = context.pool;
+  for (let attempt = 0; attempt < SAMPLE_ATTEMPTS; attempt++) {
+    const state = states[Math.floor(context.random() * states.length)];
+    if (state !== undefined && isUsable(context, state)) return state;
+  }
+  const usable = states.filter(state => isUsable(context, state));
+  return usable[Math.floor(context.random() * usable.length)];
+}
+
+// Own requests are known at once but tell of a part of the load only; reports
+// tell of all of it, too late.
+function mixLoads(ownLoad: number, reportedLoad: number): number {
+  return OWN_WEIGHT * ownLoad + (1 - OWN_WEIGHT) * reportedLoad;
+}
+
+/** Load, raised for servers that answer slowly. */
+function scoreLoad(context: ServerPickContext, state: ServerState): number {
+  const {pool, nowMs} = context;
+  const {medianPaceMs} = pool.readStatistics(nowMs);
+  const isMeasured = state.paceCount >= MIN_PACE_COUNT && medianPaceMs > 0;
+  const slowness = isMeasured
+    ? clamp(state.paceMs / medianPaceMs, 1, MAX_SLOWNESS)
+    : 1;
+  const ownLoad = ((state.inFlight + 1) * context.entryCount) / state.slots;
+  return mixLoads(ownLoad, readLoad(state, nowMs)) * slowness;
+}
+
+function scoreServer(context: ServerPickContext, state: ServerState): number {
+  const {failureDomain, crossingPenalty} = context;
+  const isCrossing = state.server.failureDomain !== failureDomain;
+  return scoreLoad(context, state) + (isCrossing ? crossingPenalty : 0);
+}
+
+function pickBestOf(
+  context: ServerPickContext,
+  count: number,
+  score: (state: ServerState) => number,
+): ServerState | undefined {
+  let best: ServerState | undefined;
+  let bestScore = Infinity;
+  for (let choice = 0; choice < count; choice++) {
+    const state = sampleUsable(context);
+    if (state === undefined) return best;
+    const value = score(state);
+    if (value >= bestScore) continue;
+    best = state;
+    bestScore = value;
+  }
+  return best;
+}
+
+function pickLeastLoaded(context: ServerPickContext): ServerState | undefined {
+  let best: ServerState | undefined;
+  let bestLoad = Infinity;
+  for (const state of context.pool.states) {
+    if (!isUsable(context, state)) continue;
+    const load = readLoad(state, context.nowMs);
+    if (load >= bestLoad) continue;
+    best = state;
+    bestLoad = load;
+  }
+  return best;
+}
+
+function pickPrefixHome(context: ServerPickContext): ServerState | undefined {
+  if (context.prefixKey === undefined) return undefined;
+  const homes = context.pool.findHomes(context.prefixKey, HOME_COUNT);
+  return homes.find(state => isUsable(context, state));
+}
+
+// Bounds this entry's own requests at a home to the entry's part of its
+// slots. Entries that share a home cannot overload it together then, however
+// late its load reports are.
+function canTakeHome(context: ServerPickContext, state: ServerState): boolean {
+  const {pool, nowMs, loadBound, entryCount, random} = context;
+  const {meanLoad} = pool.readStatistics(nowMs);
+  const limit = Math.max(MIN_HOME_LOAD, meanLoad * loadBound);
+  if (scoreLoad(context, state) > limit) return false;
+  const ownPart = (state.slots * Math.min(1, limit)) / entryCount;
+  return state.inFlight + 1 <= Math.max(1, Math.floor(ownPart + random()));
+}
+
+function pickBounded(context: ServerPickContext): ServerState | undefined {
+  const {pool, prefixKey} = context;
+  const homes =
+    prefixKey === undefined ? [] : pool.findHomes(prefixKey, HOME_COUNT);
+  const home = homes.find(
+    state => isUsable(context, state) && canTakeHome(context, state),
+  );
+  if (home !== undefined) return home;
+  return pickBestOf(context, CHOICE_COUNT, state =>
+    scoreServer(context, state),
+  );
+}
+
+/** The policies that settings can name. */
+export const SERVER_POLICIES = {
+  random: sampleUsable,
+  'power-of-two': context =>
+    pickBestOf(context, 2, state => readLoad(state, context.nowMs)),
+  'least-loaded': pickLeastLoaded,
+  'prefix-only': context => pickPrefixHome(context) ?? sampleUsable(context),
+  'prefix-bounded': pickBounded,
+} as const satisfies Record<string, ServerPolicy>;
+
+export type ServerPolicyName = keyof typeof SERVER_POLICIES;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,3 +13,8 @@
 export * from './billing/index.js';
 export * from './leases/index.js';
 export * from './orders/index.js';
+export * from './rollouts/index.js';
+export * from './balancing/index.js';
+export * from './admission/index.js';
+export * from './limits/index.js';
+export * from './retries/index.js';
