Add the core of rule acceptance and membership with its exploration

Cause: a rule change must be in force on every entry or refused, and an entry that is paused or cut off must not serve replaced rules. Change: pure step functions over (state, event, nowMs): head, proposal, knowledge, reports between entries, right to serve, decision, member lists changed by the same two steps.

--- /dev/null
+++ b/packages/core/src/acceptance/peer_report.ts
@@ -0,0 +1,220 @@
+import {formatMemberKey, hasMember, type Member} from '../membership/member.js';
+import {
+  resolveRoster,
+  resolveRosterDigest,
+  withLatest,
+  type EntryState,
+} from './entry_state.js';
+import type {RulesHead} from './head.js';
+import {learnHead, withConfirmation} from './knowledge.js';
+import {isFullMember} from './serving.js';
+
+/** What one entry tells another, as a request or as its answer. */
+export interface PeerReport {
+  readonly sender: Member;
+  readonly knownSequence: number;
+  /** Zero when the sender obeys no head yet. */
+  readonly activeSequence: number;
+  /** The sender's known head, left out when the receiver has it. */
+  readonly head: RulesHead | undefined;
+  readonly rosterDigest: string;
+  readonly confirmedAgeMs: number | undefined;
+  /** In the order of the roster; undefined for members never heard. */
+  readonly memberAgesMs: ReadonlyArray<number | undefined>;
+  /** Which members obey the sender's active head, in the same order. */
+  readonly acked: readonly boolean[];
+  /** Time left of the grants to guests among those acknowledgements. */
+  readonly ackGrantRemainingMs: number;
+  /** In a request: the sender counts the answer as a guest. */
+  readonly isGuest: boolean;
+  /** In an answer: the sender recorded a grant for the receiver. */
+  readonly isGuestGrant: boolean;
+}
+
+/** How a report is made. */
+export interface ReportOptions {
+  /** Whether the report carries the known head. */
+  readonly hasHead: boolean;
+  readonly isGuestGrant: boolean;
+}
+
+/**
+ * Creates the report of an entry.
+ *
+ * @example
+ * ```ts
+ * createReport(state, nowMs, {hasHead: false, isGuestGrant: false});
+ * ```
+ */
+export function createReport(
+  state: EntryState,
+  nowMs: number,
+  options: ReportOptions,
+): PeerReport {
+  const {active, known, self, confirmedAtMs} = state;
+  const keys = active === undefined ? [] : listRosterKeys(active);
+  const isCurrent = active !== undefined && active.sequence === known?.sequence;
+  return {
+    sender: self,
+    knownSequence: known?.sequence ?? 0,
+    activeSequence: active?.sequence ?? 0,
+    head: options.hasHead ? known : undefined,
+    rosterDigest: resolveRosterDigest(active),
+    confirmedAgeMs:
+      confirmedAtMs === undefined ? undefined : nowMs - confirmedAtMs,
+    memberAgesMs: keys.map(key => resolveAge(state, key, nowMs)),
+    acked: isCurrent ? keys.map(key => state.ackedAtMs.has(key)) : [],
+    ackGrantRemainingMs: Math.max(0, resolveGrantEnd(state) - nowMs),
+    isGuest: !isFullMember(state),
+    isGuestGrant: options.isGuestGrant,
+  };
+}
+
+/**
+ * Takes in a peer's request. It brings knowledge but no freshness: how long
+ * it was under way is not known.
+ *
+ * @example
+ * ```ts
+ * absorbRequest(state, report, nowMs).joiners;
+ * ```
+ */
+export function absorbRequest(
+  state: EntryState,
+  report: PeerReport,
+  nowMs: number,
+): EntryState {
+  const learnt =
+    report.head === undefined ? state : learnHead(state, report.head, nowMs);
+  const noted = noteJoiner(noteAcks(learnt, report, nowMs), report, nowMs);
+  if (!isGuestOf(noted, report)) return noted;
+  const grantUntilMs = nowMs + state.options.freshnessMs;
+  return {...noted, grantUntilMs: Math.max(noted.grantUntilMs, grantUntilMs)};
+}
+
+/**
+ * True when the answer to this request must record a grant.
+ *
+ * @example
+ * ```ts
+ * isGuestOf(state, request);
+ * ```
+ */
+export function isGuestOf(state: EntryState, report: PeerReport): boolean {
+  if (report.isGuest || state.active === undefined) return true;
+  return !hasMember(state.active.members, report.sender);
+}
+
+/**
+ * Takes in a peer's answer. Ages count from the time at which the request was
+ * sent, and only when this entry obeys all that the peer obeyed.
+ *
+ * @example
+ * ```ts
+ * absorbAnswer(state, answer, sentAtMs, nowMs).heardAtMs;
+ * ```
+ */
+export function absorbAnswer(
+  state: EntryState,
+  report: PeerReport,
+  sentAtMs: number,
+  nowMs: number,
+): EntryState {
+  const learnt =
+    report.head === undefined ? state : learnHead(state, report.head, nowMs);
+  const noted = noteJoiner(noteAcks(learnt, report, nowMs), report, nowMs);
+  if (noted.active === undefined) return noted;
+  if (report.activeSequence > noted.active.sequence) return noted;
+  return noteAges(noted, noted.active, report, sentAtMs);
+}
+
+function noteAges(
+  state: EntryState,
+  active: RulesHead,
+  report: PeerReport,
+  sentAtMs: number,
+): EntryState {
+  const senderKey = formatMemberKey(report.sender);
+  const heardAtMs = new Map(withLatest(state.heardAtMs, senderKey, sentAtMs));
+  if (report.rosterDigest === resolveRosterDigest(active)) {
+    mergeAges(heardAtMs, listRosterKeys(active), report, sentAtMs);
+  }
+  const grantedAtMs = report.isGuestGrant
+    ? withLatest(state.grantedAtMs, senderKey, sentAtMs)
+    : state.grantedAtMs;
+  const next = {...state, heardAtMs, grantedAtMs};
+  if (report.confirmedAgeMs === undefined) return next;
+  return withConfirmation(next, sentAtMs - report.confirmedAgeMs);
+}
+
+function mergeAges(
+  heardAtMs: Map<string, number>,
+  keys: readonly string[],
+  report: PeerReport,
+  sentAtMs: number,
+): void {
+  keys.forEach((key, index) => {
+    const ageMs = report.memberAgesMs[index];
+    if (ageMs === undefined) return;
+    const atMs = sentAtMs - ageMs;
+    heardAtMs.set(key, Math.max(heardAtMs.get(key) ?? atMs, atMs));
+  });
+}
+
+function noteAcks(
+  state: EntryState,
+  report: PeerReport,
+  nowMs: number,
+): EntryState {
+  const {known} = state;
+  if (known === undefined || report.activeSequence !== known.sequence) {
+    return state;
+  }
+  const keys = listRosterKeys(known).filter((_, index) => report.acked[index]);
+  const acked = [formatMemberKey(report.sender), ...keys];
+  const ackedAtMs = new Map(state.ackedAtMs);
+  for (const key of acked) {
+    if (!ackedAtMs.has(key)) ackedAtMs.set(key, nowMs);
+  }
+  const acknowledged = {...state, ackedAtMs};
+  if (report.ackGrantRemainingMs === 0) return acknowledged;
+  const grantUntilMs = nowMs + report.ackGrantRemainingMs;
+  return {
+    ...acknowledged,
+    ackGrantUntilMs: Math.max(state.ackGrantUntilMs, grantUntilMs),
+  };
+}
+
+function noteJoiner(
+  state: EntryState,
+  report: PeerReport,
+  nowMs: number,
+): EntryState {
+  const {sender} = report;
+  const joiners = new Map(state.joiners);
+  const key = formatMemberKey(sender);
+  if (state.known !== undefined && hasMember(state.known.members, sender)) {
+    if (!joiners.delete(key)) return state;
+  } else {
+    joiners.set(key, {member: sender, seenAtMs: nowMs});
+  }
+  return {...state, joiners};
+}
+
+function resolveAge(
+  state: EntryState,
+  key: string,
+  nowMs: number,
+): number | undefined {
+  if (key === formatMemberKey(state.self)) return 0;
+  const atMs = state.heardAtMs.get(key);
+  return atMs === undefined ? undefined : nowMs - atMs;
+}
+
+function resolveGrantEnd(state: EntryState): number {
+  return Math.max(state.ackGrantUntilMs, state.oldGrantUntilMs);
+}
+
+function listRosterKeys(head: RulesHead): readonly string[] {
+  return resolveRoster(head).map(formatMemberKey);
+}
--- /dev/null
+++ b/packages/core/src/membership/index.ts
@@ -0,0 +1,2 @@
+export * from './member.js';
+export * from './membership_plan.js';
