Add the protocol between entries and count grants a guest

Cause: entries need a wire form of reports, heads and content, and a joiner that had been granted a right as a guest made each join wait it out. Ruled out: waiting out all grants; an entry that must acknowledge the change itself needs none.

--- a/packages/core/src/acceptance/decision.ts
+++ b/packages/core/src/acceptance/decision.ts
@@ -8,11 +8,33 @@
 import type {PendingChange, RulesHead} from './head.js';
 import {createAbort, createCommit} from './proposal.js';
 
-/** A decided change: the head to write over the known one. */
+/** A decision about the undecided change of one head. */
 export interface Decision {
   readonly kind: 'commit' | 'abort';
-  readonly base: RulesHead;
-  readonly next: RulesHead;
+  /** Sequence of the head that the decision is about. */
+  readonly sequence: number;
+  readonly reason: string;
+  readonly silentHosts: readonly string[];
+}
+
+/**
+ * Creates the head to write over `head` for a decision about it.
+ *
+ * @returns undefined when the decision is about another head.
+ * @example
+ * ```ts
+ * applyDecision(decision, head)?.rules.revision;
+ * ```
+ */
+export function applyDecision(
+  decision: Decision,
+  head: RulesHead,
+): RulesHead | undefined {
+  const {pending} = head;
+  const {kind, sequence, reason, silentHosts} = decision;
+  if (pending === undefined || head.sequence !== sequence) return undefined;
+  if (kind === 'commit') return createCommit(head, pending, silentHosts);
+  return createAbort(head, pending, reason, silentHosts);
 }
 
 /**
@@ -37,12 +59,10 @@
   if (commitAtMs === undefined) {
     if (nowMs - state.pendingSeenAtMs < options.abortAfterMs) return undefined;
     const reason = `No majority of the members acknowledged; silent: ${silentHosts.join(', ')}.`;
-    const next = createAbort(known, pending, reason, silentHosts);
-    return {kind: 'abort', base: known, next};
+    return {kind: 'abort', sequence: known.sequence, reason, silentHosts};
   }
   if (nowMs < commitAtMs) return undefined;
-  const next = createCommit(known, pending, silentHosts);
-  return {kind: 'commit', base: known, next};
+  return {kind: 'commit', sequence: known.sequence, reason: '', silentHosts};
 }
 
 /**
--- a/packages/core/src/acceptance/entry_state.ts
+++ b/packages/core/src/acceptance/entry_state.ts
@@ -52,9 +52,12 @@
   readonly ackedAtMs: ReadonlyMap<string, number>;
   /** End of the guests' grants that acknowledgements reported. */
   readonly ackGrantUntilMs: number;
-  /** End of the grants this entry gave. */
-  readonly grantUntilMs: number;
-  /** End of the grants this entry gave before it obeyed the active head. */
+  /** End of the grants this entry gave, by guest. */
+  readonly grantUntilMs: ReadonlyMap<string, number>;
+  /**
+   * End of the grants this entry gave before it obeyed the active head, save
+   * those to entries that must acknowledge it themselves.
+   */
   readonly oldGrantUntilMs: number;
   readonly joiners: ReadonlyMap<string, Joiner>;
 }
@@ -83,7 +86,7 @@
     pendingSeenAtMs: 0,
     ackedAtMs: new Map(),
     ackGrantUntilMs: 0,
-    grantUntilMs: 0,
+    grantUntilMs: new Map(),
     oldGrantUntilMs: 0,
     joiners: new Map(),
   };
--- a/packages/core/src/acceptance/knowledge.ts
+++ b/packages/core/src/acceptance/knowledge.ts
@@ -1,5 +1,5 @@
 import {formatMemberKey} from '../membership/member.js';
-import {withLatest, type EntryState} from './entry_state.js';
+import {resolveRoster, withLatest, type EntryState} from './entry_state.js';
 import {listDigests, type RulesHead} from './head.js';
 
 /**
@@ -89,11 +89,20 @@
   const {known, active} = state;
   if (known === undefined || active?.sequence === known.sequence) return state;
   if (listMissingDigests(state).length > 0) return state;
+  const oldGrantUntilMs = resolveOldGrantEnd(state, known);
   return {
     ...state,
     active: known,
-    oldGrantUntilMs: state.grantUntilMs,
+    oldGrantUntilMs,
     ackedAtMs: withLatest(state.ackedAtMs, formatMemberKey(state.self), nowMs),
-    ackGrantUntilMs: Math.max(state.ackGrantUntilMs, state.grantUntilMs),
+    ackGrantUntilMs: Math.max(state.ackGrantUntilMs, oldGrantUntilMs),
   };
 }
+
+function resolveOldGrantEnd(state: EntryState, head: RulesHead): number {
+  const rosterKeys = new Set(resolveRoster(head).map(formatMemberKey));
+  const ends = [...state.grantUntilMs]
+    .filter(([key]) => !rosterKeys.has(key))
+    .map(([, untilMs]) => untilMs);
+  return Math.max(0, ...ends);
+}
--- a/packages/core/src/acceptance/peer_report.ts
+++ b/packages/core/src/acceptance/peer_report.ts
@@ -88,8 +88,12 @@
     report.head === undefined ? state : learnHead(state, report.head, nowMs);
   const noted = noteJoiner(noteAcks(learnt, report, nowMs), report, nowMs);
   if (!isGuestOf(noted, report)) return noted;
-  const grantUntilMs = nowMs + state.options.freshnessMs;
-  return {...noted, grantUntilMs: Math.max(noted.grantUntilMs, grantUntilMs)};
+  const grantUntilMs = withLatest(
+    noted.grantUntilMs,
+    formatMemberKey(report.sender),
+    nowMs + state.options.freshnessMs,
+  );
+  return {...noted, grantUntilMs};
 }
 
 /**
--- a/packages/core/src/acceptance/step.ts
+++ b/packages/core/src/acceptance/step.ts
@@ -72,7 +72,8 @@
   peerAsked: (state, event, nowMs) => absorbRequest(state, event.report, nowMs),
   peerAnswered: (state, event, nowMs) =>
     absorbAnswer(state, event.report, event.sentAtMs, nowMs),
-  ticked: (state, _event, nowMs) => dropOldJoiners(state, nowMs),
+  ticked: (state, _event, nowMs) =>
+    dropOldJoiners(dropOldGrants(state, nowMs), nowMs),
 };
 
 /**
@@ -134,3 +135,11 @@
     joiners: new Map(joiners.map(j => [formatMemberKey(j.member), j])),
   };
 }
+
+function dropOldGrants(state: EntryState, nowMs: number): EntryState {
+  const grants = [...state.grantUntilMs].filter(
+    ([, untilMs]) => untilMs > nowMs,
+  );
+  if (grants.length === state.grantUntilMs.size) return state;
+  return {...state, grantUntilMs: new Map(grants)};
+}
--- a/packages/core/test/acceptance/protocol_model.ts
+++ b/packages/core/test/acceptance/protocol_model.ts
@@ -1,4 +1,5 @@
 import {
+  applyDecision,
   createAnswer,
   createEntryState,
   createProposal,
@@ -298,9 +299,10 @@
     const state = this.entries[index];
     const input = this.variant.beforeDecision?.(state) ?? state;
     const decision = resolveDecision(input, this.nowMs);
-    if (decision === undefined) return;
-    const {base, next} = decision;
-    transmit(() => this.write(index, base, next));
+    if (decision === undefined || state.known === undefined) return;
+    const base = state.known;
+    const next = applyDecision(decision, base);
+    if (next !== undefined) transmit(() => this.write(index, base, next));
   }
 
   private write(index: number, base: RulesHead, next: RulesHead): void {
--- /dev/null
+++ b/packages/peers/src/peer_client.ts
@@ -0,0 +1,111 @@
+import {createClient, type Client} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {Agent as HttpAgent} from 'node:http';
+import {Agent as HttpsAgent, type AgentOptions} from 'node:https';
+import {
+  PeerService,
+  type ExchangeRequest,
+  type ExchangeResponse,
+  type FetchContentRequest,
+  type FetchContentResponse,
+} from './gen/anvilrudder/v1/peer_pb.js';
+import type {TrafficCounter} from './traffic_counter.js';
+
+/** How long an unused connection to a peer is kept. */
+const IDLE_SOCKET_MS = 5_000;
+
+/** How peers are called. */
+export interface PeerClientOptions {
+  readonly timeoutMs: number;
+  /** Certificates for HTTPS; plain HTTP without them. */
+  readonly tls?: AgentOptions;
+  readonly traffic: TrafficCounter;
+}
+
+/** Calls other entries by address, over connections that are kept open. */
+export class PeerClient {
+  private readonly clients = new Map<string, Client<typeof PeerService>>();
+  private readonly agent: HttpAgent | HttpsAgent;
+
+  private constructor(private readonly options: PeerClientOptions) {
+    this.agent = createAgent(options);
+  }
+
+  /**
+   * Creates a client for all peers.
+   *
+   * @example
+   * ```ts
+   * const client = PeerClient.create({timeoutMs: 1_000, traffic});
+   * ```
+   */
+  static create(options: PeerClientOptions): PeerClient {
+    return new PeerClient(options);
+  }
+
+  /** Sends a report and receives the peer's; rejects with a ConnectError. */
+  async exchange(
+    address: string,
+    request: ExchangeRequest,
+    signal?: AbortSignal,
+  ): Promise<ExchangeResponse> {
+    return this.resolveClient(address).exchange(request, {signal});
+  }
+
+  /** Fetches the text of a digest; rejects with a ConnectError. */
+  async fetchContent(
+    address: string,
+    request: FetchContentRequest,
+    signal?: AbortSignal,
+  ): Promise<FetchContentResponse> {
+    return this.resolveClient(address).fetchContent(request, {signal});
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.agent.destroy();
+    this.clients.clear();
+  }
+
+  /** Forgets the peers that are not in the list. */
+  retainAddresses(addresses: ReadonlySet<string>): void {
+    for (const address of this.clients.keys()) {
+      if (!addresses.has(address)) this.clients.delete(address);
+    }
+  }
+
+  private resolveClient(address: string): Client<typeof PeerService> {
+    this.options.traffic.countCall();
+    const existing = this.clients.get(address);
+    if (existing !== undefined) return existing;
+    const scheme = this.options.tls === undefined ? 'http' : 'https';
+    const transport = createConnectTransport({
+      baseUrl: `${scheme}://${address}`,
+      httpVersion: '1.1',
+      nodeOptions: {agent: this.agent},
+      useBinaryFormat: true,
+      acceptCompression: [],
+      defaultTimeoutMs: this.options.timeoutMs,
+    });
+    const client = createClient(PeerService, transport);
+    this.clients.set(address, client);
+    return client;
+  }
+}
+
+function createAgent(options: PeerClientOptions): HttpAgent | HttpsAgent {
+  const agentOptions = {keepAlive: true, timeout: IDLE_SOCKET_MS};
+  const agent =
+    options.tls === undefined
+      ? new HttpAgent(agentOptions)
+      : new HttpsAgent({...options.tls, ...agentOptions});
+  const createConnection = agent.createConnection.bind(agent);
+  agent.createConnection = (connectOptions, callback) => {
+    const socket = createConnection(connectOptions, callback);
+    if (socket !== undefined && socket !== null) {
+      options.traffic.track(socket as import('node:net').Socket);
+    }
+    return socket;
+  };
+  return agent;
+}
