--- a/packages/core/src/acceptance/entry_state.ts
+++ b/packages/core/src/acceptance/entry_state.ts
@@ -60,6 +60,8 @@
    */
   readonly oldGrantUntilMs: number;
   readonly joiners: ReadonlyMap<string, Joiner>;
+  /** True once this entry wants to leave the members. */
+  readonly isLeaving: boolean;
 }
 
 /**
@@ -89,6 +91,7 @@
     grantUntilMs: new Map(),
     oldGrantUntilMs: 0,
     joiners: new Map(),
+    isLeaving: false,
   };
 }
 
--- a/packages/core/src/acceptance/peer_report.ts
+++ b/packages/core/src/acceptance/peer_report.ts
@@ -29,6 +29,8 @@
   readonly isGuest: boolean;
   /** In an answer: the sender recorded a grant for the receiver. */
   readonly isGuestGrant: boolean;
+  /** The sender wants to leave and must not be added again. */
+  readonly isLeaving: boolean;
 }
 
 /** How a report is made. */
@@ -67,6 +69,7 @@
     ackGrantRemainingMs: Math.max(0, resolveGrantEnd(state) - nowMs),
     isGuest: !isFullMember(state),
     isGuestGrant: options.isGuestGrant,
+    isLeaving: state.isLeaving,
   };
 }
 
@@ -197,7 +200,9 @@
   const {sender} = report;
   const joiners = new Map(state.joiners);
   const key = formatMemberKey(sender);
-  if (state.known !== undefined && hasMember(state.known.members, sender)) {
+  const isMember =
+    state.known !== undefined && hasMember(state.known.members, sender);
+  if (isMember || report.isLeaving) {
     if (!joiners.delete(key)) return state;
   } else {
     joiners.set(key, {member: sender, seenAtMs: nowMs});
--- a/packages/core/src/acceptance/step.ts
+++ b/packages/core/src/acceptance/step.ts
@@ -32,6 +32,7 @@
       readonly report: PeerReport;
       readonly sentAtMs: number;
     }
+  | {readonly kind: 'leaving'}
   | {readonly kind: 'ticked'};
 
 /** What an entry has to do next. */
@@ -72,6 +73,7 @@
   peerAsked: (state, event, nowMs) => absorbRequest(state, event.report, nowMs),
   peerAnswered: (state, event, nowMs) =>
     absorbAnswer(state, event.report, event.sentAtMs, nowMs),
+  leaving: state => ({...state, isLeaving: true}),
   ticked: (state, _event, nowMs) =>
     dropOldJoiners(dropOldGrants(state, nowMs), nowMs),
 };
--- /dev/null
+++ b/packages/entry/src/control/acceptance/change_proposer.ts
@@ -0,0 +1,129 @@
+import {
+  createProposal,
+  type ChangeOffer,
+  type ChangeRecord,
+  type ProposalResult,
+  type RulesHead,
+} from '@anvilrudder/core';
+import type {KeeperNode} from './keeper_node.js';
+import type {PeerExchange} from './peer_exchange.js';
+import type {StoreSync} from './store_sync.js';
+import {Backoff, pause} from './timing.js';
+
+const RETRY_BASE_MS = 100;
+const RETRY_MAX_MS = 2_000;
+
+/** Makes an offer from the head that it is to change. */
+export type OfferFactory = (head: RulesHead) => ChangeOffer | string;
+
+/** How a proposal went. */
+export type ProposeResult =
+  | {readonly kind: 'proposed'}
+  | {readonly kind: 'decided'; readonly record: ChangeRecord}
+  | {readonly kind: 'refused'; readonly reason: string}
+  | {readonly kind: 'busy'}
+  | {
+      readonly kind: 'failed';
+      /** True when a write may still take effect. */
+      readonly isUnknown: boolean;
+    };
+
+/** Proposes changes of the head by conditional update. */
+export class ChangeProposer {
+  private constructor(
+    private readonly node: KeeperNode,
+    private readonly sync: StoreSync,
+    private readonly exchange: PeerExchange,
+  ) {}
+
+  static create(
+    node: KeeperNode,
+    sync: StoreSync,
+    exchange: PeerExchange,
+  ): ChangeProposer {
+    return new ChangeProposer(node, sync, exchange);
+  }
+
+  /**
+   * Proposes until it is in the head, refused, or the time is over. A write
+   * without an answer is read back by its change id before anything else.
+   */
+  async propose(
+    createOffer: OfferFactory,
+    timeoutMs: number,
+  ): Promise<ProposeResult> {
+    const {node} = this;
+    const endAtMs = node.nowMs() + timeoutMs;
+    const backoff = Backoff.create(
+      RETRY_BASE_MS,
+      RETRY_MAX_MS,
+      node.options.random,
+    );
+    let result: ProposeResult = {kind: 'failed', isUnknown: false};
+    do {
+      try {
+        result = await this.tryOnce(createOffer);
+      } catch (error) {
+        const wasUnknown: boolean =
+          result.kind === 'failed' && result.isUnknown;
+        const isUnknown: boolean =
+          wasUnknown || error instanceof UnknownWriteError;
+        result = {kind: 'failed', isUnknown};
+      }
+      if (result.kind !== 'failed' && result.kind !== 'busy') return result;
+      await this.waitForChange(backoff.fail());
+    } while (node.nowMs() < endAtMs && !node.stopSignal.aborted);
+    return result;
+  }
+
+  private async tryOnce(createOffer: OfferFactory): Promise<ProposeResult> {
+    const {node} = this;
+    const stored = await this.sync.readHead();
+    if (stored === undefined) return {kind: 'failed', isUnknown: false};
+    const offer = createOffer(stored.head);
+    if (typeof offer === 'string') return {kind: 'refused', reason: offer};
+    const proposal = createProposal(stored.head, offer);
+    if (proposal.kind !== 'proposed') return resolveUnproposed(proposal);
+    const sentAtMs = node.nowMs();
+    const result = await node.heads
+      .replace(stored, proposal.next)
+      .catch(error => Promise.reject(UnknownWriteError.create(error)));
+    if (result.status !== 'written') return {kind: 'busy'};
+    node.dispatch({kind: 'storeAnswered', head: proposal.next, sentAtMs});
+    const {changeId, who, why} = offer;
+    const {revision} = proposal.next.pending?.rules ?? proposal.next.rules;
+    node.emit({kind: 'changeProposed', changeId, revision, who, why});
+    void this.exchange.pushToAll();
+    return {kind: 'proposed'};
+  }
+
+  private async waitForChange(timeoutMs: number): Promise<void> {
+    const {node} = this;
+    const sequence = node.state.known?.sequence;
+    const hasPending = node.state.known?.pending !== undefined;
+    if (!hasPending) return pause(timeoutMs, node.stopSignal);
+    await node.waitFor(
+      () => node.state.known?.sequence !== sequence,
+      timeoutMs,
+    );
+  }
+}
+
+class UnknownWriteError extends Error {
+  override readonly name = 'UnknownWriteError';
+
+  static create(cause: unknown): UnknownWriteError {
+    return new UnknownWriteError('The write gave no answer.', {cause});
+  }
+}
+
+function resolveUnproposed(
+  proposal: Exclude<ProposalResult, {readonly kind: 'proposed'}>,
+): ProposeResult {
+  if (proposal.kind === 'busy') return {kind: 'busy'};
+  if (proposal.kind === 'refused') {
+    return {kind: 'refused', reason: proposal.reason};
+  }
+  const {record} = proposal;
+  return record === undefined ? {kind: 'proposed'} : {kind: 'decided', record};
+}
--- /dev/null
+++ b/packages/entry/src/control/acceptance/create_rules_keeper.ts
@@ -0,0 +1,212 @@
+import {
+  formatMemberKey,
+  resolveRoster,
+  resolveServing,
+  type Member,
+} from '@anvilrudder/core';
+import {
+  PeerClient,
+  TrafficCounter,
+  createPeerRoutes,
+  type PeerRoutes,
+  type Traffic,
+} from '@anvilrudder/peers';
+import type {Server} from 'node:http';
+import type {
+  MemberStatus,
+  RulesInForce,
+  RulesKeeper,
+  RulesStatus,
+} from '../rules_keeper.js';
+import {ChangeProposer} from './change_proposer.js';
+import {ContentLoader} from './content_loader.js';
+import {DecisionWriter} from './decision_writer.js';
+import type {StoreCalls} from './head_store.js';
+import {KeeperNode} from './keeper_node.js';
+import {
+  resolveKeeperOptions,
+  type RulesKeeperOptions,
+} from './keeper_options.js';
+import {MembershipKeeper} from './membership_keeper.js';
+import {PeerExchange} from './peer_exchange.js';
+import {RulesApplier} from './rules_applier.js';
+import {StoreSync} from './store_sync.js';
+
+/** What the keeper has spent so far. */
+export interface ControlCounters {
+  /** Calls to peers and the bytes of their connections. */
+  readonly peerClient: Traffic;
+  /** Bytes of the connections from peers, once the server is tracked. */
+  readonly peerServer: Traffic;
+  readonly store: StoreCalls;
+}
+
+/** A keeper that takes part in accepting rule changes. */
+export interface AcceptanceKeeper extends RulesKeeper {
+  /** Routes to mount on the entry's peer port. */
+  readonly routes: PeerRoutes;
+  /** Counts the traffic of the server that carries the routes. */
+  trackPeerServer(server: Server): void;
+  counters(): ControlCounters;
+  /** Resolves true once this entry may serve, false after the time. */
+  waitUntilServing(timeoutMs: number): Promise<boolean>;
+}
+
+/**
+ * Creates the keeper and starts its loops. The routes must be reachable at
+ * `self.peerAddress`.
+ *
+ * @throws Error when the initial rules have errors.
+ * @example
+ * ```ts
+ * const keeper = createRulesKeeper({self, store, parse: parseRules});
+ * const handler = connectNodeAdapter({routes: keeper.routes});
+ * ```
+ */
+export function createRulesKeeper(
+  options: RulesKeeperOptions,
+): AcceptanceKeeper {
+  const resolved = resolveKeeperOptions(options);
+  const {initialRules} = resolved;
+  if (
+    initialRules !== undefined &&
+    resolved.parse(initialRules).rules === undefined
+  ) {
+    throw new Error('The initial rule file has errors.');
+  }
+  const node = KeeperNode.create(resolved);
+  const clientTraffic = TrafficCounter.create();
+  const serverTraffic = TrafficCounter.create();
+  const client = PeerClient.create({
+    timeoutMs: resolved.peerTimeoutMs,
+    tls: resolved.tls,
+    traffic: clientTraffic,
+  });
+  const loader = ContentLoader.create(node, client);
+  const exchange = PeerExchange.create(node, client, loader);
+  const sync = StoreSync.create(node);
+  DecisionWriter.create(node, sync, exchange);
+  const proposer = ChangeProposer.create(node, sync, exchange);
+  const applier = RulesApplier.create(node, sync, proposer);
+  const membership = MembershipKeeper.create(node, proposer);
+  const loops = [
+    node.runTickLoop(),
+    exchange.runLoop(),
+    sync.runConfirmLoop(),
+    sync.runWatchLoop(),
+    membership.runLoop(),
+  ];
+  for (const loop of loops) {
+    loop.catch(error => {
+      node.emit({kind: 'loopFailed', detail: String(error)});
+    });
+  }
+  const inForce = createInForce(node);
+  return {
+    inForce,
+    apply: request => applier.apply(request),
+    findChange: changeId => applier.findChange(changeId),
+    content: () => resolveContent(node),
+    status: () => createStatus(node),
+    routes: createPeerRoutes(exchange),
+    trackPeerServer: server => {
+      server.on('connection', socket => serverTraffic.track(socket));
+    },
+    counters: () => ({
+      peerClient: clientTraffic.read(),
+      peerServer: serverTraffic.read(),
+      store: node.heads.readCalls(),
+    }),
+    waitUntilServing: timeoutMs =>
+      node.waitFor(() => inForce() !== undefined, timeoutMs),
+    stop: async () => {
+      if (node.stopSignal.aborted) return;
+      await membership.leave(resolved.leaveTimeoutMs);
+      node.stop();
+      await Promise.allSettled(loops);
+      client.close();
+    },
+  };
+}
+
+function createInForce(node: KeeperNode): () => RulesInForce | undefined {
+  let sequence = 0;
+  let cached: RulesInForce | undefined;
+  return () => {
+    const {state} = node;
+    if (node.stopSignal.aborted) return undefined;
+    if (resolveServing(state, node.nowMs()) === 'none') return undefined;
+    if (state.active !== undefined && state.active.sequence !== sequence) {
+      sequence = state.active.sequence;
+      cached = resolveRulesInForce(node);
+    }
+    return cached;
+  };
+}
+
+function resolveRulesInForce(node: KeeperNode): RulesInForce | undefined {
+  const {active} = node.state;
+  if (active === undefined) return undefined;
+  const current = node.contents.get(active.rules.digest);
+  if (current === undefined) return undefined;
+  const {pending} = active;
+  if (pending === undefined || pending.rules.digest === active.rules.digest) {
+    const {revision} = active.rules;
+    return {revision, rules: current.rules, pendingRules: undefined};
+  }
+  const next = node.contents.get(pending.rules.digest);
+  if (next === undefined) return undefined;
+  return {
+    revision: active.rules.revision,
+    rules: current.rules,
+    pendingRules: next.rules,
+  };
+}
+
+function resolveContent(node: KeeperNode): string {
+  const {active} = node.state;
+  if (active === undefined) return '';
+  return node.contents.get(active.rules.digest)?.text ?? '';
+}
+
+function createStatus(node: KeeperNode): RulesStatus {
+  const {state} = node;
+  const {active, confirmedAtMs} = state;
+  const nowMs = node.nowMs();
+  const servesBy = node.stopSignal.aborted
+    ? 'none'
+    : resolveServing(state, nowMs);
+  return {
+    revision: active?.rules.revision ?? 0,
+    digest: active?.rules.digest ?? '',
+    pendingChangeId: active?.pending?.changeId,
+    isServing: servesBy !== 'none',
+    servesBy,
+    confirmedAgeMs: Math.round(nowMs - (confirmedAtMs ?? node.startedAtMs)),
+    members:
+      active === undefined
+        ? []
+        : resolveRoster(active).map(m => createMemberStatus(node, m, nowMs)),
+  };
+}
+
+function createMemberStatus(
+  node: KeeperNode,
+  member: Member,
+  nowMs: number,
+): MemberStatus {
+  const {state} = node;
+  const {host, incarnation, failureDomain} = member;
+  const key = formatMemberKey(member);
+  const isSelf = key === formatMemberKey(state.self);
+  const heardAtMs = isSelf ? nowMs : state.heardAtMs.get(key);
+  const isCurrent = state.ackedAtMs.has(key);
+  return {
+    host,
+    incarnation,
+    failureDomain,
+    heardAgeMs:
+      heardAtMs === undefined ? undefined : Math.round(nowMs - heardAtMs),
+    revision: isCurrent ? state.known?.rules.revision : undefined,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/control/acceptance/decision_writer.ts
@@ -0,0 +1,126 @@
+import {
+  applyDecision,
+  findRecord,
+  isRulesChange,
+  type ChangeRecord,
+  type Decision,
+  type PendingChange,
+  type RulesHead,
+} from '@anvilrudder/core';
+import type {KeeperNode} from './keeper_node.js';
+import type {PeerExchange} from './peer_exchange.js';
+import type {StoreSync} from './store_sync.js';
+import {Backoff} from './timing.js';
+
+/** Prefix of the objects that hold the outcomes of older changes. */
+export const CHANGE_PREFIX = 'rules/changes';
+
+const RETRY_BASE_MS = 200;
+
+/** Writes the decisions of this entry to the head. */
+export class DecisionWriter {
+  private isWriting = false;
+  private notBeforeMs = 0;
+  private readonly backoff: Backoff;
+
+  private constructor(
+    private readonly node: KeeperNode,
+    private readonly sync: StoreSync,
+    private readonly exchange: PeerExchange,
+  ) {
+    const {maxBackoffMs, random} = node.options;
+    this.backoff = Backoff.create(RETRY_BASE_MS, maxBackoffMs, random);
+    node.onAction(action => {
+      if (action.kind === 'writeDecision') this.start(action.decision);
+    });
+  }
+
+  static create(
+    node: KeeperNode,
+    sync: StoreSync,
+    exchange: PeerExchange,
+  ): DecisionWriter {
+    return new DecisionWriter(node, sync, exchange);
+  }
+
+  private start(decision: Decision): void {
+    if (this.isWriting || this.node.nowMs() < this.notBeforeMs) return;
+    this.isWriting = true;
+    void this.write(decision)
+      .then(() => this.backoff.reset())
+      .catch(error => {
+        this.notBeforeMs = this.node.nowMs() + this.backoff.fail();
+        this.node.emit({kind: 'storeFailed', detail: String(error)});
+      })
+      .finally(() => {
+        this.isWriting = false;
+      });
+  }
+
+  private async write(decision: Decision): Promise<void> {
+    const {node} = this;
+    const stored = await this.sync.readHead();
+    const pending = stored?.head.pending;
+    if (stored === undefined || pending === undefined) return;
+    const next = applyDecision(decision, stored.head);
+    if (next === undefined) return;
+    const sentAtMs = node.nowMs();
+    const written = await this.replace(stored, next, pending);
+    if (!written) return;
+    node.dispatch({kind: 'storeAnswered', head: next, sentAtMs});
+    this.emitOutcome(stored.head, next, pending);
+    void this.exchange.pushToAll();
+    await this.archive(next, pending);
+  }
+
+  private async replace(
+    stored: Parameters<KeeperNode['heads']['replace']>[0],
+    next: RulesHead,
+    pending: PendingChange,
+  ): Promise<boolean> {
+    try {
+      const result = await this.node.heads.replace(stored, next);
+      return result.status === 'written';
+    } catch (error) {
+      // The write may have taken effect although its answer was lost.
+      const current = await this.sync.readHead();
+      if (current?.head.sequence !== next.sequence) throw error;
+      return findRecord(current.head, pending.changeId) !== undefined;
+    }
+  }
+
+  private emitOutcome(
+    base: RulesHead,
+    next: RulesHead,
+    pending: PendingChange,
+  ): void {
+    const {changeId, who, why} = pending;
+    const record = findRecord(next, changeId);
+    const {revision} = next.rules;
+    if (!isRulesChange(base.rules, pending)) {
+      this.node.emit({kind: 'membersChanged', changeId, revision, who, why});
+      return;
+    }
+    const kind =
+      record?.state === 'accepted' ? 'changeAccepted' : 'changeRefused';
+    const detail = record?.reason ?? '';
+    this.node.emit({kind, changeId, revision, who, why, detail});
+  }
+
+  private async archive(
+    head: RulesHead,
+    pending: PendingChange,
+  ): Promise<void> {
+    const record = findRecord(head, pending.changeId);
+    if (record !== undefined) await archiveRecord(this.node, record);
+  }
+}
+
+/** Keeps an outcome beyond the recent ones of the head. */
+export async function archiveRecord(
+  node: KeeperNode,
+  record: ChangeRecord,
+): Promise<void> {
+  const key = `${CHANGE_PREFIX}/${record.changeId}`;
+  await node.heads.putAbsent(key, JSON.stringify(record));
+}
--- /dev/null
+++ b/packages/entry/src/control/acceptance/index.ts
@@ -0,0 +1,2 @@
+export * from './create_rules_keeper.js';
+export * from './keeper_options.js';
--- /dev/null
+++ b/packages/entry/src/control/acceptance/keeper_node.ts
@@ -0,0 +1,151 @@
+import {setMaxListeners} from 'node:events';
+import {
+  createEntryState,
+  listDigests,
+  resolveRoster,
+  stepEntry,
+  type EntryAction,
+  type EntryEvent,
+  type EntryState,
+  type Member,
+} from '@anvilrudder/core';
+import {ContentCache, type LoadedContent} from './content_store.js';
+import {HeadStore} from './head_store.js';
+import {pause} from './timing.js';
+import type {KeeperEvent, ResolvedKeeperOptions} from './keeper_options.js';
+
+const MAX_TICK_MS = 100;
+const TICKS_PER_EXCHANGE = 4;
+
+/** Receives the actions that a step asks for. */
+export type ActionListener = (action: EntryAction) => void;
+
+/** The state of this entry and what the parts of the keeper share. */
+export class KeeperNode {
+  readonly contents: ContentCache;
+  readonly heads: HeadStore;
+  readonly startedAtMs = performance.now();
+  private readonly abort = new AbortController();
+  private readonly actionListeners: ActionListener[] = [];
+  private readonly changeListeners = new Set<() => void>();
+  private currentState: EntryState;
+
+  private constructor(readonly options: ResolvedKeeperOptions) {
+    // Each call to a peer listens for the stop.
+    setMaxListeners(0, this.abort.signal);
+    this.contents = ContentCache.create(options.parse);
+    this.heads = HeadStore.create(options.store, options.storeTimeoutMs);
+    this.currentState = createEntryState(options.self, options.acceptance);
+  }
+
+  static create(options: ResolvedKeeperOptions): KeeperNode {
+    return new KeeperNode(options);
+  }
+
+  get state(): EntryState {
+    return this.currentState;
+  }
+
+  /** Aborted when the keeper stops. */
+  get stopSignal(): AbortSignal {
+    return this.abort.signal;
+  }
+
+  /** Monotonic clock of this entry. */
+  nowMs(): number {
+    return performance.now();
+  }
+
+  /** Takes one step and hands its actions on. */
+  dispatch(event: EntryEvent): void {
+    const {state, actions} = stepEntry(this.currentState, event, this.nowMs());
+    const isNewHead =
+      state.known?.sequence !== this.currentState.known?.sequence;
+    this.currentState = state;
+    if (isNewHead) this.adoptContents();
+    for (const listener of [...this.changeListeners]) listener();
+    for (const action of actions) {
+      for (const listener of this.actionListeners) listener(action);
+    }
+  }
+
+  /** Parses and keeps a rule file; undefined when it has errors. */
+  addContent(text: string): LoadedContent | undefined {
+    const content = this.contents.add(text);
+    if (content !== undefined) {
+      this.dispatch({kind: 'contentLoaded', digest: content.digest});
+    }
+    return content;
+  }
+
+  onAction(listener: ActionListener): void {
+    this.actionListeners.push(listener);
+  }
+
+  emit(event: Partial<KeeperEvent> & Pick<KeeperEvent, 'kind'>): void {
+    this.options.onEvent({
+      changeId: '',
+      revision: 0,
+      who: '',
+      why: '',
+      detail: '',
+      ...event,
+    });
+  }
+
+  /** Lists the members and joiners known, save those at the own address. */
+  listPeers(): readonly Member[] {
+    const {known, joiners, self} = this.currentState;
+    const roster = known === undefined ? [] : resolveRoster(known);
+    const added = [...joiners.values()].map(joiner => joiner.member);
+    return [...roster, ...added].filter(
+      member => member.peerAddress !== self.peerAddress,
+    );
+  }
+
+  /** Waits until the condition holds after some step; false on timeout. */
+  async waitFor(condition: () => boolean, timeoutMs: number): Promise<boolean> {
+    if (condition()) return true;
+    return new Promise(resolve => {
+      const finish = (isMet: boolean): void => {
+        clearTimeout(timer);
+        this.changeListeners.delete(check);
+        resolve(isMet);
+      };
+      const check = (): void => {
+        if (condition()) finish(true);
+      };
+      const timer = setTimeout(() => finish(condition()), timeoutMs);
+      this.changeListeners.add(check);
+    });
+  }
+
+  /** Lets time pass for the state, which decides and forgets by it. */
+  async runTickLoop(): Promise<void> {
+    const periodMs = Math.min(
+      MAX_TICK_MS,
+      this.options.exchangePeriodMs / TICKS_PER_EXCHANGE,
+    );
+    while (!this.stopSignal.aborted) {
+      this.dispatch({kind: 'ticked'});
+      await pause(periodMs, this.stopSignal);
+    }
+  }
+
+  /** Ends all loops and waits. */
+  stop(): void {
+    this.abort.abort();
+  }
+
+  private adoptContents(): void {
+    const {known, active} = this.currentState;
+    if (known === undefined) return;
+    const needed = new Set([
+      ...listDigests(known),
+      ...(active === undefined ? [] : listDigests(active)),
+    ]);
+    for (const digest of this.contents.dropUnneeded(needed)) {
+      this.dispatch({kind: 'contentDropped', digest});
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/control/acceptance/membership_keeper.ts
@@ -0,0 +1,115 @@
+import {
+  formatMemberKey,
+  hasMember,
+  isSameMembers,
+  resolveMembers,
+  type ChangeOffer,
+  type Member,
+  type RulesHead,
+} from '@anvilrudder/core';
+import {randomUUID} from 'node:crypto';
+import type {ChangeProposer} from './change_proposer.js';
+import type {KeeperNode} from './keeper_node.js';
+import {pause} from './timing.js';
+
+/** Joins this entry to the members, and removes members that are lost. */
+export class MembershipKeeper {
+  private isLeaving = false;
+
+  private constructor(
+    private readonly node: KeeperNode,
+    private readonly proposer: ChangeProposer,
+  ) {}
+
+  static create(node: KeeperNode, proposer: ChangeProposer): MembershipKeeper {
+    return new MembershipKeeper(node, proposer);
+  }
+
+  /** Looks in each period whether the members should change. */
+  async runLoop(): Promise<void> {
+    const {options, stopSignal} = this.node;
+    while (!stopSignal.aborted) {
+      if (!this.isLeaving && this.mustPropose()) {
+        await this.proposer.propose(
+          head => this.createOffer(head, 'update of the members'),
+          options.exchangePeriodMs,
+        );
+      }
+      // A full jitter keeps entries that saw the same from colliding.
+      await pause(options.exchangePeriodMs * options.random(), stopSignal);
+    }
+  }
+
+  /** Tries to take this entry out of the members within the time. */
+  async leave(timeoutMs: number): Promise<void> {
+    const {node} = this;
+    this.isLeaving = true;
+    node.dispatch({kind: 'leaving'});
+    const endAtMs = node.nowMs() + timeoutMs;
+    const {known, self} = node.state;
+    if (known === undefined || !hasMember(known.members, self)) return;
+    await this.proposer.propose(
+      head => this.createOffer(head, 'a planned stop'),
+      timeoutMs,
+    );
+    await node.waitFor(
+      () => !hasMember(node.state.known?.members ?? [], self),
+      endAtMs - node.nowMs(),
+    );
+  }
+
+  private mustPropose(): boolean {
+    const {known, active} = this.node.state;
+    if (known === undefined || known.pending !== undefined) return false;
+    if (active?.sequence !== known.sequence) return false;
+    if (isSameMembers(this.resolveMembers(known), known.members)) return false;
+    const {self} = this.node.state;
+    if (!hasMember(known.members, self)) return true;
+    // Any one member is enough; on average one a period tries.
+    return this.node.options.random() * known.members.length < 1;
+  }
+
+  private createOffer(head: RulesHead, why: string): ChangeOffer | string {
+    const members = this.resolveMembers(head);
+    if (isSameMembers(members, head.members)) return 'Nothing to change.';
+    return {
+      changeId: `members-${randomUUID()}`,
+      digest: undefined,
+      baseRevision: head.rules.revision,
+      members,
+      coordinator: this.node.state.self,
+      who: this.node.state.self.host,
+      why,
+      vouchedHosts: [],
+    };
+  }
+
+  private resolveMembers(head: RulesHead): readonly Member[] {
+    const {state} = this.node;
+    const {self} = state;
+    const joiners = [...state.joiners.values()].map(joiner => joiner.member);
+    if (!this.isLeaving) {
+      return resolveMembers({
+        members: head.members,
+        joiners: [...joiners, self],
+        lostKeys: this.listLostKeys(head),
+        withoutHosts: [],
+      });
+    }
+    return head.members.filter(
+      member => formatMemberKey(member) !== formatMemberKey(self),
+    );
+  }
+
+  private listLostKeys(head: RulesHead): ReadonlySet<string> {
+    const {state, options, startedAtMs} = this.node;
+    const {lostAfterMs} = options.acceptance;
+    const nowMs = this.node.nowMs();
+    const lost = head.members.map(formatMemberKey).filter(key => {
+      const heardAtMs = state.heardAtMs.get(key) ?? startedAtMs;
+      return nowMs - heardAtMs > lostAfterMs;
+    });
+    const selfKey = formatMemberKey(state.self);
+    return new Set(lost.filter(key => key !== selfKey));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/control/acceptance/peer_exchange.ts
@@ -0,0 +1,233 @@
+import {
+  createAnswer,
+  createReport,
+  formatMemberKey,
+  isGuestOf,
+  listMissingDigests,
+  resolveRoster,
+  type Member,
+  type PeerReport,
+} from '@anvilrudder/core';
+import {
+  ExchangeRequestSchema,
+  ExchangeResponseSchema,
+  FetchContentResponseSchema,
+  decodeReport,
+  encodeReport,
+  readMembersDigest,
+  resolveMembersDigest,
+  type ExchangeRequest,
+  type ExchangeResponse,
+  type FetchContentRequest,
+  type FetchContentResponse,
+  type PeerClient,
+  type PeerHandler,
+} from '@anvilrudder/peers';
+import {create} from '@bufbuild/protobuf';
+import type {ContentLoader} from './content_loader.js';
+import type {KeeperNode} from './keeper_node.js';
+import {selectRandom} from './selection.js';
+import {pause} from './timing.js';
+
+/** Ages are sent in units of this part of the freshness bound. */
+const AGE_UNITS_PER_FRESHNESS = 200;
+/** Least part of a period that a jittered wait lasts. */
+const JITTER_START = 0.8;
+const JITTER_WIDTH = 0.4;
+
+interface PeerKnowledge {
+  readonly sequence: number;
+  readonly membersDigest: string;
+}
+
+/** Exchanges reports with peers, and answers theirs. */
+export class PeerExchange implements PeerHandler {
+  private readonly knowledge = new Map<string, PeerKnowledge>();
+  private readonly inFlight = new Set<string>();
+
+  private constructor(
+    private readonly node: KeeperNode,
+    private readonly client: PeerClient,
+    private readonly loader: ContentLoader,
+  ) {}
+
+  static create(
+    node: KeeperNode,
+    client: PeerClient,
+    loader: ContentLoader,
+  ): PeerExchange {
+    return new PeerExchange(node, client, loader);
+  }
+
+  /** Asks some peers in each period until the keeper stops. */
+  async runLoop(): Promise<void> {
+    const {options, stopSignal} = this.node;
+    while (!stopSignal.aborted) {
+      for (const address of this.selectAddresses()) {
+        if (!this.inFlight.has(address)) void this.exchangeWith(address);
+      }
+      const jitter = JITTER_START + JITTER_WIDTH * options.random();
+      await pause(options.exchangePeriodMs * jitter, stopSignal);
+    }
+  }
+
+  /** Sends the known head to every entry that counts and waits for answers. */
+  async pushToAll(): Promise<void> {
+    const addresses = new Set(this.listAddresses());
+    await Promise.all(
+      [...addresses].map(address => this.exchangeWith(address)),
+    );
+  }
+
+  /** Asks one peer; failures are silent, as the next period asks again. */
+  async exchangeWith(address: string): Promise<void> {
+    const {node} = this;
+    const sentAtMs = node.nowMs();
+    const request = this.createRequest(address);
+    this.inFlight.add(address);
+    try {
+      const response = await this.client.exchange(
+        address,
+        request,
+        node.stopSignal,
+      );
+      this.takeAnswer(address, response, sentAtMs);
+    } catch {
+      this.knowledge.delete(address);
+    } finally {
+      this.inFlight.delete(address);
+    }
+  }
+
+  /** Answers a peer's report after a short wait for content it brings. */
+  async exchange(request: ExchangeRequest): Promise<ExchangeResponse> {
+    const {node} = this;
+    const report = this.decode(request.report);
+    if (report === undefined || request.report === undefined) {
+      return create(ExchangeResponseSchema, {});
+    }
+    if (report.head !== undefined) {
+      this.loader.noteSource(report.sender.peerAddress);
+    }
+    node.dispatch({kind: 'peerAsked', report});
+    if (report.knownSequence > (node.state.known?.sequence ?? 0)) {
+      void this.exchangeWith(report.sender.peerAddress);
+    }
+    await node.waitFor(
+      () => listMissingDigests(node.state).length === 0,
+      node.options.loadWaitMs,
+    );
+    // A grant must be recorded by the state that makes the answer.
+    if (isGuestOf(node.state, report)) {
+      node.dispatch({kind: 'peerAsked', report});
+    }
+    const answer = createAnswer(node.state, report, node.nowMs());
+    return create(ExchangeResponseSchema, {
+      report: this.encode(answer, readMembersDigest(request.report)),
+    });
+  }
+
+  /** Answers with a rule file that this entry keeps. */
+  fetchContent(request: FetchContentRequest): FetchContentResponse | undefined {
+    const content = this.node.contents.answerFetch(request);
+    if (content === undefined) return undefined;
+    return create(FetchContentResponseSchema, {content});
+  }
+
+  private takeAnswer(
+    address: string,
+    response: ExchangeResponse,
+    sentAtMs: number,
+  ): void {
+    const {node} = this;
+    const report = this.decode(response.report);
+    if (report === undefined || response.report === undefined) return;
+    this.knowledge.set(address, {
+      sequence: report.knownSequence,
+      membersDigest: readMembersDigest(response.report),
+    });
+    if (report.head !== undefined) this.loader.noteSource(address);
+    node.dispatch({kind: 'peerAnswered', report, sentAtMs});
+    this.confirmLater(address, report, sentAtMs);
+  }
+
+  // An answer that came with a newer head counts once the content is loaded.
+  private confirmLater(
+    address: string,
+    report: PeerReport,
+    sentAtMs: number,
+  ): void {
+    const {node} = this;
+    const isLoaded = (): boolean =>
+      (node.state.active?.sequence ?? 0) >= report.activeSequence;
+    if (isLoaded()) return;
+    void node.waitFor(isLoaded, node.options.loadWaitMs).then(isMet => {
+      if (!isMet) return;
+      node.dispatch({kind: 'peerAnswered', report, sentAtMs});
+      void this.exchangeWith(address);
+    });
+  }
+
+  private createRequest(address: string): ExchangeRequest {
+    const {node} = this;
+    const peer = this.knowledge.get(address);
+    const known = node.state.known?.sequence ?? 0;
+    const report = createReport(node.state, node.nowMs(), {
+      hasHead: peer === undefined || peer.sequence < known,
+      isGuestGrant: false,
+    });
+    return create(ExchangeRequestSchema, {
+      report: this.encode(report, peer?.membersDigest ?? ''),
+    });
+  }
+
+  private encode(report: PeerReport, receiverMembersDigest: string) {
+    const {known} = this.node.state;
+    const {freshnessMs} = this.node.options.acceptance;
+    return encodeReport(report, {
+      receiverMembersDigest,
+      membersDigest:
+        known === undefined ? '' : resolveMembersDigest(known.members),
+      ageUnitMs: Math.max(1, Math.ceil(freshnessMs / AGE_UNITS_PER_FRESHNESS)),
+    });
+  }
+
+  private decode(message: ExchangeRequest['report']): PeerReport | undefined {
+    if (message === undefined) return undefined;
+    return decodeReport(message, digest => this.findMembers(digest));
+  }
+
+  private findMembers(digest: string): readonly Member[] | undefined {
+    const {known, active} = this.node.state;
+    const lists = [known?.members, active?.members];
+    return lists.find(
+      list => list !== undefined && resolveMembersDigest(list) === digest,
+    );
+  }
+
+  private selectAddresses(): readonly string[] {
+    const {options, state} = this.node;
+    const addresses = this.listAddresses();
+    const chosen = selectRandom(addresses, options.fanout, options.random);
+    const {known} = state;
+    const isCoordinator =
+      known?.pending?.coordinator.host === state.self.host &&
+      known.pending.coordinator.incarnation === state.self.incarnation;
+    if (known === undefined || !isCoordinator) return chosen;
+    const silent = resolveRoster(known)
+      .filter(member => !state.ackedAtMs.has(formatMemberKey(member)))
+      .map(member => member.peerAddress);
+    return [...new Set([...chosen, ...silent])].filter(
+      address => address !== state.self.peerAddress,
+    );
+  }
+
+  private listAddresses(): readonly string[] {
+    const {options, state} = this.node;
+    const addresses = this.node.listPeers().map(member => member.peerAddress);
+    const seeds = state.known === undefined ? options.listSeedAddresses() : [];
+    return [...addresses, ...seeds].filter(
+      address => address !== state.self.peerAddress,
+    );
+  }
+}
--- /dev/null
+++ b/packages/entry/src/control/acceptance/rules_applier.ts
@@ -0,0 +1,198 @@
+import {
+  findRecord,
+  formatMemberKey,
+  resolveMembers,
+  type ChangeOffer,
+  type ChangeRecord,
+  type Finding,
+  type RulesHead,
+} from '@anvilrudder/core';
+import type {ApplyRulesRequest, ChangeOutcome} from '../rules_keeper.js';
+import type {ChangeProposer, ProposeResult} from './change_proposer.js';
+import {digestText, writeContent} from './content_store.js';
+import {CHANGE_PREFIX} from './decision_writer.js';
+import type {KeeperNode} from './keeper_node.js';
+import type {StoreSync} from './store_sync.js';
+
+/** Applies the operators' changes and answers for their outcomes. */
+export class RulesApplier {
+  private constructor(
+    private readonly node: KeeperNode,
+    private readonly sync: StoreSync,
+    private readonly proposer: ChangeProposer,
+  ) {}
+
+  static create(
+    node: KeeperNode,
+    sync: StoreSync,
+    proposer: ChangeProposer,
+  ): RulesApplier {
+    return new RulesApplier(node, sync, proposer);
+  }
+
+  /** Checks, proposes and waits for the outcome of a rule file. */
+  async apply(request: ApplyRulesRequest): Promise<ChangeOutcome> {
+    const {node} = this;
+    const endAtMs = node.nowMs() + node.options.applyTimeoutMs;
+    const {rules, findings} = node.options.parse(request.content);
+    if (rules === undefined) {
+      return refuse(request, 'The rule file has errors.', findings);
+    }
+    try {
+      const earlier = await this.findChange(request.changeId);
+      if (earlier !== undefined && earlier.state !== 'undecided') {
+        return earlier;
+      }
+      const digest = digestText(request.content);
+      await writeContent(node.heads, digest, request.content);
+    } catch {
+      const reason =
+        'The object API is unavailable; nothing was changed. Repeat the change with its id.';
+      return refuse(request, reason, findings);
+    }
+    node.addContent(request.content);
+    const result = await this.proposer.propose(
+      head => this.createOffer(head, request),
+      endAtMs - node.nowMs(),
+    );
+    return this.resolveResult(request, result, findings, endAtMs);
+  }
+
+  /** Finds the outcome of a change; rejects while the store is out. */
+  async findChange(changeId: string): Promise<ChangeOutcome | undefined> {
+    const stored = await this.sync.readHead();
+    if (stored === undefined) return undefined;
+    const {head} = stored;
+    if (head.pending?.changeId === changeId) {
+      return createUndecided(changeId, 'The change is not decided yet.');
+    }
+    const recent = findRecord(head, changeId);
+    if (recent !== undefined) return resolveOutcome(recent, []);
+    const archived = await this.node.heads.get(`${CHANGE_PREFIX}/${changeId}`);
+    if (archived === undefined) return undefined;
+    return resolveOutcome(JSON.parse(archived) as ChangeRecord, []);
+  }
+
+  private createOffer(
+    head: RulesHead,
+    request: ApplyRulesRequest,
+  ): ChangeOffer | string {
+    const {changeId, who, why, baseRevision, withoutHosts} = request;
+    const objection = this.checkWithoutHosts(head, withoutHosts);
+    if (objection !== undefined) return objection;
+    const {state} = this.node;
+    const joiners = [...state.joiners.values()].map(joiner => joiner.member);
+    const members =
+      withoutHosts.length === 0
+        ? head.members
+        : resolveMembers({
+            members: head.members,
+            joiners,
+            lostKeys: new Set(),
+            withoutHosts,
+          });
+    return {
+      changeId,
+      digest: digestText(request.content),
+      baseRevision,
+      members,
+      coordinator: state.self,
+      who,
+      why,
+      vouchedHosts: withoutHosts,
+    };
+  }
+
+  private checkWithoutHosts(
+    head: RulesHead,
+    hosts: readonly string[],
+  ): string | undefined {
+    const {state} = this.node;
+    const nowMs = this.node.nowMs();
+    for (const host of hosts) {
+      const member = head.members.find(m => m.host === host);
+      if (member === undefined) return `Host ${host} is not a member.`;
+      const heardAtMs = state.heardAtMs.get(formatMemberKey(member));
+      const isSelf = host === state.self.host;
+      const ageMs = nowMs - (heardAtMs ?? -Infinity);
+      if (isSelf || ageMs < state.options.freshnessMs) {
+        return `Host ${host} is running and cannot be left out.`;
+      }
+    }
+    return undefined;
+  }
+
+  private async resolveResult(
+    request: ApplyRulesRequest,
+    result: ProposeResult,
+    findings: readonly Finding[],
+    endAtMs: number,
+  ): Promise<ChangeOutcome> {
+    if (result.kind === 'decided') {
+      return resolveOutcome(result.record, findings);
+    }
+    if (result.kind === 'refused') {
+      return refuse(request, result.reason, findings);
+    }
+    if (result.kind === 'busy') {
+      return refuse(request, 'Another change is undecided.', findings);
+    }
+    if (result.kind === 'failed' && !result.isUnknown) {
+      return refuse(request, 'The object API is unavailable.', findings);
+    }
+    const record = await this.waitForRecord(request.changeId, endAtMs);
+    if (record !== undefined) return resolveOutcome(record, findings);
+    return createUndecided(
+      request.changeId,
+      'The outcome is not known yet; ask for it by the change id.',
+    );
+  }
+
+  private async waitForRecord(
+    changeId: string,
+    endAtMs: number,
+  ): Promise<ChangeRecord | undefined> {
+    const {node} = this;
+    const find = (): ChangeRecord | undefined =>
+      node.state.known === undefined
+        ? undefined
+        : findRecord(node.state.known, changeId);
+    await node.waitFor(() => find() !== undefined, endAtMs - node.nowMs());
+    return find();
+  }
+}
+
+function refuse(
+  request: ApplyRulesRequest,
+  reason: string,
+  findings: readonly Finding[],
+): ChangeOutcome {
+  const {changeId, baseRevision} = request;
+  return {
+    changeId,
+    state: 'refused',
+    revision: baseRevision,
+    reason,
+    findings,
+    silentHosts: [],
+  };
+}
+
+function createUndecided(changeId: string, reason: string): ChangeOutcome {
+  return {
+    changeId,
+    state: 'undecided',
+    revision: 0,
+    reason,
+    findings: [],
+    silentHosts: [],
+  };
+}
+
+function resolveOutcome(
+  record: ChangeRecord,
+  findings: readonly Finding[],
+): ChangeOutcome {
+  const {changeId, state, revision, reason, silentHosts} = record;
+  return {changeId, state, revision, reason, findings, silentHosts};
+}
--- /dev/null
+++ b/packages/entry/src/control/acceptance/store_sync.ts
@@ -0,0 +1,133 @@
+import {hasMember, parseHead, type RulesHead} from '@anvilrudder/core';
+import {writeContent} from './content_store.js';
+import type {StoredHead} from './head_store.js';
+import type {KeeperNode} from './keeper_node.js';
+import {selectWatchers} from './selection.js';
+import {Backoff, pause} from './timing.js';
+
+/** Part of the freshness bound after which an entry asks the store itself. */
+const OWN_CONFIRMATION_SHARE = 0.5;
+const WATCH_IDLE_MS = 1_000;
+
+/** Keeps the known head in step with the store. */
+export class StoreSync {
+  private constructor(private readonly node: KeeperNode) {}
+
+  static create(node: KeeperNode): StoreSync {
+    return new StoreSync(node);
+  }
+
+  /**
+   * Reads the head as the store holds it now and takes it in.
+   *
+   * @returns undefined while no head exists.
+   */
+  async readHead(): Promise<StoredHead | undefined> {
+    const sentAtMs = this.node.nowMs();
+    const stored = await this.node.heads.read();
+    if (stored !== undefined) {
+      const {head} = stored;
+      this.node.dispatch({kind: 'storeAnswered', head, sentAtMs});
+    }
+    return stored;
+  }
+
+  /** Confirms the head in each period while this entry is one to do so. */
+  async runConfirmLoop(): Promise<void> {
+    const {options, stopSignal} = this.node;
+    const backoff = Backoff.create(
+      options.confirmPeriodMs,
+      options.maxBackoffMs,
+      options.random,
+    );
+    while (!stopSignal.aborted) {
+      let waitMs = options.confirmPeriodMs;
+      try {
+        if (this.mustConfirm()) await this.confirm();
+        backoff.reset();
+      } catch (error) {
+        waitMs = backoff.fail();
+        this.node.emit({kind: 'storeFailed', detail: String(error)});
+      }
+      await pause(waitMs, stopSignal);
+    }
+  }
+
+  /** Watches the head while this entry is one of the watchers. */
+  async runWatchLoop(): Promise<void> {
+    const {options, stopSignal} = this.node;
+    const backoff = Backoff.create(
+      options.confirmPeriodMs,
+      options.maxBackoffMs,
+      options.random,
+    );
+    let afterVersion: number | undefined;
+    while (!stopSignal.aborted) {
+      if (!this.isWatcher()) {
+        afterVersion = undefined;
+        await pause(WATCH_IDLE_MS, stopSignal);
+        continue;
+      }
+      try {
+        afterVersion ??= (await this.readHead())?.version;
+        afterVersion = await this.watchOnce(afterVersion ?? 0);
+        backoff.reset();
+      } catch {
+        afterVersion = undefined;
+        await pause(backoff.fail(), stopSignal);
+      }
+    }
+  }
+
+  private async watchOnce(afterVersion: number): Promise<number> {
+    const {options, stopSignal, heads} = this.node;
+    const page = await heads.watch(
+      afterVersion,
+      options.watchTimeoutMs,
+      stopSignal,
+    );
+    for (const {value} of page.events) {
+      const head = value === undefined ? undefined : parseHead(value);
+      if (head !== undefined) this.node.dispatch({kind: 'headLearned', head});
+    }
+    return page.storeVersion;
+  }
+
+  private async confirm(): Promise<void> {
+    const stored = await this.readHead();
+    if (stored === undefined) await this.createFirstHead();
+  }
+
+  private async createFirstHead(): Promise<void> {
+    const {options, state} = this.node;
+    if (options.initialRules === undefined || state.known !== undefined) return;
+    const content = this.node.addContent(options.initialRules);
+    if (content === undefined) return;
+    await writeContent(this.node.heads, content.digest, content.text);
+    const head: RulesHead = {
+      sequence: 1,
+      rules: {revision: 1, digest: content.digest},
+      members: [options.self],
+      pending: undefined,
+      recent: [],
+    };
+    const result = await this.node.heads.create(head);
+    await this.readHead();
+    if (result.status !== 'written') return;
+    this.node.emit({kind: 'headCreated', revision: 1, who: options.self.host});
+  }
+
+  private mustConfirm(): boolean {
+    const {state, options} = this.node;
+    if (state.confirmedAtMs === undefined || this.isWatcher()) return true;
+    const ageMs = this.node.nowMs() - state.confirmedAtMs;
+    return ageMs > options.acceptance.freshnessMs * OWN_CONFIRMATION_SHARE;
+  }
+
+  private isWatcher(): boolean {
+    const {state, options} = this.node;
+    if (state.known === undefined) return false;
+    const watchers = selectWatchers(state.known, options.watcherCount);
+    return hasMember(watchers, state.self);
+  }
+}
--- /dev/null
+++ b/packages/entry/test/control/keeper_cluster.ts
@@ -0,0 +1,200 @@
+import type {Member, RuleSet} from '@anvilrudder/core';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {
+  createRulesKeeper,
+  type AcceptanceKeeper,
+  type ParsedRules,
+  type RulesKeeperOptions,
+} from '../../src/control/acceptance/index.js';
+import type {ChangeOutcome} from '../../src/control/rules_keeper.js';
+import {MemoryStore} from './memory_store.js';
+
+export const FAST_OPTIONS = {
+  acceptance: {
+    freshnessMs: 600,
+    marginMs: 50,
+    abortAfterMs: 400,
+    coordinatorSilenceMs: 300,
+    lostAfterMs: 60_000,
+  },
+  exchangePeriodMs: 50,
+  confirmPeriodMs: 50,
+  peerTimeoutMs: 200,
+  storeTimeoutMs: 300,
+  loadWaitMs: 100,
+  maxBackoffMs: 200,
+  applyTimeoutMs: 5_000,
+  leaveTimeoutMs: 500,
+} satisfies Partial<RulesKeeperOptions>;
+
+const EMPTY_RULES: RuleSet = {
+  models: [],
+  kinds: [],
+  services: [],
+  allows: [],
+  targets: [],
+  rollouts: [],
+  withdrawals: [],
+  drains: [],
+  limits: [],
+  cascades: [],
+};
+
+/** One keeper with its own store view and peer server. */
+export interface ClusterEntry {
+  readonly member: Member;
+  readonly keeper: AcceptanceKeeper;
+  readonly server: Server;
+  /** False cuts this entry off from peers and the store. */
+  setConnected(isConnected: boolean): void;
+  /** Ends the entry at once, as a lost host does. */
+  kill(): Promise<void>;
+}
+
+/** Keepers in this process that talk over loopback. */
+export class KeeperCluster {
+  readonly store = MemoryStore.create();
+  readonly entries: ClusterEntry[] = [];
+  private runCount = 0;
+
+  static create(): KeeperCluster {
+    return new KeeperCluster();
+  }
+
+  /** Starts an entry; a port given again makes it a successor. */
+  async start(
+    host: string,
+    options: Partial<RulesKeeperOptions> = {},
+    port = 0,
+  ): Promise<ClusterEntry> {
+    let isConnected = true;
+    const server = createServer();
+    server.listen(port, '127.0.0.1');
+    await once(server, 'listening');
+    const address = server.address() as AddressInfo;
+    const member: Member = {
+      host,
+      incarnation: `run-${this.runCount++}`,
+      failureDomain: `d-${host}`,
+      peerAddress: `127.0.0.1:${address.port}`,
+    };
+    const {store} = this;
+    const keeper = createRulesKeeper({
+      ...FAST_OPTIONS,
+      self: member,
+      store: createStoreView(store, () => isConnected),
+      parse: parseLines,
+      initialRules: 'first',
+      listSeedAddresses: () => this.entries.map(e => e.member.peerAddress),
+      ...options,
+    });
+    keeper.trackPeerServer(server);
+    const handle = connectNodeAdapter({routes: keeper.routes});
+    server.on('request', (request, response) => {
+      if (isConnected) handle(request, response);
+      else request.socket.destroy();
+    });
+    const entry: ClusterEntry = {
+      member,
+      keeper,
+      server,
+      setConnected: value => {
+        isConnected = value;
+      },
+      kill: async () => {
+        isConnected = false;
+        server.closeAllConnections();
+        server.close();
+        await keeper.stop();
+      },
+    };
+    this.entries.push(entry);
+    return entry;
+  }
+
+  /** Starts members `h1` to `hN` and waits until all have joined. */
+  async startMembers(
+    count: number,
+    options: Partial<RulesKeeperOptions> = {},
+  ): Promise<readonly ClusterEntry[]> {
+    const started: ClusterEntry[] = [];
+    for (let index = 1; index <= count; index++) {
+      started.push(await this.start(`h${index}`, options));
+    }
+    await waitUntil(() =>
+      started.every(({keeper}) => {
+        const {members, pendingChangeId, servesBy} = keeper.status();
+        return (
+          members.length === count &&
+          pendingChangeId === undefined &&
+          servesBy === 'store'
+        );
+      }),
+    );
+    return started;
+  }
+
+  /** Ends all entries. */
+  async stop(): Promise<void> {
+    await Promise.all(this.entries.map(entry => entry.kill()));
+  }
+}
+
+/** Applies a rule file whose lines need no syntax. */
+export async function applyText(
+  entry: ClusterEntry,
+  content: string,
+  options: {
+    readonly baseRevision?: number;
+    readonly changeId?: string;
+    readonly withoutHosts?: readonly string[];
+  } = {},
+): Promise<ChangeOutcome> {
+  return entry.keeper.apply({
+    changeId: options.changeId ?? `change-${content}`,
+    who: 'operator',
+    why: `to have ${content}`,
+    content,
+    baseRevision: options.baseRevision ?? entry.keeper.status().revision,
+    withoutHosts: options.withoutHosts ?? [],
+  });
+}
+
+/** Waits for a condition without a bound of its own; the test has one. */
+export async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+}
+
+function parseLines(text: string): ParsedRules {
+  if (!text.includes('broken')) return {rules: {...EMPTY_RULES}, findings: []};
+  const finding = {
+    place: {line: 1, column: 1},
+    severity: 'error',
+    code: 'unknown_verb',
+    message: 'unknown verb',
+  } as const;
+  return {rules: undefined, findings: [finding]};
+}
+
+function createStoreView(
+  store: MemoryStore,
+  isConnected: () => boolean,
+): MemoryStore {
+  return new Proxy(store, {
+    get(target, name) {
+      const value: unknown = Reflect.get(target, name);
+      if (typeof value !== 'function') return value;
+      return async (...args: unknown[]) => {
+        if (!isConnected()) {
+          throw Object.assign(new Error('cut off'), {execution: 'notRun'});
+        }
+        return (value as (...args: unknown[]) => unknown).apply(target, args);
+      };
+    },
+  });
+}
--- /dev/null
+++ b/packages/entry/test/control/memory_store.ts
@@ -0,0 +1,120 @@
+import type {
+  ObjectPage,
+  ObjectStore,
+  StoredObject,
+  WatchEvent,
+  WatchPage,
+  WriteCondition,
+  WriteResult,
+} from '@anvilrudder/core';
+
+/** An object store in memory with the faults of the object API. */
+export class MemoryStore implements ObjectStore {
+  isDown = false;
+  /** The next writes take effect and lose their answers. */
+  loseWriteAnswers = 0;
+  /** Answers plain reads and watches from this copy. */
+  staleCopy: ReadonlyMap<string, StoredObject> | undefined;
+  readonly objects = new Map<string, StoredObject>();
+  readonly calls = {reads: 0, writes: 0, watches: 0};
+  private version = 0;
+  private readonly events: WatchEvent[] = [];
+  private readonly waiting = new Set<() => void>();
+
+  static create(): MemoryStore {
+    return new MemoryStore();
+  }
+
+  async get(key: string): Promise<StoredObject | undefined> {
+    this.calls.reads += 1;
+    this.checkUp();
+    return (this.staleCopy ?? this.objects).get(key);
+  }
+
+  async put(
+    key: string,
+    value: string,
+    condition: WriteCondition,
+  ): Promise<WriteResult> {
+    this.calls.writes += 1;
+    this.checkUp();
+    const current = this.objects.get(key);
+    if (!isMet(condition, current)) return {status: 'conflict', current};
+    this.version += 1;
+    const {version} = this;
+    this.objects.set(key, {key, version, value});
+    this.events.push({key, version, value});
+    for (const wake of this.waiting) wake();
+    if (this.loseWriteAnswers > 0) {
+      this.loseWriteAnswers -= 1;
+      throw createStoreError('unknown');
+    }
+    return {status: 'written', version};
+  }
+
+  async delete(key: string): Promise<WriteResult> {
+    this.checkUp();
+    this.version += 1;
+    this.objects.delete(key);
+    return {status: 'written', version: this.version};
+  }
+
+  async list(prefix: string): Promise<ObjectPage> {
+    this.calls.reads += 1;
+    this.checkUp();
+    const objects = [...(this.staleCopy ?? this.objects).values()]
+      .filter(object => object.key.startsWith(prefix))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    return {objects, storeVersion: this.version, nextAfter: undefined};
+  }
+
+  async watch(
+    prefix: string,
+    afterVersion: number,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<WatchPage> {
+    this.calls.watches += 1;
+    this.checkUp();
+    const find = (): readonly WatchEvent[] =>
+      this.events.filter(
+        event => event.key.startsWith(prefix) && event.version > afterVersion,
+      );
+    if (find().length === 0) await this.waitForEvent(timeoutMs, signal);
+    this.checkUp();
+    return {events: find(), storeVersion: this.version};
+  }
+
+  private async waitForEvent(
+    timeoutMs: number,
+    signal: AbortSignal | undefined,
+  ): Promise<void> {
+    await new Promise<void>(resolve => {
+      const wake = (): void => {
+        clearTimeout(timer);
+        this.waiting.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, timeoutMs);
+      this.waiting.add(wake);
+      signal?.addEventListener('abort', wake, {once: true});
+    });
+  }
+
+  private checkUp(): void {
+    if (this.isDown) throw createStoreError('notRun');
+  }
+}
+
+function isMet(
+  condition: WriteCondition,
+  current: StoredObject | undefined,
+): boolean {
+  if (condition.kind === 'any') return true;
+  if (condition.kind === 'absent') return current === undefined;
+  return current?.version === condition.version;
+}
+
+function createStoreError(execution: 'notRun' | 'unknown'): Error {
+  return Object.assign(new Error('The store gave no answer.'), {execution});
+}
--- a/packages/peers/src/peer_routes.ts
+++ b/packages/peers/src/peer_routes.ts
@@ -1,4 +1,4 @@
-import type {ConnectRouter} from '@connectrpc/connect';
+import {Code, ConnectError, type ConnectRouter} from '@connectrpc/connect';
 import {
   PeerService,
   type ExchangeRequest,
@@ -10,9 +10,13 @@
 /** Answers the calls of peers. */
 export interface PeerHandler {
   exchange(request: ExchangeRequest): Promise<ExchangeResponse>;
-  fetchContent(request: FetchContentRequest): Promise<FetchContentResponse>;
+  /** Answers undefined when this entry does not have the text. */
+  fetchContent(request: FetchContentRequest): FetchContentResponse | undefined;
 }
 
+/** Routes that can be mounted on a server of connect-node. */
+export type PeerRoutes = (router: ConnectRouter) => void;
+
 /**
  * Creates the routes that an entry mounts on its peer port.
  *
@@ -21,13 +25,15 @@
  * connectNodeAdapter({routes: createPeerRoutes(handler)});
  * ```
  */
-export function createPeerRoutes(
-  handler: PeerHandler,
-): (router: ConnectRouter) => void {
+export function createPeerRoutes(handler: PeerHandler): PeerRoutes {
   return router => {
     router.service(PeerService, {
       exchange: request => handler.exchange(request),
-      fetchContent: request => handler.fetchContent(request),
+      fetchContent: request => {
+        const response = handler.fetchContent(request);
+        if (response !== undefined) return response;
+        throw new ConnectError('The text is not kept here.', Code.NotFound);
+      },
     });
   };
 }
--- a/packages/peers/src/report_codec.ts
+++ b/packages/peers/src/report_codec.ts
@@ -56,6 +56,7 @@
     ackGrantRemainingMs: Math.ceil(report.ackGrantRemainingMs),
     isGuest: report.isGuest,
     isGuestGrant: report.isGuestGrant,
+    isLeaving: report.isLeaving,
     membersDigest: encodeDigest(membersDigest),
   });
 }
@@ -92,6 +93,7 @@
     ackGrantRemainingMs: message.ackGrantRemainingMs,
     isGuest: message.isGuest,
     isGuestGrant: message.isGuestGrant,
+    isLeaving: message.isLeaving,
   };
 }
 
