Test acceptance by a table of faults and bound the texts in the head

Cause: the promise that a change is in force everywhere or refused needs its failures caused over real sockets. Ruled out: truncating the reason silently; the operator is told instead.

--- a/packages/core/src/acceptance/decision.ts
+++ b/packages/core/src/acceptance/decision.ts
@@ -8,6 +8,9 @@
 import type {PendingChange, RulesHead} from './head.js';
 import {createAbort, createCommit} from './proposal.js';
 
+/** Silent hosts that the reason of a refusal names at most. */
+const NAMED_HOST_COUNT = 16;
+
 /** A decision about the undecided change of one head. */
 export interface Decision {
   readonly kind: 'commit' | 'abort';
@@ -58,7 +61,7 @@
   const commitAtMs = resolveCommitTime(state, known, pending);
   if (commitAtMs === undefined) {
     if (nowMs - state.pendingSeenAtMs < options.abortAfterMs) return undefined;
-    const reason = `No majority of the members acknowledged; silent: ${silentHosts.join(', ')}.`;
+    const reason = `No majority of the members acknowledged; silent: ${silentHosts.slice(0, NAMED_HOST_COUNT).join(', ')}.`;
     return {kind: 'abort', sequence: known.sequence, reason, silentHosts};
   }
   if (nowMs < commitAtMs) return undefined;
--- a/packages/core/src/acceptance/head.ts
+++ b/packages/core/src/acceptance/head.ts
@@ -28,6 +28,7 @@
   readonly who: string;
   readonly why: string;
   readonly reason: string;
+  /** The first of the hosts that did not acknowledge. */
   readonly silentHosts: readonly string[];
 }
 
--- a/packages/core/src/acceptance/proposal.ts
+++ b/packages/core/src/acceptance/proposal.ts
@@ -9,6 +9,9 @@
   type RulesRef,
 } from './head.js';
 
+/** Silent hosts that the record of a change names at most. */
+const RECORDED_HOST_COUNT = 16;
+
 /** A change as offered to the head. */
 export interface ChangeOffer {
   readonly changeId: string;
@@ -145,7 +148,15 @@
 ): ChangeRecord {
   const {changeId, who, why} = pending;
   const {revision} = pending.rules;
-  return {changeId, state, revision, who, why, reason, silentHosts};
+  return {
+    changeId,
+    state,
+    revision,
+    who,
+    why,
+    reason,
+    silentHosts: silentHosts.slice(0, RECORDED_HOST_COUNT),
+  };
 }
 
 function appendRecord(
--- a/packages/entry/src/control/acceptance/create_rules_keeper.ts
+++ b/packages/entry/src/control/acceptance/create_rules_keeper.ts
@@ -80,6 +80,7 @@
   const client = PeerClient.create({
     timeoutMs: resolved.peerTimeoutMs,
     tls: resolved.tls,
+    localAddress: resolved.localAddress,
     traffic: clientTraffic,
   });
   const loader = ContentLoader.create(node, client);
--- a/packages/entry/src/control/acceptance/keeper_options.ts
+++ b/packages/entry/src/control/acceptance/keeper_options.ts
@@ -44,6 +44,8 @@
   readonly listSeedAddresses?: () => readonly string[];
   /** Certificates for calls to peers; plain HTTP without them. */
   readonly tls?: AgentOptions;
+  /** Local address of connections to peers. */
+  readonly localAddress?: string;
   readonly acceptance?: Partial<AcceptanceOptions>;
   /** Period of exchanges with peers. Default 1000. */
   readonly exchangePeriodMs?: number;
@@ -74,11 +76,15 @@
 
 /** The options with every default filled in. */
 export interface ResolvedKeeperOptions extends Required<
-  Omit<RulesKeeperOptions, 'tls' | 'initialRules' | 'acceptance'>
+  Omit<
+    RulesKeeperOptions,
+    'tls' | 'localAddress' | 'initialRules' | 'acceptance'
+  >
 > {
   readonly acceptance: AcceptanceOptions;
   readonly initialRules: string | undefined;
   readonly tls: AgentOptions | undefined;
+  readonly localAddress: string | undefined;
 }
 
 /**
@@ -110,6 +116,7 @@
     ...options,
     initialRules: options.initialRules,
     tls: options.tls,
+    localAddress: options.localAddress,
     acceptance: {...ACCEPTANCE_DEFAULTS, ...options.acceptance},
   };
 }
--- a/packages/entry/src/control/acceptance/rules_applier.ts
+++ b/packages/entry/src/control/acceptance/rules_applier.ts
@@ -1,4 +1,5 @@
 import {
+  RouterError,
   findRecord,
   formatMemberKey,
   resolveMembers,
@@ -14,6 +15,11 @@
 import type {KeeperNode} from './keeper_node.js';
 import type {StoreSync} from './store_sync.js';
 
+/** Bounds of the texts that the head keeps of each change, in characters. */
+const MAX_WHO_LENGTH = 100;
+const MAX_WHY_LENGTH = 500;
+const CHANGE_ID_PATTERN = /^[\w.-]{1,100}$/;
+
 /** Applies the operators' changes and answers for their outcomes. */
 export class RulesApplier {
   private constructor(
@@ -34,6 +40,8 @@
   async apply(request: ApplyRulesRequest): Promise<ChangeOutcome> {
     const {node} = this;
     const endAtMs = node.nowMs() + node.options.applyTimeoutMs;
+    const fault = checkRequest(request);
+    if (fault !== undefined) return refuse(request, fault, []);
     const {rules, findings} = node.options.parse(request.content);
     if (rules === undefined) {
       return refuse(request, 'The rule file has errors.', findings);
@@ -58,8 +66,31 @@
     return this.resolveResult(request, result, findings, endAtMs);
   }
 
-  /** Finds the outcome of a change; rejects while the store is out. */
+  /**
+   * Finds the outcome of a change.
+   *
+   * @throws RouterError `platform_unavailable` when the store is out and the
+   * change is not among the recent ones known here.
+   */
   async findChange(changeId: string): Promise<ChangeOutcome | undefined> {
+    try {
+      return await this.findStored(changeId);
+    } catch (error) {
+      const {known} = this.node.state;
+      const record =
+        known === undefined ? undefined : findRecord(known, changeId);
+      if (record !== undefined) return resolveOutcome(record, []);
+      throw RouterError.create('The outcome cannot be read now.', {
+        code: 'platform_unavailable',
+        retryAfterMs: this.node.options.confirmPeriodMs,
+        cause: error,
+      });
+    }
+  }
+
+  private async findStored(
+    changeId: string,
+  ): Promise<ChangeOutcome | undefined> {
     const stored = await this.sync.readHead();
     if (stored === undefined) return undefined;
     const {head} = stored;
@@ -162,6 +193,17 @@
   }
 }
 
+function checkRequest(request: ApplyRulesRequest): string | undefined {
+  const {changeId, who, why} = request;
+  if (!CHANGE_ID_PATTERN.test(changeId)) {
+    return 'A change id has 1 to 100 letters, digits, dots, dashes or underscores.';
+  }
+  if (who.length > MAX_WHO_LENGTH || why.length > MAX_WHY_LENGTH) {
+    return `The operator's name and the reason have at most ${MAX_WHO_LENGTH} and ${MAX_WHY_LENGTH} characters.`;
+  }
+  return undefined;
+}
+
 function refuse(
   request: ApplyRulesRequest,
   reason: string,
--- a/packages/entry/test/control/keeper_cluster.ts
+++ b/packages/entry/test/control/keeper_cluster.ts
@@ -30,6 +30,10 @@
   leaveTimeoutMs: 500,
 } satisfies Partial<RulesKeeperOptions>;
 
+/** Each entry calls its peers from a loopback address of its own. */
+const FIRST_LOCAL_NUMBER = 2;
+const WAIT_LIMIT_MS = 20_000;
+
 const EMPTY_RULES: RuleSet = {
   models: [],
   kinds: [],
@@ -59,6 +63,7 @@
   readonly store = MemoryStore.create();
   readonly entries: ClusterEntry[] = [];
   private runCount = 0;
+  private readonly cutAddresses = new Set<string>();
 
   static create(): KeeperCluster {
     return new KeeperCluster();
@@ -70,8 +75,8 @@
     options: Partial<RulesKeeperOptions> = {},
     port = 0,
   ): Promise<ClusterEntry> {
-    let isConnected = true;
     const server = createServer();
+    const localAddress = `127.0.0.${FIRST_LOCAL_NUMBER + this.runCount}`;
     server.listen(port, '127.0.0.1');
     await once(server, 'listening');
     const address = server.address() as AddressInfo;
@@ -85,8 +90,9 @@
     const keeper = createRulesKeeper({
       ...FAST_OPTIONS,
       self: member,
-      store: createStoreView(store, () => isConnected),
+      store: createStoreView(store, () => this.isConnected(localAddress)),
       parse: parseLines,
+      localAddress,
       initialRules: 'first',
       listSeedAddresses: () => this.entries.map(e => e.member.peerAddress),
       ...options,
@@ -94,7 +100,10 @@
     keeper.trackPeerServer(server);
     const handle = connectNodeAdapter({routes: keeper.routes});
     server.on('request', (request, response) => {
-      if (isConnected) handle(request, response);
+      const isBothConnected =
+        this.isConnected(localAddress) &&
+        this.isConnected(request.socket.remoteAddress ?? '');
+      if (isBothConnected) handle(request, response);
       else request.socket.destroy();
     });
     const entry: ClusterEntry = {
@@ -102,10 +111,11 @@
       keeper,
       server,
       setConnected: value => {
-        isConnected = value;
+        if (value) this.cutAddresses.delete(localAddress);
+        else this.cutAddresses.add(localAddress);
       },
       kill: async () => {
-        isConnected = false;
+        this.cutAddresses.add(localAddress);
         server.closeAllConnections();
         server.close();
         await keeper.stop();
@@ -137,6 +147,10 @@
     return started;
   }
 
+  private isConnected(localAddress: string): boolean {
+    return !this.cutAddresses.has(localAddress);
+  }
+
   /** Ends all entries. */
   async stop(): Promise<void> {
     await Promise.all(this.entries.map(entry => entry.kill()));
@@ -150,22 +164,25 @@
   options: {
     readonly baseRevision?: number;
     readonly changeId?: string;
+    readonly why?: string;
     readonly withoutHosts?: readonly string[];
   } = {},
 ): Promise<ChangeOutcome> {
   return entry.keeper.apply({
-    changeId: options.changeId ?? `change-${content}`,
+    changeId: options.changeId ?? `change-${content.slice(0, 20)}`,
     who: 'operator',
-    why: `to have ${content}`,
+    why: options.why ?? `to have ${content}`,
     content,
     baseRevision: options.baseRevision ?? entry.keeper.status().revision,
     withoutHosts: options.withoutHosts ?? [],
   });
 }
 
-/** Waits for a condition without a bound of its own; the test has one. */
+/** Waits for a condition; throws when it never comes to hold. */
 export async function waitUntil(condition: () => boolean): Promise<void> {
+  const endAtMs = performance.now() + WAIT_LIMIT_MS;
   while (!condition()) {
+    if (performance.now() > endAtMs) throw new Error('The wait has no end.');
     await new Promise(resolve => setTimeout(resolve, 5));
   }
 }
--- a/packages/entry/test/faults/rules_acceptance.test.ts
+++ b/packages/entry/test/faults/rules_acceptance.test.ts
@@ -35,3 +35,224 @@
   assert.equal(outcome.findings[0].code, 'unknown_verb');
   assert.deepEqual(revisionsInForce([entry]), [1]);
 });
+
+test('[rules] a silent member delays a change and has stopped serving when it is accepted', async () => {
+  const entries = await cluster.startMembers(4);
+  entries[3].setConnected(false);
+  const outcome = await applyText(entries[0], 'second');
+  const silentServes = entries[3].keeper.inForce();
+  assert.equal(outcome.state, 'accepted', outcome.reason);
+  assert.deepEqual(outcome.silentHosts, ['h4']);
+  assert.equal(silentServes, undefined);
+  entries[3].setConnected(true);
+  await waitUntil(() => entries[3].keeper.inForce()?.revision === 2);
+});
+
+test('[rules] a change without a majority is refused and names the silent hosts', async () => {
+  const entries = await cluster.startMembers(4);
+  entries[2].setConnected(false);
+  entries[3].setConnected(false);
+  const outcome = await applyText(entries[0], 'second');
+  assert.equal(outcome.state, 'refused');
+  assert.deepEqual(outcome.silentHosts, ['h3', 'h4']);
+  assert.deepEqual(revisionsInForce(entries.slice(0, 2)), [1, 1]);
+});
+
+test('[rules] the operator may leave out hosts that have stopped', async () => {
+  const entries = await cluster.startMembers(4);
+  await entries[2].kill();
+  entries[3].setConnected(false);
+  await waitUntil(() => entries[3].keeper.inForce() === undefined);
+  const withoutHosts = ['h3', 'h4'].filter(host =>
+    entries[0].keeper.status().members.some(m => m.host === host),
+  );
+  const outcome = await applyText(entries[0], 'second', {withoutHosts});
+  assert.equal(outcome.state, 'accepted', outcome.reason);
+  const hosts = entries[0].keeper.status().members.map(m => m.host);
+  assert.deepEqual(hosts, ['h1', 'h2']);
+});
+
+test('[rules] a host that runs cannot be left out', async () => {
+  const entries = await cluster.startMembers(2);
+  const outcome = await applyText(entries[0], 'second', {withoutHosts: ['h2']});
+  assert.equal(outcome.state, 'refused');
+  assert.match(outcome.reason, /h2 is running/);
+});
+
+test('[rules] an outage of the store stops no entry, and stops a minority that is cut off', async () => {
+  const entries = await cluster.startMembers(4);
+  cluster.store.isDown = true;
+  entries[3].setConnected(false);
+  await waitUntil(() => entries[3].keeper.inForce() === undefined);
+  await waitUntil(() => entries[0].keeper.status().servesBy === 'peers');
+  assert.deepEqual(revisionsInForce(entries), [1, 1, 1, undefined]);
+  const outcome = await applyText(entries[0], 'second');
+  assert.equal(outcome.state, 'refused');
+  cluster.store.isDown = false;
+  entries[3].setConnected(true);
+  await waitUntil(() =>
+    entries.every(e => e.keeper.status().servesBy === 'store'),
+  );
+  const repeated = await applyText(entries[0], 'second');
+  assert.equal(repeated.state, 'accepted', repeated.reason);
+});
+
+test('[rules] of two operators who edit one revision, one is told what the other changed', async () => {
+  const entries = await cluster.startMembers(3);
+  const outcomes = await Promise.all([
+    applyText(entries[0], 'left', {baseRevision: 1}),
+    applyText(entries[1], 'right', {baseRevision: 1}),
+  ]);
+  const refused = outcomes.filter(outcome => outcome.state === 'refused');
+  assert.equal(refused.length, 1);
+  assert.match(
+    refused[0].reason,
+    /revision 2 by operator: to have (left|right)/,
+  );
+  await waitUntil(() => revisionsInForce(entries).every(r => r === 2));
+});
+
+for (const lostAnswers of [1, 2, 4]) {
+  test(`[rules] a change takes effect once although ${lostAnswers} write answers are lost`, async () => {
+    const entries = await cluster.startMembers(3);
+    cluster.store.loseWriteAnswers = lostAnswers;
+    const outcome = await applyText(entries[0], 'second', {changeId: 'c-1'});
+    const again = await applyText(entries[1], 'second', {changeId: 'c-1'});
+    const final = outcome.state === 'accepted' ? outcome : again;
+    assert.equal(final.state, 'accepted', final.reason);
+    await waitUntil(() => revisionsInForce(entries).every(r => r === 2));
+    assert.equal((await entries[2].keeper.findChange('c-1'))?.revision, 2);
+  });
+}
+
+test('[rules] members finish a change whose coordinator is lost', async () => {
+  const entries = await cluster.startMembers(4);
+  const {keeper} = entries[0];
+  const applied = keeper
+    .apply({
+      changeId: 'c-1',
+      who: 'operator',
+      why: 'w',
+      content: 'second',
+      baseRevision: 1,
+      withoutHosts: [],
+    })
+    .catch(() => undefined);
+  entries[3].setConnected(false);
+  await waitUntil(() => entries[1].keeper.status().pendingChangeId === 'c-1');
+  entries[0].setConnected(false);
+  await waitUntil(
+    () => entries[1].keeper.status().pendingChangeId === undefined,
+  );
+  const outcome = await entries[1].keeper.findChange('c-1');
+  assert.notEqual(outcome?.state, 'undecided');
+  assert.notEqual(outcome, undefined);
+  entries[0].setConnected(true);
+  entries[3].setConnected(true);
+  await applied;
+});
+
+test('[rules] a repeated change id repeats its outcome', async () => {
+  const entries = await cluster.startMembers(2);
+  await applyText(entries[0], 'second', {changeId: 'c-1'});
+  const again = await applyText(entries[1], 'third', {changeId: 'c-1'});
+  assert.equal(again.state, 'accepted');
+  assert.equal(again.revision, 2);
+  await waitUntil(() => entries[1].keeper.content() === 'second');
+});
+
+test('[rules] a store that answers from an older copy reverts no entry', async () => {
+  const entries = await cluster.startMembers(3);
+  cluster.store.staleCopy = new Map(cluster.store.objects);
+  const outcome = await applyText(entries[0], 'second');
+  assert.equal(outcome.state, 'accepted', outcome.reason);
+  const late = await cluster.start('h4');
+  await waitUntil(() => late.keeper.inForce()?.revision === 2);
+  await waitUntil(() => revisionsInForce(entries).every(r => r === 2));
+});
+
+test('[rules] an entry that starts in an outage serves what its peers know, or nothing', async () => {
+  const entries = await cluster.startMembers(3);
+  await applyText(entries[0], 'second');
+  cluster.store.isDown = true;
+  const guest = await cluster.start('h4');
+  await waitUntil(() => guest.keeper.inForce()?.revision === 2);
+  assert.equal(guest.keeper.status().servesBy, 'peers');
+  const lonely = await cluster.start('h5', {listSeedAddresses: () => []});
+  assert.equal(await lonely.keeper.waitUntilServing(200), false);
+});
+
+test('[rules] a change waits for the grants of a guest that does not hear of it', async () => {
+  const entries = await cluster.startMembers(3);
+  cluster.store.isDown = true;
+  const guest = await cluster.start('h4');
+  await waitUntil(() => guest.keeper.inForce()?.revision === 1);
+  guest.setConnected(false);
+  cluster.store.isDown = false;
+  const outcome = await applyText(entries[0], 'second');
+  const guestServes = guest.keeper.inForce();
+  assert.equal(outcome.state, 'accepted', outcome.reason);
+  assert.equal(guestServes, undefined);
+});
+
+test('[rules] all entries restarted at once go on with the accepted rules', async () => {
+  const entries = await cluster.startMembers(3);
+  await applyText(entries[0], 'second');
+  for (const entry of entries) entry.setConnected(false);
+  await Promise.all(entries.map(entry => entry.kill()));
+  const successors = await Promise.all(
+    entries.map(({member}) => {
+      const port = Number(member.peerAddress.split(':')[1]);
+      return cluster.start(member.host, {}, port);
+    }),
+  );
+  await waitUntil(() => revisionsInForce(successors).every(r => r === 2));
+  const outcome = await applyText(successors[0], 'third');
+  assert.equal(outcome.state, 'accepted', outcome.reason);
+});
+
+test('[rules] a member that leaves is removed and delays no later change', async () => {
+  const entries = await cluster.startMembers(3);
+  await entries[2].keeper.stop();
+  await waitUntil(() => entries[0].keeper.status().members.length === 2);
+  const outcome = await applyText(entries[0], 'second');
+  assert.deepEqual(outcome.silentHosts, []);
+});
+
+test('[rules] a member that is silent for long is removed', async () => {
+  const acceptance = {
+    freshnessMs: 300,
+    marginMs: 20,
+    abortAfterMs: 300,
+    coordinatorSilenceMs: 200,
+    lostAfterMs: 400,
+  };
+  const entries = await cluster.startMembers(3, {acceptance});
+  entries[2].setConnected(false);
+  await waitUntil(() => entries[0].keeper.status().members.length === 2);
+  entries[2].setConnected(true);
+  await waitUntil(() => entries[2].keeper.status().members.length === 3);
+});
+
+test('[rules] a rule file larger than one object travels in chunks', async () => {
+  const entries = await cluster.startMembers(1);
+  const content = 'é'.repeat(700_000);
+  const outcome = await applyText(entries[0], content, {
+    changeId: 'large',
+    why: 'a large file',
+  });
+  assert.equal(outcome.state, 'accepted', outcome.reason);
+  for (const object of cluster.store.objects.values()) {
+    assert.ok(Buffer.byteLength(object.value) < 1_000_000, object.key);
+  }
+  entries[0].setConnected(false);
+  const late = await cluster.start('h2', {listSeedAddresses: () => []});
+  await waitUntil(() => late.keeper.content() === content);
+});
+
+test('[rules] a reason that would outgrow the head is refused', async () => {
+  const [entry] = await cluster.startMembers(1);
+  const outcome = await applyText(entry, 'second', {why: 'y'.repeat(501)});
+  assert.equal(outcome.state, 'refused');
+  assert.match(outcome.reason, /at most 100 and 500 characters/);
+});
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -19,6 +19,8 @@
   readonly timeoutMs: number;
   /** Certificates for HTTPS; plain HTTP without them. */
   readonly tls?: AgentOptions;
+  /** Local address of the connections; the system's choice without it. */
+  readonly localAddress?: string;
   readonly traffic: TrafficCounter;
 }
 
@@ -94,7 +96,12 @@
 }
 
 function createAgent(options: PeerClientOptions): HttpAgent | HttpsAgent {
-  const agentOptions = {keepAlive: true, timeout: IDLE_SOCKET_MS};
+  const {localAddress} = options;
+  const agentOptions = {
+    keepAlive: true,
+    timeout: IDLE_SOCKET_MS,
+    localAddress,
+  };
   const agent =
     options.tls === undefined
       ? new HttpAgent(agentOptions)
