Ask a host before it is left out and remove hosts that the list dropped

Cause: "--without" of a member that had just joined was accepted, because nothing had been heard of it yet (seen in 1 of 3 repeated runs of the fault tests); another test asked before the freshness bound had passed. Ruled out: treating a member never heard as running; a host that died before this entry started could then never be left out. Change: each host to be left out is asked and refused if that run answers; hosts that the host list dropped are removed once silent for the freshness bound; a measurement of costs at 2, 4, 8 and 16 members; two more tests.

--- a/packages/entry/src/control/acceptance/create_rules_keeper.ts
+++ b/packages/entry/src/control/acceptance/create_rules_keeper.ts
@@ -88,7 +88,7 @@
   const sync = StoreSync.create(node);
   DecisionWriter.create(node, sync, exchange);
   const proposer = ChangeProposer.create(node, sync, exchange);
-  const applier = RulesApplier.create(node, sync, proposer);
+  const applier = RulesApplier.create(node, sync, proposer, exchange);
   const membership = MembershipKeeper.create(node, proposer);
   const loops = [
     node.runTickLoop(),
--- a/packages/entry/src/control/acceptance/keeper_options.ts
+++ b/packages/entry/src/control/acceptance/keeper_options.ts
@@ -42,6 +42,8 @@
   readonly initialRules?: string;
   /** Peer addresses to ask while no head is known, from settings or hosts. */
   readonly listSeedAddresses?: () => readonly string[];
+  /** Hosts that the host list no longer has; removed once they are silent. */
+  readonly listGoneHosts?: () => readonly string[];
   /** Certificates for calls to peers; plain HTTP without them. */
   readonly tls?: AgentOptions;
   /** Local address of connections to peers. */
@@ -100,6 +102,7 @@
 ): ResolvedKeeperOptions {
   return {
     listSeedAddresses: () => [],
+    listGoneHosts: () => [],
     exchangePeriodMs: 1_000,
     fanout: 3,
     confirmPeriodMs: 1_000,
--- a/packages/entry/src/control/acceptance/membership_keeper.ts
+++ b/packages/entry/src/control/acceptance/membership_keeper.ts
@@ -103,13 +103,17 @@
 
   private listLostKeys(head: RulesHead): ReadonlySet<string> {
     const {state, options, startedAtMs} = this.node;
-    const {lostAfterMs} = options.acceptance;
+    const {lostAfterMs, freshnessMs} = options.acceptance;
+    const goneHosts = new Set(options.listGoneHosts());
     const nowMs = this.node.nowMs();
-    const lost = head.members.map(formatMemberKey).filter(key => {
+    const selfKey = formatMemberKey(state.self);
+    const lost = head.members.filter(member => {
+      const key = formatMemberKey(member);
+      if (key === selfKey) return false;
       const heardAtMs = state.heardAtMs.get(key) ?? startedAtMs;
-      return nowMs - heardAtMs > lostAfterMs;
+      const limitMs = goneHosts.has(member.host) ? freshnessMs : lostAfterMs;
+      return nowMs - heardAtMs > limitMs;
     });
-    const selfKey = formatMemberKey(state.self);
-    return new Set(lost.filter(key => key !== selfKey));
+    return new Set(lost.map(formatMemberKey));
   }
 }
--- a/packages/entry/src/control/acceptance/peer_exchange.ts
+++ b/packages/entry/src/control/acceptance/peer_exchange.ts
@@ -79,8 +79,12 @@
     );
   }
 
-  /** Asks one peer; failures are silent, as the next period asks again. */
-  async exchangeWith(address: string): Promise<void> {
+  /**
+   * Asks one peer. A failure is not reported, as the next period asks again.
+   *
+   * @returns the entry that answered, undefined when none did.
+   */
+  async exchangeWith(address: string): Promise<Member | undefined> {
     const {node} = this;
     const sentAtMs = node.nowMs();
     const request = this.createRequest(address);
@@ -91,9 +95,10 @@
         request,
         node.stopSignal,
       );
-      this.takeAnswer(address, response, sentAtMs);
+      return this.takeAnswer(address, response, sentAtMs);
     } catch {
       this.knowledge.delete(address);
+      return undefined;
     } finally {
       this.inFlight.delete(address);
     }
@@ -138,10 +143,12 @@
     address: string,
     response: ExchangeResponse,
     sentAtMs: number,
-  ): void {
+  ): Member | undefined {
     const {node} = this;
     const report = this.decode(response.report);
-    if (report === undefined || response.report === undefined) return;
+    if (report === undefined || response.report === undefined) {
+      return undefined;
+    }
     this.knowledge.set(address, {
       sequence: report.knownSequence,
       membersDigest: readMembersDigest(response.report),
@@ -149,6 +156,7 @@
     if (report.head !== undefined) this.loader.noteSource(address);
     node.dispatch({kind: 'peerAnswered', report, sentAtMs});
     this.confirmLater(address, report, sentAtMs);
+    return report.sender;
   }
 
   // An answer that came with a newer head counts once the content is loaded.
--- a/packages/entry/src/control/acceptance/rules_applier.ts
+++ b/packages/entry/src/control/acceptance/rules_applier.ts
@@ -2,6 +2,7 @@
   RouterError,
   findRecord,
   formatMemberKey,
+  hasMember,
   resolveMembers,
   type ChangeOffer,
   type ChangeRecord,
@@ -13,6 +14,7 @@
 import {digestText, writeContent} from './content_store.js';
 import {CHANGE_PREFIX} from './decision_writer.js';
 import type {KeeperNode} from './keeper_node.js';
+import type {PeerExchange} from './peer_exchange.js';
 import type {StoreSync} from './store_sync.js';
 
 /** Bounds of the texts that the head keeps of each change, in characters. */
@@ -26,14 +28,16 @@
     private readonly node: KeeperNode,
     private readonly sync: StoreSync,
     private readonly proposer: ChangeProposer,
+    private readonly exchange: PeerExchange,
   ) {}
 
   static create(
     node: KeeperNode,
     sync: StoreSync,
     proposer: ChangeProposer,
+    exchange: PeerExchange,
   ): RulesApplier {
-    return new RulesApplier(node, sync, proposer);
+    return new RulesApplier(node, sync, proposer, exchange);
   }
 
   /** Checks, proposes and waits for the outcome of a rule file. */
@@ -59,6 +63,10 @@
       return refuse(request, reason, findings);
     }
     node.addContent(request.content);
+    const running = await this.findRunningHost(request.withoutHosts);
+    if (running !== undefined) {
+      return refuse(request, describeRunning(running), findings);
+    }
     const result = await this.proposer.propose(
       head => this.createOffer(head, request),
       endAtMs - node.nowMs(),
@@ -104,6 +112,22 @@
     return resolveOutcome(JSON.parse(archived) as ChangeRecord, []);
   }
 
+  // A host may run without having been heard lately, so each is asked now.
+  private async findRunningHost(
+    hosts: readonly string[],
+  ): Promise<string | undefined> {
+    const members = this.node.state.known?.members ?? [];
+    const asked = members.filter(member => hosts.includes(member.host));
+    const answers = await Promise.all(
+      asked.map(member => this.exchange.exchangeWith(member.peerAddress)),
+    );
+    const running = asked.find((member, index) => {
+      const answer = answers[index];
+      return answer !== undefined && hasMember([answer], member);
+    });
+    return running?.host;
+  }
+
   private createOffer(
     head: RulesHead,
     request: ApplyRulesRequest,
@@ -147,7 +171,7 @@
       const isSelf = host === state.self.host;
       const ageMs = nowMs - (heardAtMs ?? -Infinity);
       if (isSelf || ageMs < state.options.freshnessMs) {
-        return `Host ${host} is running and cannot be left out.`;
+        return describeRunning(host);
       }
     }
     return undefined;
@@ -193,6 +217,10 @@
   }
 }
 
+function describeRunning(host: string): string {
+  return `Host ${host} is running and cannot be left out.`;
+}
+
 function checkRequest(request: ApplyRulesRequest): string | undefined {
   const {changeId, who, why} = request;
   if (!CHANGE_ID_PATTERN.test(changeId)) {
--- a/packages/entry/test/control/keeper_cluster.ts
+++ b/packages/entry/test/control/keeper_cluster.ts
@@ -1,4 +1,9 @@
-import type {Member, RuleSet} from '@anvilrudder/core';
+import {
+  parseHead,
+  type Member,
+  type RuleSet,
+  type RulesHead,
+} from '@anvilrudder/core';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
@@ -147,6 +152,12 @@
     return started;
   }
 
+  /** The head as the store holds it. */
+  readHead(): RulesHead | undefined {
+    const object = this.store.objects.get('rules/head');
+    return object === undefined ? undefined : parseHead(object.value);
+  }
+
   private isConnected(localAddress: string): boolean {
     return !this.cutAddresses.has(localAddress);
   }
--- /dev/null
+++ b/packages/entry/test/control/measure_control_cost.ts
@@ -0,0 +1,149 @@
+// Measures what acceptance costs a member, at rest and for each change.
+//
+// Usage: node packages/entry/dist/test/control/measure_control_cost.js [s] [n…]
+import {pathToFileURL} from 'node:url';
+import type {AcceptanceKeeper} from '../../src/control/acceptance/index.js';
+import {KeeperCluster, applyText, waitUntil} from './keeper_cluster.js';
+
+const MS_PER_S = 1_000;
+const US_PER_S = 1_000_000;
+const CHANGE_COUNT = 5;
+const RULE_LINE_COUNT = 200;
+const DEFAULT_SECONDS = 10;
+const DEFAULT_SIZES: readonly number[] = [2, 4, 8, 16];
+
+/** Costs of one member, averaged over the deployment. */
+export interface ControlCost {
+  readonly members: number;
+  readonly restBytesPerS: number;
+  readonly restCallsPerS: number;
+  readonly restStoreWritesPerS: number;
+  readonly restWatchesPerS: number;
+  readonly restCpuPercent: number;
+  readonly bytesPerChange: number;
+  readonly callsPerChange: number;
+  readonly storeWritesPerChange: number;
+  readonly changeMs: number;
+}
+
+interface Totals {
+  readonly bytes: number;
+  readonly calls: number;
+  readonly writes: number;
+  readonly watches: number;
+}
+
+/** Measures keepers in this process over loopback. */
+export async function measureControlCost(
+  members: number,
+  durationMs: number,
+): Promise<ControlCost> {
+  const cluster = KeeperCluster.create();
+  const entries = await cluster.startMembers(members, {
+    acceptance: {freshnessMs: 6_000, marginMs: 500, lostAfterMs: 60_000},
+    exchangePeriodMs: 1_000,
+    confirmPeriodMs: 1_000,
+    initialRules: createRules(0),
+  });
+  const keepers = entries.map(entry => entry.keeper);
+  const rest = await measureRest(keepers, durationMs);
+  const before = sumTotals(keepers);
+  const startedAtMs = performance.now();
+  let changeMs = 0;
+  for (let change = 1; change <= CHANGE_COUNT; change++) {
+    const changeStartMs = performance.now();
+    const entry = entries[change % members];
+    const outcome = await applyText(entry, createRules(change), {
+      changeId: `change-${change}`,
+      why: 'a measurement',
+    });
+    if (outcome.state !== 'accepted') throw new Error(outcome.reason);
+    await waitUntil(() =>
+      keepers.every(k => k.inForce()?.revision === change + 1),
+    );
+    changeMs += (performance.now() - changeStartMs) / CHANGE_COUNT;
+  }
+  const elapsedS = (performance.now() - startedAtMs) / MS_PER_S;
+  const after = sumTotals(keepers);
+  await cluster.stop();
+  // What the members would have spent at rest meanwhile is taken off.
+  const perChange = (spent: number, restPerS: number): number =>
+    (spent - restPerS * elapsedS * members) / CHANGE_COUNT;
+  return {
+    members,
+    ...rest,
+    bytesPerChange: perChange(after.bytes - before.bytes, rest.restBytesPerS),
+    callsPerChange: perChange(after.calls - before.calls, rest.restCallsPerS),
+    storeWritesPerChange: perChange(
+      after.writes - before.writes,
+      rest.restStoreWritesPerS,
+    ),
+    changeMs,
+  };
+}
+
+async function measureRest(
+  keepers: readonly AcceptanceKeeper[],
+  durationMs: number,
+) {
+  const before = sumTotals(keepers);
+  const cpuBefore = process.cpuUsage();
+  await new Promise(resolve => setTimeout(resolve, durationMs));
+  const after = sumTotals(keepers);
+  const cpu = process.cpuUsage(cpuBefore);
+  const rate = (from: number, to: number): number =>
+    (to - from) / (durationMs / MS_PER_S) / keepers.length;
+  const cpuS = (cpu.user + cpu.system) / US_PER_S;
+  return {
+    restBytesPerS: rate(before.bytes, after.bytes),
+    restCallsPerS: rate(before.calls, after.calls),
+    restStoreWritesPerS: rate(before.writes, after.writes),
+    restWatchesPerS: rate(before.watches, after.watches),
+    restCpuPercent: rate(0, cpuS) * 100,
+  };
+}
+
+function sumTotals(keepers: readonly AcceptanceKeeper[]): Totals {
+  const counters = keepers.map(keeper => keeper.counters());
+  const sum = (read: (c: (typeof counters)[number]) => number): number =>
+    counters.reduce((total, c) => total + read(c), 0);
+  return {
+    bytes: sum(
+      ({peerClient, peerServer}) =>
+        peerClient.bytesSent +
+        peerClient.bytesReceived +
+        peerServer.bytesSent +
+        peerServer.bytesReceived,
+    ),
+    calls: sum(c => c.peerClient.calls),
+    writes: sum(c => c.store.writes),
+    watches: sum(c => c.store.watches),
+  };
+}
+
+function createRules(change: number): string {
+  return Array.from({length: RULE_LINE_COUNT}, (_, line) =>
+    line === change
+      ? `withdraw model=m version=v${change} # operator: measurement`
+      : `allow organisation=school-${line} model=m # operator: agreement`,
+  ).join('\n');
+}
+
+if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) {
+  const [seconds = String(DEFAULT_SECONDS), ...sizes] = process.argv.slice(2);
+  const counts = sizes.length === 0 ? DEFAULT_SIZES : sizes.map(Number);
+  const rows: ControlCost[] = [];
+  for (const count of counts) {
+    rows.push(await measureControlCost(count, Number(seconds) * MS_PER_S));
+  }
+  console.table(rows.map(row => roundValues(row)));
+}
+
+function roundValues(row: ControlCost) {
+  return Object.fromEntries(
+    Object.entries(row).map(([key, value]) => [
+      key,
+      Math.round(Number(value) * 100) / 100,
+    ]),
+  );
+}
--- a/packages/entry/test/faults/rules_acceptance.test.ts
+++ b/packages/entry/test/faults/rules_acceptance.test.ts
@@ -1,12 +1,15 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
 import {
+  FAST_OPTIONS,
   KeeperCluster,
   applyText,
   waitUntil,
   type ClusterEntry,
 } from '../control/keeper_cluster.js';
 
+const FRESHNESS_MS = FAST_OPTIONS.acceptance.freshnessMs;
+
 let cluster: KeeperCluster;
 beforeEach(() => {
   cluster = KeeperCluster.create();
@@ -62,7 +65,12 @@
   const entries = await cluster.startMembers(4);
   await entries[2].kill();
   entries[3].setConnected(false);
-  await waitUntil(() => entries[3].keeper.inForce() === undefined);
+  await waitUntil(() => {
+    const silent = entries[0].keeper
+      .status()
+      .members.filter(m => ['h3', 'h4'].includes(m.host));
+    return silent.every(m => (m.heardAgeMs ?? Infinity) > FRESHNESS_MS);
+  });
   const withoutHosts = ['h3', 'h4'].filter(host =>
     entries[0].keeper.status().members.some(m => m.host === host),
   );
@@ -234,6 +242,21 @@
   await waitUntil(() => entries[2].keeper.status().members.length === 3);
 });
 
+test('[rules] a silent member that the host list dropped is removed sooner', async () => {
+  const entries = await cluster.startMembers(3, {listGoneHosts: () => ['h3']});
+  entries[2].setConnected(false);
+  await waitUntil(() => entries[0].keeper.status().members.length === 2);
+});
+
+test('[rules] entries that all left go on with the accepted rules', async () => {
+  const entries = await cluster.startMembers(2);
+  await applyText(entries[0], 'second');
+  for (const entry of entries) await entry.keeper.stop();
+  await waitUntil(() => cluster.readHead()?.members.length === 0);
+  const late = await cluster.start('h3', {listSeedAddresses: () => []});
+  await waitUntil(() => late.keeper.inForce()?.revision === 2);
+});
+
 test('[rules] a rule file larger than one object travels in chunks', async () => {
   const entries = await cluster.startMembers(1);
   const content = 'é'.repeat(700_000);
