--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,3 +18,5 @@
 export * from './admission/index.js';
 export * from './limits/index.js';
 export * from './retries/index.js';
+export * from './membership/index.js';
+export * from './acceptance/index.js';
--- /dev/null
+++ b/packages/entry/src/control/acceptance/rules_applier.ts
@@ -0,0 +1,268 @@
+import {
+  RouterError,
+  findRecord,
+  formatMemberKey,
+  hasMember,
+  resolveMembers,
+  type ChangeOffer,
+  type ChangeRecord,
+  type Finding,
+  type RulesHead,
+} from '@anvilrudder/core';
+import type {ApplyRulesRequest, ChangeOutcome} from '../rules_keeper.js';
+import type {ChangeProposer, ProposeResult} from './change_proposer.js';
+import {digestText, writeContent} from './content_store.js';
+import {CHANGE_PREFIX} from './decision_writer.js';
+import type {KeeperNode} from './keeper_node.js';
+import type {PeerExchange} from './peer_exchange.js';
+import type {StoreSync} from './store_sync.js';
+
+/** Bounds of the texts that the head keeps of each change, in characters. */
+const MAX_WHO_LENGTH = 100;
+const MAX_WHY_LENGTH = 500;
+const CHANGE_ID_PATTERN = /^[\w.-]{1,100}$/;
+
+/** Applies the operators' changes and answers for their outcomes. */
+export class RulesApplier {
+  private constructor(
+    private readonly node: KeeperNode,
+    private readonly sync: StoreSync,
+    private readonly proposer: ChangeProposer,
+    private readonly exchange: PeerExchange,
+  ) {}
+
+  static create(
+    node: KeeperNode,
+    sync: StoreSync,
+    proposer: ChangeProposer,
+    exchange: PeerExchange,
+  ): RulesApplier {
+    return new RulesApplier(node, sync, proposer, exchange);
+  }
+
+  /** Checks, proposes and waits for the outcome of a rule file. */
+  async apply(request: ApplyRulesRequest): Promise<ChangeOutcome> {
+    const {node} = this;
+    const endAtMs = node.nowMs() + node.options.applyTimeoutMs;
+    const fault = checkRequest(request);
+    if (fault !== undefined) return refuse(request, fault, []);
+    const {rules, findings} = node.options.parse(request.content);
+    if (rules === undefined) {
+      return refuse(request, 'The rule file has errors.', findings);
+    }
+    try {
+      const earlier = await this.findChange(request.changeId);
+      if (earlier !== undefined && earlier.state !== 'undecided') {
+        return earlier;
+      }
+      const digest = digestText(request.content);
+      await writeContent(node.heads, digest, request.content);
+    } catch {
+      const reason =
+        'The object API is unavailable; nothing was changed. Repeat the change with its id.';
+      return refuse(request, reason, findings);
+    }
+    node.addContent(request.content);
+    const running = await this.findRunningHost(request.withoutHosts);
+    if (running !== undefined) {
+      return refuse(request, describeRunning(running), findings);
+    }
+    const result = await this.proposer.propose(
+      head => this.createOffer(head, request),
+      endAtMs - node.nowMs(),
+    );
+    return this.resolveResult(request, result, findings, endAtMs);
+  }
+
+  /**
+   * Finds the outcome of a change.
+   *
+   * @throws RouterError `platform_unavailable` when the store is out and the
+   * change is not among the recent ones known here.
+   */
+  async findChange(changeId: string): Promise<ChangeOutcome | undefined> {
+    try {
+      return await this.findStored(changeId);
+    } catch (error) {
+      const {known} = this.node.state;
+      const record =
+        known === undefined ? undefined : findRecord(known, changeId);
+      if (record !== undefined) return resolveOutcome(record, []);
+      throw RouterError.create('The outcome cannot be read now.', {
+        code: 'platform_unavailable',
+        retryAfterMs: this.node.options.confirmPeriodMs,
+        cause: error,
+      });
+    }
+  }
+
+  private async findStored(
+    changeId: string,
+  ): Promise<ChangeOutcome | undefined> {
+    const stored = await this.sync.readHead();
+    if (stored === undefined) return undefined;
+    const {head} = stored;
+    if (head.pending?.changeId === changeId) {
+      return createUndecided(changeId, 'The change is not decided yet.');
+    }
+    const recent = findRecord(head, changeId);
+    if (recent !== undefined) return resolveOutcome(recent, []);
+    const archived = await this.node.heads.get(`${CHANGE_PREFIX}/${changeId}`);
+    if (archived === undefined) return undefined;
+    return resolveOutcome(JSON.parse(archived) as ChangeRecord, []);
+  }
+
+  // A host may run without having been heard lately, so each is asked now.
+  private async findRunningHost(
+    hosts: readonly string[],
+  ): Promise<string | undefined> {
+    const members = this.node.state.known?.members ?? [];
+    const asked = members.filter(member => hosts.includes(member.host));
+    const answers = await Promise.all(
+      asked.map(member => this.exchange.exchangeWith(member.peerAddress)),
+    );
+    const running = asked.find((member, index) => {
+      const answer = answers[index];
+      return answer !== undefined && hasMember([answer], member);
+    });
+    return running?.host;
+  }
+
+  private createOffer(
+    head: RulesHead,
+    request: ApplyRulesRequest,
+  ): ChangeOffer | string {
+    const {changeId, who, why, baseRevision, withoutHosts} = request;
+    const objection = this.checkWithoutHosts(head, withoutHosts);
+    if (objection !== undefined) return objection;
+    const {state} = this.node;
+    const joiners = [...state.joiners.values()].map(joiner => joiner.member);
+    const members =
+      withoutHosts.length === 0
+        ? head.members
+        : resolveMembers({
+            members: head.members,
+            joiners,
+            lostKeys: new Set(),
+            withoutHosts,
+          });
+    return {
+      changeId,
+      digest: digestText(request.content),
+      baseRevision,
+      members,
+      coordinator: state.self,
+      who,
+      why,
+      vouchedHosts: withoutHosts,
+    };
+  }
+
+  private checkWithoutHosts(
+    head: RulesHead,
+    hosts: readonly string[],
+  ): string | undefined {
+    const {state} = this.node;
+    const nowMs = this.node.nowMs();
+    for (const host of hosts) {
+      const member = head.members.find(m => m.host === host);
+      if (member === undefined) return `Host ${host} is not a member.`;
+      const heardAtMs = state.heardAtMs.get(formatMemberKey(member));
+      const isSelf = host === state.self.host;
+      const ageMs = nowMs - (heardAtMs ?? -Infinity);
+      if (isSelf || ageMs < state.options.freshnessMs) {
+        return describeRunning(host);
+      }
+    }
+    return undefined;
+  }
+
+  private async resolveResult(
+    request: ApplyRulesRequest,
+    result: ProposeResult,
+    findings: readonly Finding[],
+    endAtMs: number,
+  ): Promise<ChangeOutcome> {
+    if (result.kind === 'decided') {
+      return resolveOutcome(result.record, findings);
+    }
+    if (result.kind === 'refused') {
+      return refuse(request, result.reason, findings);
+    }
+    if (result.kind === 'busy') {
+      return refuse(request, 'Another change is undecided.', findings);
+    }
+    if (result.kind === 'failed' && !result.isUnknown) {
+      return refuse(request, 'The object API is unavailable.', findings);
+    }
+    const record = await this.waitForRecord(request.changeId, endAtMs);
+    if (record !== undefined) return resolveOutcome(record, findings);
+    return createUndecided(
+      request.changeId,
+      'The outcome is not known yet; ask for it by the change id.',
+    );
+  }
+
+  private async waitForRecord(
+    changeId: string,
+    endAtMs: number,
+  ): Promise<ChangeRecord | undefined> {
+    const {node} = this;
+    const find = (): ChangeRecord | undefined =>
+      node.state.known === undefined
+        ? undefined
+        : findRecord(node.state.known, changeId);
+    await node.waitFor(() => find() !== undefined, endAtMs - node.nowMs());
+    return find();
+  }
+}
+
+function describeRunning(host: string): string {
+  return `Host ${host} is running and cannot be left out.`;
+}
+
+function checkRequest(request: ApplyRulesRequest): string | undefined {
+  const {changeId, who, why} = request;
+  if (!CHANGE_ID_PATTERN.test(changeId)) {
+    return 'A change id has 1 to 100 letters, digits, dots, dashes or underscores.';
+  }
+  if (who.length > MAX_WHO_LENGTH || why.length > MAX_WHY_LENGTH) {
+    return `The operator's name and the reason have at most ${MAX_WHO_LENGTH} and ${MAX_WHY_LENGTH} characters.`;
+  }
+  return undefined;
+}
+
+function refuse(
+  request: ApplyRulesRequest,
+  reason: string,
+  findings: readonly Finding[],
+): ChangeOutcome {
+  const {changeId, baseRevision} = request;
+  return {
+    changeId,
+    state: 'refused',
+    revision: baseRevision,
+    reason,
+    findings,
+    silentHosts: [],
+  };
+}
+
+function createUndecided(changeId: string, reason: string): ChangeOutcome {
+  return {
+    changeId,
+    state: 'undecided',
+    revision: 0,
+    reason,
+    findings: [],
+    silentHosts: [],
+  };
+}
+
+function resolveOutcome(
+  record: ChangeRecord,
+  findings: readonly Finding[],
+): ChangeOutcome {
+  const {changeId, state, revision, reason, silentHosts} = record;
+  return {changeId, state, revision, reason, findings, silentHosts};
+}
