--- /dev/null
+++ b/packages/core/src/audit/index.ts
@@ -0,0 +1,2 @@
+export * from './audit_record.js';
+export * from './audit_protocol.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,3 +9,4 @@
 export * from './billing/index.js';
 export * from './leases/index.js';
 export * from './orders/index.js';
+export * from './audit/index.js';
--- a/packages/entry/test/faults/orders_table.test.ts
+++ b/packages/entry/test/faults/orders_table.test.ts
@@ -229,6 +229,21 @@
   assert.deepEqual(await bench.listLoaded(), ['v2', 'none', 'none']);
 });
 
+test('[orders] a step cancelled after the listing is not ordered', async () => {
+  const bench = new Bench();
+  const {lease, runner} = bench.createRunner('entry-1');
+  await lease.advance();
+  await runner.plan('r-1', STEPS);
+  let goOn = () => {};
+  const slow = new Promise<void>(resolve => (goOn = resolve));
+  bench.store.script({method: 'list', holdAfter: slow});
+  const advancing = runner.advance('r-1');
+  assert.equal(await runner.cancel('r-1'), true);
+  goOn();
+  await advancing;
+  assert.deepEqual(bench.engines.sent, []);
+});
+
 /** An order of a paused holder arrives after its successor's orders. */
 async function deliverOldOrder(bench: Bench): Promise<RolloutRunner> {
   const first = bench.createRunner('entry-1');
