--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,3 +19,4 @@
 export * from './types/identity.js';
 export * from './types/object_store.js';
 export * from './utils/index.js';
+export * from './audit/index.js';
