Lend no requests that still run; rebuild only changed rings

Change: entries announce the requests at once that they hold or still run, and the others lend from the rest; demand is smoothed over more beats; rings are built when next needed and only for versions whose servers changed. The new test was red on the former code (running passed 40).

--- a/packages/core/src/balancing/backend_balancer.ts
+++ b/packages/core/src/balancing/backend_balancer.ts
@@ -52,6 +52,7 @@
 /** Chooses the backend server of each attempt, for one entry. */
 export class BackendBalancer {
   private readonly states = new Map<string, ServerState>();
+  private readonly members = new Map<string, ServerState[]>();
   private readonly pools = new Map<string, VersionPool>();
 
   private entryCount = 1;
@@ -84,10 +85,11 @@
     this.states.clear();
     for (const server of servers) {
       const known = before.get(server.id);
-      const state = known ? {...known, server} : createServerState(server);
+      const state = known ?? createServerState(server);
+      state.server = server;
       this.states.set(server.id, state);
     }
-    this.rebuildPools();
+    this.regroup();
   }
 
   /** Tells how many entries send to the same servers, this one included. */
@@ -115,7 +117,7 @@
    * @returns undefined when no server can take the request.
    */
   pick(request: PickRequest, nowMs: number): string | undefined {
-    const pool = this.pools.get(formatModelVersion(request));
+    const pool = this.findPool(request);
     if (pool === undefined) return undefined;
     const {failureDomain, crossingPenalty, loadBound, random} = this.options;
     const state = SERVER_POLICIES[this.options.policy]({
@@ -149,40 +151,51 @@
 
   /** Number of servers that may get new work for a version. */
   countAvailable(version: ModelVersion, nowMs: number): number {
-    const pool = this.pools.get(formatModelVersion(version));
-    const states = pool?.states ?? [];
+    const states = this.members.get(formatModelVersion(version)) ?? [];
     return states.filter(state => isAvailable(state, nowMs)).length;
   }
 
   /** Slots of the servers that may get new work for a version. */
   countSlots(version: ModelVersion, nowMs: number): number {
-    const pool = this.pools.get(formatModelVersion(version));
-    return (pool?.states ?? [])
+    return (this.members.get(formatModelVersion(version)) ?? [])
       .filter(state => isAvailable(state, nowMs))
       .reduce((sum, {slots}) => sum + slots, 0);
   }
 
   private listPools(state: ServerState): readonly VersionPool[] {
     return state.server.loaded
-      .map(version => this.pools.get(formatModelVersion(version)))
+      .map(version => this.findPool(version))
       .filter(pool => pool !== undefined);
   }
 
-  private rebuildPools(): void {
-    const statesByVersion = new Map<string, ServerState[]>();
+  private regroup(): void {
+    this.members.clear();
     for (const state of this.states.values()) {
       for (const version of state.server.loaded) {
         const key = formatModelVersion(version);
-        const states = statesByVersion.get(key) ?? [];
-        states.push(state);
-        statesByVersion.set(key, states);
+        const states = this.members.get(key);
+        if (states === undefined) this.members.set(key, [state]);
+        else states.push(state);
       }
     }
-    this.pools.clear();
-    for (const [key, states] of statesByVersion) {
-      this.pools.set(key, VersionPool.create(states));
+    for (const [key, pool] of this.pools) {
+      const isKept = pool.hasMembers(this.members.get(key) ?? []);
+      if (!isKept) this.pools.delete(key);
     }
   }
+
+  // A ring is built when the version is next asked for, so that a change of
+  // many servers does not block the loop for long.
+  private findPool(version: ModelVersion): VersionPool | undefined {
+    const key = formatModelVersion(version);
+    const known = this.pools.get(key);
+    if (known !== undefined) return known;
+    const states = this.members.get(key);
+    if (states === undefined) return undefined;
+    const pool = VersionPool.create(states);
+    this.pools.set(key, pool);
+    return pool;
+  }
 }
 
 function countFailures(state: ServerState, outcome: AttemptOutcome): void {
--- a/packages/core/src/balancing/server_state.ts
+++ b/packages/core/src/balancing/server_state.ts
@@ -38,7 +38,7 @@
 
 /** What is known of one server; changed by the balancer only. */
 export interface ServerState {
-  readonly server: BackendServer;
+  server: BackendServer;
   slots: number;
   /** Requests of this entry at the server. */
   inFlight: number;
--- a/packages/core/src/balancing/version_pool.ts
+++ b/packages/core/src/balancing/version_pool.ts
@@ -24,13 +24,21 @@
   private statistics: PoolStatistics | undefined;
 
   private constructor(readonly states: readonly ServerState[]) {
-    this.ring = states.flatMap(createPoints).sort((a, b) => a.hash - b.hash);
+    this.ring = states.flatMap(resolvePoints).sort((a, b) => a.hash - b.hash);
   }
 
   static create(states: readonly ServerState[]): VersionPool {
     return new VersionPool(states);
   }
 
+  /** True when the pool is made of just these servers. */
+  hasMembers(states: readonly ServerState[]): boolean {
+    return (
+      states.length === this.states.length &&
+      states.every((state, index) => state === this.states[index])
+    );
+  }
+
   /** Finds the first distinct servers after the hash of a key. */
   findHomes(key: string, count: number): readonly ServerState[] {
     const homes: ServerState[] = [];
@@ -66,6 +74,16 @@
   }
 }
 
+const pointsByState = new WeakMap<ServerState, readonly RingPoint[]>();
+
+function resolvePoints(state: ServerState): readonly RingPoint[] {
+  const known = pointsByState.get(state);
+  if (known !== undefined) return known;
+  const points = createPoints(state);
+  pointsByState.set(state, points);
+  return points;
+}
+
 function createPoints(state: ServerState): readonly RingPoint[] {
   return Array.from({length: POINTS_PER_SERVER}, (_, index) => ({
     hash: hashToUint32(`${state.server.id}#${index}`),
--- a/packages/core/src/limits/organisation_limiter.ts
+++ b/packages/core/src/limits/organisation_limiter.ts
@@ -46,6 +46,7 @@
   limit: OrganisationLimit;
   readonly bucket: TokenBucket;
   share: number;
+  concurrentShare: number;
   inFlight: number;
   asked: number;
   demandPerS: number;
@@ -57,8 +58,9 @@
 }
 
 const DEFAULT_MEMBER_TIMEOUT_MS = 3000;
-const DEMAND_WEIGHT = 0.5;
+const DEMAND_WEIGHT = 0.25;
 const MS_PER_S = 1000;
+const ROUNDING_ERROR = 1e-9;
 const MIN_RETRY_AFTER_MS = 100;
 const MAX_RETRY_AFTER_MS = 30_000;
 const ALLOWED: LimitDecision = {isAllowed: true};
@@ -151,8 +153,7 @@
     const uses = [...this.states.values()].map(state => {
       this.updateDemand(state, sinceMs);
       this.updateShare(state, nowMs);
-      const {limit, demandPerS, share} = state;
-      return {organisation: limit.organisation, demandPerS, share};
+      return createUse(state);
     });
     return {member: this.options.member, uses};
   }
@@ -164,6 +165,7 @@
       limit,
       bucket: TokenBucket.create(limit.requestsPerS * share, size, nowMs),
       share,
+      concurrentShare: share,
       inFlight: 0,
       asked: 0,
       demandPerS: 0,
@@ -189,16 +191,31 @@
     const others = [...this.heard.values()]
       .map(({uses}) => uses.get(organisation))
       .filter(use => use !== undefined);
-    state.share = SHARE_POLICIES[this.options.policy]({
+    const resolveShare = SHARE_POLICIES[this.options.policy];
+    const own = {
       ownDemandPerS: state.demandPerS,
       memberCount: this.memberCount,
-      others,
-    });
+    };
+    state.share = resolveShare({...own, others});
+    const held = others.map(({demandPerS, concurrentShare}) => ({
+      demandPerS,
+      share: concurrentShare,
+    }));
+    state.concurrentShare = resolveShare({...own, others: held});
     const size = Math.max(1, burst * state.share);
     state.bucket.resize(requestsPerS * state.share, size, nowMs);
   }
 }
 
-function resolveConcurrent({limit, share}: LimitState): number {
-  return Math.max(1, Math.floor(limit.concurrent * share + 1e-9));
+function resolveConcurrent({limit, concurrentShare}: LimitState): number {
+  const part = limit.concurrent * concurrentShare;
+  return Math.max(1, Math.floor(part + ROUNDING_ERROR));
+}
+
+// Requests that still run count as held, though the share has moved on.
+function createUse(state: LimitState): OrganisationUse {
+  const {limit, demandPerS, share, inFlight} = state;
+  const running = inFlight / limit.concurrent;
+  const concurrentShare = Math.max(state.concurrentShare, running);
+  return {organisation: limit.organisation, demandPerS, share, concurrentShare};
 }
--- a/packages/core/src/limits/share_policies.ts
+++ b/packages/core/src/limits/share_policies.ts
@@ -2,7 +2,18 @@
 export interface MemberUse {
   /** Requests a second that callers ask of the entry. */
   readonly demandPerS: number;
-  /** Part of the limit that the entry takes. */
+  /** Part of the rate that the entry takes. */
+  readonly share: number;
+  /**
+   * Part of the requests at once that the entry takes or still has running,
+   * whichever is more.
+   */
+  readonly concurrentShare: number;
+}
+
+/** The part of a limit that another entry holds. */
+export interface HeldShare {
+  readonly demandPerS: number;
   readonly share: number;
 }
 
@@ -12,7 +23,7 @@
   /** Live entries, this one included. */
   readonly memberCount: number;
   /** The other live entries that have been heard. */
-  readonly others: readonly MemberUse[];
+  readonly others: readonly HeldShare[];
 }
 
 /** Sets an entry's share of a limit. */
--- a/packages/core/test/limits/organisation_limiter.test.ts
+++ b/packages/core/test/limits/organisation_limiter.test.ts
@@ -96,6 +96,20 @@
   );
 });
 
+test('requests that still run are not lent to another entry', () => {
+  const limit = {...LIMIT, requestsPerS: 1e6, burst: 1e6, concurrent: 40};
+  const limiters = createLimiters(4);
+  for (const limiter of limiters) limiter.updateLimits([limit], 0);
+  let running = 0;
+  for (let beat = 0; beat < 60; beat++) {
+    const favourite = beat < 30 ? 0 : 1;
+    running += ask(limiters[favourite], 20, beat * BEAT_MS);
+    assert.ok(running <= 40, `beat ${beat}: ${running}`);
+    beatAll(limiters, beat * BEAT_MS);
+  }
+  assert.ok(running >= 38, `${running}`);
+});
+
 test('a refusal tells when to come back, and concurrency is given back', () => {
   const limiter = OrganisationLimiter.create({
     member: 'a/1',
