--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from './acceptance/index.js';
 export * from './admission/index.js';
+export * from './audit/index.js';
 export * from './balancing/index.js';
 export * from './billing/index.js';
 export * from './claims/index.js';
@@ -19,4 +20,3 @@
 export * from './types/identity.js';
 export * from './types/object_store.js';
 export * from './utils/index.js';
-export * from './audit/index.js';
--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -119,7 +119,7 @@
 function createSharedSettings(input: SharedSettingsInput): object {
   return {
     listen: {port: 0},
-    peer: {port: 0, token: randomBytes(24).toString('hex')},
+    peer: {port: 0},
     platform: {
       objectsUrl: input.objectsUrl,
       hostsUrl: input.hostsUrl,
--- a/packages/entry/src/backends/backend_directory.ts
+++ b/packages/entry/src/backends/backend_directory.ts
@@ -51,6 +51,7 @@
  */
 export class BackendDirectory {
   private readonly states = new Map<string, BackendState>();
+  private entryAddresses: readonly string[] = [];
 
   private constructor() {}
 
@@ -61,6 +62,9 @@
   /** Takes a new host list; open requests at removed hosts go on. */
   replaceHosts(hosts: readonly BackendHost[]): void {
     const listed = new Set<string>();
+    this.entryAddresses = hosts
+      .filter(host => host.role === 'entry')
+      .map(host => host.address);
     for (const host of hosts) {
       if (host.role === 'entry') continue;
       listed.add(host.host);
@@ -76,6 +80,11 @@
     }
   }
 
+  /** Peer addresses of the entries that the host list names. */
+  listEntryAddresses(): readonly string[] {
+    return this.entryAddresses;
+  }
+
   /** Takes a load report; a server that says it drains is leaving. */
   recordLoad(hostName: string, load: EngineLoad): void {
     const state = this.states.get(hostName);
--- a/packages/entry/src/config/settings_schema.ts
+++ b/packages/entry/src/config/settings_schema.ts
@@ -39,8 +39,8 @@
   peer: LISTEN.extend({
     /** `ip:port` that other entries reach this one at. */
     advertise: ADDRESS.optional(),
-    /** Shared secret of the entries, at least 32 characters. */
-    token: z.string().min(32).optional(),
+    /** Peer addresses of other entries to ask while the head is not known. */
+    seeds: z.array(ADDRESS).default([]),
   }),
   tls: z
     .strictObject({
--- a/packages/entry/src/control/acceptance/create_rules_keeper.ts
+++ b/packages/entry/src/control/acceptance/create_rules_keeper.ts
@@ -197,7 +197,7 @@
   nowMs: number,
 ): MemberStatus {
   const {state} = node;
-  const {host, incarnation, failureDomain} = member;
+  const {host, incarnation, failureDomain, peerAddress} = member;
   const key = formatMemberKey(member);
   const isSelf = key === formatMemberKey(state.self);
   const heardAtMs = isSelf ? nowMs : state.heardAtMs.get(key);
@@ -206,6 +206,7 @@
     host,
     incarnation,
     failureDomain,
+    peerAddress,
     heardAgeMs:
       heardAtMs === undefined ? undefined : Math.round(nowMs - heardAtMs),
     revision: isCurrent ? state.known?.rules.revision : undefined,
--- /dev/null
+++ b/packages/entry/src/control/billing/start_billing.ts
@@ -0,0 +1,137 @@
+import {
+  resolveShard,
+  type BillingRecord,
+  type MemberId,
+  type ObjectStore,
+} from '@anvilrudder/core';
+import type {Logger, MetricRegistry} from '@anvilrudder/observability';
+import {
+  LedgerService,
+  createHoldClient,
+  createLedgerHandlers,
+} from '@anvilrudder/peers';
+import {createLeaseKeeper} from '../leases/lease_keeper.js';
+import type {PeerDirectory} from '../peering/peer_directory.js';
+import type {Routes} from '../peering/peer_server.js';
+import type {PeerTransports} from '../peering/peer_transports.js';
+import {createBillingCompactor} from './billing_compactor.js';
+import {createBillingJournal} from './billing_journal.js';
+import type {BillingPeer} from './billing_peer.js';
+import {createHeldRecords} from './held_records.js';
+
+const SHARD_COUNT = 1;
+const COMPACT_PERIOD_MS = 5000;
+const LOST_CHECK_PERIOD_MS = 1000;
+/** Silence after which the held records of a peer are written for it. */
+const LOST_AFTER_MS = 15_000;
+
+/** Options of {@link startBilling}. */
+export interface StartBillingOptions {
+  readonly store: ObjectStore;
+  readonly member: MemberId;
+  readonly directory: PeerDirectory;
+  readonly transports: PeerTransports;
+  readonly logger: Logger;
+  readonly metrics: MetricRegistry;
+}
+
+/** The billing of one entry. */
+export interface Billing {
+  readonly routes: Routes;
+  /** Resolves once the loss of this host no longer loses the record. */
+  record(record: BillingRecord): Promise<void>;
+  /** True when new requests must be refused until records are durable. */
+  isFull(): boolean;
+  stop(): Promise<void>;
+}
+
+/**
+ * Starts the journal, the copies held for peers and the compaction.
+ *
+ * @example
+ * ```ts
+ * const billing = startBilling(options);
+ * await billing.record(record);
+ * ```
+ */
+export function startBilling(options: StartBillingOptions): Billing {
+  const {store, member, directory, transports, logger, metrics} = options;
+  const held = createHeldRecords({store});
+  const choosePeer = (
+    excludedHosts: ReadonlySet<string>,
+  ): BillingPeer | undefined => {
+    const peer = directory.chooseElsewhere(excludedHosts);
+    if (peer === undefined) return undefined;
+    const hold = createHoldClient(transports.resolve(peer.peerAddress));
+    return {host: peer.host, hold};
+  };
+  const journal = createBillingJournal({
+    store,
+    incarnation: member.incarnation,
+    choosePeer,
+    shardCount: SHARD_COUNT,
+  });
+  const shard = resolveShard(member.incarnation, SHARD_COUNT);
+  const lease = createLeaseKeeper({store, member, duty: `billing-${shard}`});
+  const compactor = createBillingCompactor({store, member, shard});
+  lease.start();
+  metrics.registerGauge(
+    'billing_pending_records',
+    () => journal.status().pendingRecords,
+  );
+  metrics.registerGauge('billing_held_records', () => held.recordCount);
+
+  const compactTimer = setInterval(() => {
+    if (lease.current() === undefined) return;
+    compactor.compact().catch((error: unknown) => {
+      logger.warn('billing_compaction_failed', {reason: String(error)});
+    });
+  }, COMPACT_PERIOD_MS);
+  const lostTimer = watchLostPeers(options, incarnation => {
+    logger.info('billing_hand_off', {incarnation});
+    void held.handOff(incarnation);
+  });
+
+  return {
+    routes: router => {
+      router.service(
+        LedgerService,
+        createLedgerHandlers(request => held.hold(request)),
+      );
+    },
+    async record(record) {
+      const protection = await journal.commit(record);
+      metrics.count('billing_records_total', {protection});
+    },
+    isFull: () => journal.status().isFull,
+    async stop() {
+      clearInterval(compactTimer);
+      clearInterval(lostTimer);
+      const isFlushed = await journal.flush();
+      if (!isFlushed) logger.warn('billing_flush_failed', {});
+      await held.handOffAll();
+      journal.stop();
+      held.stop();
+      await lease.stop();
+    },
+  };
+}
+
+// Calls back once for each run of a peer that has been silent or was replaced.
+function watchLostPeers(
+  options: StartBillingOptions,
+  onLost: (incarnation: string) => void,
+): NodeJS.Timeout {
+  const lastSeenAtMs = new Map<string, number>();
+  return setInterval(() => {
+    const nowMs = performance.now();
+    for (const {incarnation} of options.directory.listLive()) {
+      lastSeenAtMs.set(incarnation, nowMs);
+    }
+    for (const [incarnation, seenAtMs] of lastSeenAtMs) {
+      if (nowMs - seenAtMs < LOST_AFTER_MS) continue;
+      lastSeenAtMs.delete(incarnation);
+      onLost(incarnation);
+    }
+  }, LOST_CHECK_PERIOD_MS);
+}
--- a/packages/entry/src/control/rules_keeper.ts
+++ b/packages/entry/src/control/rules_keeper.ts
@@ -51,6 +51,8 @@
   readonly host: string;
   readonly incarnation: string;
   readonly failureDomain: string;
+  /** `ip:port` at which the entry answers its peers. */
+  readonly peerAddress: string;
   readonly heardAgeMs: number | undefined;
   readonly revision: number | undefined;
 }
--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -1,33 +1,49 @@
 import {randomUUID} from 'node:crypto';
 import {readFileSync} from 'node:fs';
-import {createServer} from 'node:http';
-import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {parseRules, type MemberId, type ObjectStore} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
-import {HttpObjectStore} from '@anvilrudder/platform';
+import {HttpObjectStore, createCountingStore} from '@anvilrudder/platform';
 import type {Settings} from '../config/settings_schema.js';
-import type {BillingSink, ClaimRunner} from '../entry_context.js';
-import {listen} from '../server/listen.js';
+import type {ClaimRunner} from '../entry_context.js';
+import {
+  createRulesKeeper,
+  type AcceptanceKeeper,
+  type KeeperEvent,
+} from './acceptance/index.js';
+import {createAuditTrail, type AuditTrail} from './audit/audit_trail.js';
+import {startBilling, type Billing} from './billing/start_billing.js';
 import {createClaimRunner} from './claim_runner.js';
 import {createClaimKeeper} from './claims/claim_keeper.js';
+import {createControlRoutes} from './operators/index.js';
 import {
-  MAX_CONTROL_REQUEST_BYTES,
-  createControlRoutes,
-} from './operators/index.js';
-import {createPollingRulesKeeper} from './polling_rules_keeper.js';
-import type {RulesKeeper} from './rules_keeper.js';
+  createPeerDirectory,
+  type PeerDirectory,
+} from './peering/peer_directory.js';
+import {startPeerServer} from './peering/peer_server.js';
+import {createPeerTransports} from './peering/peer_transports.js';
+
+const START_WAIT_MS = 10_000;
+const PEER_TIMEOUT_MS = 1000;
+const STORE_METHODS = ['get', 'put', 'delete', 'list', 'watch'] as const;
 
 /** Options of {@link startControl}. */
 export interface StartControlOptions {
   readonly settings: Settings;
   readonly logger: Logger;
   readonly metrics: MetricRegistry;
+  /** Addresses of other entries by the host list. */
+  readonly listEntryAddresses: () => readonly string[];
 }
 
 /** The control parts of a running entry. */
 export interface Control {
-  readonly keeper: RulesKeeper;
+  readonly member: MemberId;
+  readonly store: ObjectStore;
+  readonly keeper: AcceptanceKeeper;
   readonly claims: ClaimRunner;
-  readonly billing: BillingSink;
+  readonly billing: Billing;
+  readonly audit: AuditTrail;
+  readonly directory: PeerDirectory;
   readonly peerAddress: string;
   stop(): Promise<void>;
 }
@@ -38,59 +54,146 @@
  *
  * @example
  * ```ts
- * const control = await startControl({settings, logger, metrics});
+ * const control = await startControl({settings, logger, metrics, listEntryAddresses});
  * ```
  */
 export async function startControl(
   options: StartControlOptions,
 ): Promise<Control> {
-  const {settings, logger} = options;
-  const store = HttpObjectStore.create({
-    baseUrl: settings.platform.objectsUrl,
-    timeoutMs: settings.platform.callTimeoutMs,
-  });
-  const keeper = await createPollingRulesKeeper({
+  const {settings, logger, metrics} = options;
+  const member = {host: settings.host, incarnation: randomUUID()};
+  const store = createStore(settings, metrics);
+  const peers = await startPeerServer(settings.peer);
+  const peerAddress = settings.peer.advertise ?? peers.address;
+  const audit = createAuditTrail({store});
+  const keeper = createRulesKeeper({
+    self: {...member, failureDomain: settings.failureDomain, peerAddress},
     store,
-    logger,
-    freshnessMs: settings.rules.freshnessMs,
-    initialContent: readInitialRules(settings),
+    parse: parseRules,
+    initialRules: readInitialRules(settings),
+    listSeedAddresses: () => [
+      ...settings.peer.seeds,
+      ...options.listEntryAddresses(),
+    ],
+    storeTimeoutMs: settings.platform.callTimeoutMs,
+    acceptance: {freshnessMs: settings.rules.freshnessMs},
+    onEvent: event => {
+      logKeeperEvent(logger, event);
+      recordKeeperEvent(audit, settings.host, event);
+    },
   });
-  const claimKeeper = createClaimKeeper({
+  keeper.trackPeerServer(peers.server);
+  const transports = createPeerTransports({timeoutMs: PEER_TIMEOUT_MS});
+  const directory = createPeerDirectory({
+    keeper,
+    host: settings.host,
+    failureDomain: settings.failureDomain,
+    random: Math.random,
+  });
+  const billing = startBilling({
     store,
-    member: {host: settings.host, incarnation: randomUUID()},
+    member,
+    directory,
+    transports,
+    logger,
+    metrics,
   });
-  const server = createServer(
-    connectNodeAdapter({
-      routes: createControlRoutes({
-        host: settings.host,
-        keeper,
-        audit: {list: async () => []},
-        operatorTokens: settings.operators.map(({name, tokenSha256}) => ({
-          name,
-          sha256: tokenSha256,
-        })),
-      }),
-      readMaxBytes: MAX_CONTROL_REQUEST_BYTES,
+  const claimKeeper = createClaimKeeper({store, member});
+  peers.mount([
+    keeper.routes,
+    billing.routes,
+    createControlRoutes({
+      host: settings.host,
+      keeper,
+      audit: {
+        list: query => audit.list({...query}),
+      },
+      operatorTokens: settings.operators.map(({name, tokenSha256}) => ({
+        name,
+        sha256: tokenSha256,
+      })),
     }),
-  );
-  const peerAddress = await listen(server, settings.peer);
+  ]);
+  const isServing = await keeper.waitUntilServing(START_WAIT_MS);
+  if (!isServing) logger.warn('rules_not_confirmed', {});
   return {
+    member,
+    store,
     keeper,
     claims: createClaimRunner(claimKeeper),
-    billing: {record: async () => undefined},
+    billing,
+    audit,
+    directory,
     peerAddress,
     async stop() {
       claimKeeper.stop();
+      await billing.stop();
       await keeper.stop();
-      server.close();
-      server.closeAllConnections();
+      audit.stop();
+      transports.close();
+      peers.stop();
     },
   };
 }
 
+function createStore(settings: Settings, metrics: MetricRegistry): ObjectStore {
+  const {store, counters} = createCountingStore(
+    HttpObjectStore.create({
+      baseUrl: settings.platform.objectsUrl,
+      timeoutMs: settings.platform.callTimeoutMs,
+    }),
+  );
+  for (const method of STORE_METHODS) {
+    metrics.registerGauge(
+      `object_api_${method}_calls`,
+      () => counters().calls[method],
+    );
+  }
+  return store;
+}
+
 function readInitialRules(settings: Settings): string | undefined {
   const {initialFile} = settings.rules;
   return initialFile === undefined
     ? undefined
     : readFileSync(initialFile, 'utf8');
 }
+
+const AUDITED_OUTCOMES: Readonly<Partial<Record<KeeperEvent['kind'], string>>> =
+  {
+    headCreated: 'created',
+    changeAccepted: 'accepted',
+    changeRefused: 'refused',
+    membersChanged: 'members',
+  };
+
+function logKeeperEvent(logger: Logger, event: KeeperEvent): void {
+  const {kind, ...fields} = event;
+  logger.info(toEventName(kind), {...fields});
+}
+
+function recordKeeperEvent(
+  audit: AuditTrail,
+  host: string,
+  event: KeeperEvent,
+): void {
+  const outcome = AUDITED_OUTCOMES[event.kind];
+  if (outcome === undefined) return;
+  audit
+    .append({
+      id: `${event.changeId}/${outcome}`,
+      timeMs: Date.now(),
+      host,
+      action: outcome === 'members' ? 'members.change' : 'rules.apply',
+      who: event.who,
+      why: event.why,
+      beforeRevision: Math.max(0, event.revision - 1),
+      afterRevision: event.revision,
+      outcome,
+    })
+    .catch(() => undefined);
+}
+
+function toEventName(kind: KeeperEvent['kind']): string {
+  return kind.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`);
+}
--- a/packages/entry/src/entry_context.ts
+++ b/packages/entry/src/entry_context.ts
@@ -1,4 +1,5 @@
 import type {
+  BillingRecord,
   ModelChooser,
   ModelVersion,
   ServiceRule,
@@ -17,25 +18,12 @@
 import type {Authenticator} from './stages/authenticate.js';
 import type {ServiceRequest} from './stages/caller_request.js';
 
-/** What one model version did for a billed request. */
-export interface BilledStep {
-  readonly model: string;
-  readonly version: string;
-  readonly promptTokens: number;
-  readonly outputTokens: number;
-}
-
-/** One billed request; its id makes it idempotent. */
-export interface BillingRecord {
-  readonly requestId: string;
-  readonly organisation: string;
-  readonly steps: readonly BilledStep[];
-}
-
 /** Keeps the record of each answered request exactly once. */
 export interface BillingSink {
   /** Resolves once the loss of this host no longer loses the record. */
   record(record: BillingRecord): Promise<void>;
+  /** True when new requests must be refused until records are durable. */
+  isFull(): boolean;
 }
 
 /** Runs calls that may not be repeated at most once. */
--- a/packages/entry/src/stages/call_service.ts
+++ b/packages/entry/src/stages/call_service.ts
@@ -17,6 +17,7 @@
 import type {RawRequest, ServiceRequest} from './caller_request.js';
 import {assertServiceAllowed, resolveInForce} from './check_rules.js';
 import {parseIdempotencyKey, parseJson} from './parse_request.js';
+import {settleServiceCall} from './settle.js';
 
 const RETRY_AFTER_MS = 1000;
 const MAX_ATTEMPTS = 3;
@@ -104,7 +105,7 @@
       assertServiceAllowed(context.keeper, request),
     );
     try {
-      return await context.services.call(server.host.address, {
+      const answer = await context.services.call(server.host.address, {
         path: SERVICE_PATHS[request.service] ?? `/v1/${request.service}`,
         body: request.body,
         idempotencyKey: request.idempotencyKey,
@@ -112,6 +113,8 @@
         signal: request.signal,
         confirmSend: gate.confirmSend,
       });
+      await settleServiceCall(context, request);
+      return answer;
     } catch (error) {
       gate.rethrow(error);
       if (!isBackendError(error)) throw error;
--- a/packages/entry/src/stages/generate.ts
+++ b/packages/entry/src/stages/generate.ts
@@ -71,7 +71,7 @@
 ): Promise<void> {
   const plan = resolveRoute(context, request);
   const outcome = await runPlan(context, request, plan, answer);
-  await settleGeneration(context, request, outcome);
+  await settleGeneration(context, request, plan, outcome);
   const {model, version} = outcome.answered;
   context.logger.info('request_settled', {
     requestId: request.requestId,
--- a/packages/entry/src/stages/route.ts
+++ b/packages/entry/src/stages/route.ts
@@ -11,6 +11,7 @@
   type ModelOption,
   type ModelVersion,
   type ResolvedKind,
+  type RuleSet,
 } from '@anvilrudder/core';
 import type {EntryContext} from '../entry_context.js';
 import type {GenerateRequest} from './caller_request.js';
@@ -26,12 +27,14 @@
 /** The model versions to run for a request, cheapest first. */
 export interface RoutePlan {
   readonly revision: number;
+  /** The rules of that revision. */
+  readonly rules: RuleSet;
   readonly steps: readonly ModelVersion[];
   /** Lowest check score that makes a step final, for each step but the last. */
   readonly checkThresholds: readonly number[];
 }
 
-type PlannedSteps = Omit<RoutePlan, 'revision'>;
+type PlannedSteps = Omit<RoutePlan, 'revision' | 'rules'>;
 
 type PlanSource = 'explicit' | 'session' | 'chosen';
 
@@ -89,7 +92,7 @@
     options: listCommonOptions(context, request),
     cascadeModels: resolveCascade(rules, request.kind)?.models ?? [],
   });
-  return {revision, ...plan};
+  return {revision, rules, ...plan};
 }
 
 function resolvePlanSource(request: GenerateRequest): PlanSource {
--- a/packages/entry/src/stages/settle.ts
+++ b/packages/entry/src/stages/settle.ts
@@ -2,43 +2,93 @@
 import {
   addPin,
   formatModelVersion,
+  isSameModelVersion,
   signSession,
   type ModelVersion,
+  type RuleSet,
   type Session,
 } from '@anvilrudder/core';
 import type {EntryContext} from '../entry_context.js';
-import type {GenerateRequest} from './caller_request.js';
-import type {PlanOutcome} from './cascade.js';
+import type {GenerateRequest, ServiceRequest} from './caller_request.js';
+import type {PlanOutcome, RunStep} from './cascade.js';
+import type {RoutePlan} from './route.js';
+
+const PERIOD_LENGTH = 'YYYY-MM'.length;
 
 /**
- * Bills a whole answer before its end is told to the caller.
+ * Bills a whole answer before its end is told to the caller; the steps of a
+ * cascade that ran before it are part of its cost.
  *
- * @throws RouterError when the record can be held nowhere.
  * @example
  * ```ts
- * await settleGeneration(context, request, outcome);
+ * await settleGeneration(context, request, plan, outcome);
  * ```
  */
 export async function settleGeneration(
   context: EntryContext,
   request: GenerateRequest,
+  plan: RoutePlan,
   outcome: PlanOutcome,
 ): Promise<void> {
-  context.metrics.count('requests_billed_total', {
+  const costMicros = sumOf(outcome.steps, step =>
+    resolveCostMicros(plan.rules, step),
+  );
+  await context.billing.record({
+    requestId: request.requestId,
     organisation: request.organisation,
+    period: resolvePeriod(),
+    kind: request.kind,
+    model: outcome.answered.model,
+    version: outcome.answered.version,
+    promptTokens: sumOf(outcome.steps, step => step.result.promptTokens),
+    outputTokens: sumOf(outcome.steps, step => step.result.tokenCount),
+    costMicros,
   });
+}
+
+/**
+ * Bills the answer of a plain service.
+ *
+ * @example
+ * ```ts
+ * await settleServiceCall(context, request);
+ * ```
+ */
+export async function settleServiceCall(
+  context: EntryContext,
+  request: ServiceRequest,
+): Promise<void> {
   await context.billing.record({
     requestId: request.requestId,
     organisation: request.organisation,
-    steps: outcome.steps.map(step => ({
-      model: step.model,
-      version: step.version,
-      promptTokens: step.result.promptTokens,
-      outputTokens: step.result.tokenCount,
-    })),
+    period: resolvePeriod(),
+    kind: request.service,
+    model: '',
+    version: '',
+    promptTokens: 0,
+    outputTokens: 0,
+    costMicros: 0,
   });
 }
 
+// The price of a million tokens is the price of one token in millionths.
+function resolveCostMicros(rules: RuleSet, step: RunStep): number {
+  const rule = rules.models.find(each => isSameModelVersion(each, step));
+  const {promptTokens, tokenCount} = step.result;
+  return (rule?.costPerMtok ?? 0) * (promptTokens + tokenCount);
+}
+
+function resolvePeriod(): string {
+  return new Date().toISOString().slice(0, PERIOD_LENGTH);
+}
+
+function sumOf(
+  steps: readonly RunStep[],
+  read: (step: RunStep) => number,
+): number {
+  return steps.reduce((sum, step) => sum + read(step), 0);
+}
+
 /**
  * Issues the session token of an answer; the versions of the plan are pinned
  * for the kind of the request.
--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -40,13 +40,18 @@
   const metrics = MetricRegistry.create();
   const clients = createBackendClients(settings);
   const backends = BackendDirectory.create();
-  const control = await startControl({settings, logger, metrics});
   const stopWatching = await watchBackends({
     directory: backends,
     reader: clients.reader,
     logger,
     pollMs: settings.platform.hostPollMs,
   });
+  const control = await startControl({
+    settings,
+    logger,
+    metrics,
+    listEntryAddresses: () => backends.listEntryAddresses(),
+  });
   let isAccepting = true;
   const context: EntryContext = {
     settings,
--- a/packages/entry/test/operators/control_routes.test.ts
+++ b/packages/entry/test/operators/control_routes.test.ts
@@ -100,6 +100,7 @@
           host: 'entry-2',
           incarnation: 'i',
           failureDomain: 'a',
+          peerAddress: '127.0.0.1:1',
           heardAgeMs: undefined,
           revision: 0,
         },
--- a/packages/entry/test/support/test_deployment.ts
+++ b/packages/entry/test/support/test_deployment.ts
@@ -149,7 +149,7 @@
       host,
       failureDomain: 'domain-a',
       listen: {port: 0},
-      peer: {port: 0, token: 'p'.repeat(32)},
+      peer: {port: 0},
       platform: {
         objectsUrl: input.objectsUrl,
         hostsUrl: input.hostsUrl,
