Add the operators' command line and the example rule files

Cause: operators had no way to check, apply, read or explain rules.

Without that, an edit of an older file would silently undo a change made in between. An unanswered offer is repeated at the next entry under the same change id, then its outcome is read; a refusal after an offer that may have taken effect does not end as refused. rules change is an addition: it reads the outcome of an interrupted command.

Ruled out: taking the revision in force as the base by default, for the reason above; reading a change's outcome from the audit trail, which may lag.

First run of the tests: the whole run hung, as only the last fake deployment of a suite was stopped; each test now stops its own.

--- /dev/null
+++ b/packages/cli/src/commands/outcome.ts
@@ -0,0 +1,82 @@
+import type {Finding} from '@anvilrudder/core';
+import type * as wire from '@anvilrudder/peers';
+import {EXIT_CODES, type ExitCode} from '../exit_codes.js';
+import {replaceControls} from '../format_table.js';
+import {formatFindings, toFindingJson, type FindingJson} from '../rule_file.js';
+
+/** What is known of a change, for output. */
+export interface OutcomeReport {
+  readonly changeId: string;
+  readonly state: string;
+  readonly revision: number;
+  readonly reason: string;
+  readonly findings: readonly Finding[];
+  readonly silentHosts: readonly string[];
+}
+
+const EXIT_CODES_BY_STATE: ReadonlyMap<string, ExitCode> = new Map([
+  ['accepted', EXIT_CODES.ok],
+  ['refused', EXIT_CODES.refused],
+]);
+
+/** Decodes an outcome; a missing one is undecided. */
+export function createReport(
+  changeId: string,
+  outcome: wire.ChangeOutcome | undefined,
+): OutcomeReport {
+  return {
+    changeId,
+    state: outcome?.state ?? 'undecided',
+    revision: Number(outcome?.revision ?? 0n),
+    reason: outcome?.reason ?? 'no entry has told the outcome',
+    findings: (outcome?.findings ?? []).map(decodeFinding),
+    silentHosts: outcome?.silentHosts ?? [],
+  };
+}
+
+/** The exit code that tells the state of a change. */
+export function resolveExitCode({state}: OutcomeReport): ExitCode {
+  return EXIT_CODES_BY_STATE.get(state) ?? EXIT_CODES.undecided;
+}
+
+/** Formats an outcome as text or as one line of JSON. */
+export function formatReport(
+  report: OutcomeReport,
+  fileName: string,
+  isJson: boolean,
+): string {
+  return isJson
+    ? `${JSON.stringify(toJson(report))}\n`
+    : formatText(report, fileName);
+}
+
+interface OutcomeJson extends Omit<OutcomeReport, 'findings'> {
+  readonly findings: readonly FindingJson[];
+}
+
+function toJson(report: OutcomeReport): OutcomeJson {
+  return {...report, findings: report.findings.map(toFindingJson)};
+}
+
+function formatText(report: OutcomeReport, fileName: string): string {
+  const {state, revision, reason, findings, silentHosts} = report;
+  const head =
+    state === 'accepted' ? `accepted as revision ${revision}` : state;
+  const lines = [reason === '' ? head : `${head}: ${reason}`];
+  if (silentHosts.length > 0) {
+    lines.push(`not acknowledged by: ${silentHosts.join(', ')}`);
+  }
+  const text = lines.map(line => `${replaceControls(line)}\n`).join('');
+  return text + formatFindings(fileName, findings);
+}
+
+function decodeFinding(finding: wire.Finding): Finding {
+  const {line, column, severity, code, message, hint} = finding;
+  return {
+    place: {line, column},
+    severity: severity === 'warning' ? 'warning' : 'error',
+    code,
+    message,
+    ...(hint === '' ? {} : {hint}),
+  };
+}
--- /dev/null
+++ b/packages/cli/src/entry_client.ts
@@ -0,0 +1,116 @@
+import {ControlService} from '@anvilrudder/peers';
+import {
+  Code,
+  ConnectError,
+  createClient,
+  type Client,
+} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {CliError} from './cli_error.js';
+import type {ClientSettings} from './client_settings.js';
+import {EXIT_CODES} from './exit_codes.js';
+
+/** One entry that the command line talks to. */
+export interface EntryClient {
+  readonly url: string;
+  readonly control: Client<typeof ControlService>;
+}
+
+/** A call to one entry. */
+export type EntryCall<T> = (entry: EntryClient) => Promise<T>;
+
+/** Errors that another entry would answer in the same way. */
+const REFUSAL_CODES: ReadonlySet<Code> = new Set([
+  Code.Unauthenticated,
+  Code.PermissionDenied,
+  Code.InvalidArgument,
+]);
+
+/** System errors of connections that were never made. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'EAI_AGAIN',
+]);
+
+/** Creates a client for each entry of the settings. */
+export function createEntryClients(
+  settings: ClientSettings,
+  callTimeoutMs: number,
+): readonly EntryClient[] {
+  const authorization = `Bearer ${settings.token}`;
+  return settings.entryUrls.map(url => {
+    const transport = createConnectTransport({
+      baseUrl: url,
+      httpVersion: '1.1',
+      defaultTimeoutMs: callTimeoutMs,
+      interceptors: [
+        next => request => {
+          request.header.set('authorization', authorization);
+          return next(request);
+        },
+      ],
+    });
+    return {url, control: createClient(ControlService, transport)};
+  });
+}
+
+/**
+ * Calls one entry after another until one answers.
+ *
+ * @throws CliError when an entry refuses the call or none answers.
+ * @example
+ * ```ts
+ * await callFirst(entries, entry => entry.control.getRules({}));
+ * ```
+ */
+export async function callFirst<T>(
+  entries: readonly EntryClient[],
+  call: EntryCall<T>,
+): Promise<T> {
+  const failures: string[] = [];
+  for (const entry of entries) {
+    try {
+      return await call(entry);
+    } catch (error) {
+      if (isRefusal(error)) throw createRefusedError(entry, error);
+      failures.push(describeFailure(entry, error));
+    }
+  }
+  throw createUnreachableError(failures);
+}
+
+/** True when every entry would refuse the call in the same way. */
+export function isRefusal(error: unknown): boolean {
+  return REFUSAL_CODES.has(ConnectError.from(error).code);
+}
+
+/** True when the connection failed before anything was sent. */
+export function isNotSent(error: unknown): boolean {
+  for (let cause = error; cause instanceof Error; cause = cause.cause) {
+    const {code} = cause as NodeJS.ErrnoException;
+    if (typeof code === 'string' && NOT_SENT_CODES.has(code)) return true;
+  }
+  return false;
+}
+
+/** Describes in one line why an entry gave no answer. */
+export function describeFailure(entry: EntryClient, error: unknown): string {
+  return `${entry.url}: ${ConnectError.from(error).message}`;
+}
+
+/** Creates the error of a call that every entry would refuse. */
+export function createRefusedError(
+  entry: EntryClient,
+  error: unknown,
+): CliError {
+  return CliError.create(describeFailure(entry, error), EXIT_CODES.usage);
+}
+
+/** Creates the error of a call that reached no entry. */
+export function createUnreachableError(failures: readonly string[]): CliError {
+  const lines = ['no entry answered', ...failures];
+  return CliError.create(lines.join('\n'), EXIT_CODES.unreachable);
+}
--- /dev/null
+++ b/packages/cli/src/option_reader.ts
@@ -0,0 +1,104 @@
+import type {ArgsDef} from 'citty';
+import {CliError} from './cli_error.js';
+import {EXIT_CODES} from './exit_codes.js';
+
+/** Values of the options as the parser returns them. */
+export type ParsedOptions = Readonly<Record<string, unknown>> & {
+  readonly _: readonly string[];
+};
+
+const INTEGER = /^\d{1,15}$/;
+const SHORT_HELP = 'h';
+
+/**
+ * Reads the options of one command. Unknown options, options without a value
+ * and superfluous arguments are refused at creation, all together.
+ */
+export class OptionReader {
+  private constructor(
+    private readonly options: ParsedOptions,
+    private readonly rawArgs: readonly string[],
+  ) {}
+
+  /** @throws CliError with the usage exit code. */
+  static create(
+    definitions: ArgsDef,
+    options: ParsedOptions,
+    rawArgs: readonly string[],
+  ): OptionReader {
+    const faults = findFaults(definitions, options);
+    if (faults.length > 0) {
+      throw CliError.create(faults.join('\n'), EXIT_CODES.usage);
+    }
+    return new OptionReader(options, rawArgs);
+  }
+
+  /** Reads an option or argument that may be missing. */
+  readText(name: string): string | undefined {
+    const value = this.options[name];
+    return typeof value === 'string' ? value : undefined;
+  }
+
+  /** Reads an option or argument that must be there. */
+  readRequired(name: string): string {
+    const value = this.readText(name);
+    if (value !== undefined) return value;
+    throw CliError.create(`--${name} is required`, EXIT_CODES.usage);
+  }
+
+  readFlag(name: string): boolean {
+    return this.options[name] === true;
+  }
+
+  /** Reads all values of an option that may be repeated. */
+  readList(name: string): readonly string[] {
+    const flag = `--${name}`;
+    return this.rawArgs.flatMap((arg, index) => {
+      if (arg.startsWith(`${flag}=`)) return [arg.slice(flag.length + 1)];
+      return arg === flag ? [this.rawArgs[index + 1]] : [];
+    });
+  }
+
+  /** Reads a whole number of at least `min`. */
+  readInteger(name: string, min: number, defaultValue: number): number {
+    const text = this.readText(name);
+    if (text === undefined) return defaultValue;
+    if (INTEGER.test(text) && Number(text) >= min) return Number(text);
+    throw CliError.create(
+      `--${name} must be a whole number of at least ${min}, not ${JSON.stringify(text)}`,
+      EXIT_CODES.usage,
+    );
+  }
+}
+
+function findFaults(
+  definitions: ArgsDef,
+  options: ParsedOptions,
+): readonly string[] {
+  const known = new Set(Object.keys(definitions).flatMap(listSpellings));
+  const unknown = Object.keys(options)
+    .filter(key => key !== '_' && key !== SHORT_HELP && !known.has(key))
+    .map(key => `unknown option ${key.length === 1 ? '-' : '--'}${key}`);
+  const empty = Object.entries(definitions)
+    .filter(([name, {type}]) => type === 'string' && isMissing(options[name]))
+    .map(([name]) => `--${name} needs a value`);
+  const positionalCount = Object.values(definitions).filter(
+    ({type}) => type === 'positional',
+  ).length;
+  const superfluous = options._.slice(positionalCount).map(
+    argument => `unexpected argument ${JSON.stringify(argument)}`,
+  );
+  return [...unknown, ...empty, ...superfluous];
+}
+
+// The parser takes a following option for the value of the one before it.
+function isMissing(value: unknown): boolean {
+  return typeof value === 'string' && (value === '' || value.startsWith('--'));
+}
+
+function listSpellings(name: string): readonly string[] {
+  const camel = name.replace(/-(\w)/g, (_, letter: string) =>
+    letter.toUpperCase(),
+  );
+  return [name, camel];
+}
--- /dev/null
+++ b/packages/cli/src/progress.ts
@@ -0,0 +1,54 @@
+import type {CliIo} from './cli_io.js';
+
+const PROGRESS_INTERVAL_MS = 1000;
+const CLEAR_LINE = '\r\u001b[K';
+
+/** Shows on stderr what a command is waiting for. */
+export interface Progress {
+  /** Sets the text and shows it. */
+  update(text: string): void;
+  /** Ends the display. */
+  stop(): void;
+}
+
+const SILENT: Progress = {update() {}, stop() {}};
+
+/**
+ * Creates a progress display. On a terminal one line is rewritten; with
+ * `isForced` a line a second is printed; otherwise nothing is shown.
+ */
+export function createProgress(io: CliIo, isForced: boolean): Progress {
+  if (!io.isTerminal && !isForced) return SILENT;
+  return LineProgress.create(io);
+}
+
+class LineProgress implements Progress {
+  private text = '';
+  private timer: NodeJS.Timeout | undefined;
+  private readonly startMs = performance.now();
+
+  private constructor(private readonly io: CliIo) {}
+
+  static create(io: CliIo): LineProgress {
+    return new LineProgress(io);
+  }
+
+  update(text: string): void {
+    this.text = text;
+    this.timer ??= setInterval(() => this.show(), PROGRESS_INTERVAL_MS);
+    this.show();
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    this.timer = undefined;
+    if (this.io.isTerminal) this.io.writeError(CLEAR_LINE);
+  }
+
+  private show(): void {
+    const elapsedS = Math.floor((performance.now() - this.startMs) / 1000);
+    const line = `${this.text} (${elapsedS} s)`;
+    const isTerminal = this.io.isTerminal;
+    this.io.writeError(isTerminal ? `${CLEAR_LINE}${line}` : `${line}\n`);
+  }
+}
--- /dev/null
+++ b/packages/cli/test/fake_io.ts
@@ -0,0 +1,35 @@
+import type {CliIo} from '../src/index.js';
+
+/** A process whose files are a map and whose output is kept. */
+export interface FakeIo extends CliIo {
+  output: string;
+  errors: string;
+  readonly interrupt: AbortController;
+}
+
+/** Creates a process with the given files and environment. */
+export function createFakeIo(
+  files: Readonly<Record<string, string>> = {},
+  env: Readonly<Record<string, string>> = {},
+  isTerminal = false,
+): FakeIo {
+  const interrupt = new AbortController();
+  return {
+    output: '',
+    errors: '',
+    interrupt,
+    env,
+    isTerminal,
+    writeOutput(text) {
+      this.output += text;
+    },
+    writeError(text) {
+      this.errors += text;
+    },
+    async readFile(path) {
+      if (Object.hasOwn(files, path)) return files[path];
+      throw new Error('no such file');
+    },
+    createInterruptSignal: () => interrupt.signal,
+  };
+}
--- /dev/null
+++ b/packages/cli/test/faults/apply_faults.test.ts
@@ -0,0 +1,176 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {createEntryClients} from '../../src/entry_client.js';
+import {isCliError} from '../../src/cli_error.js';
+import {runRulesApply} from '../../src/commands/rules_apply.js';
+import {DEFAULT_SUBMIT_OPTIONS} from '../../src/submit_change.js';
+import {FakeDeployment, TOKEN, type ApplyFault} from '../fake_deployment.js';
+import {createFakeIo} from '../fake_io.js';
+import {CHANGED, CONTENT} from '../sample_content.js';
+
+const CLOSED_URL = 'http://127.0.0.1:1';
+
+const SUBMIT = {
+  ...DEFAULT_SUBMIT_OPTIONS,
+  timeoutMs: 400,
+  callTimeoutMs: 100,
+  minRetryDelayMs: 5,
+  maxRetryDelayMs: 20,
+  random: () => 0,
+};
+
+interface Attempt {
+  readonly exitCode: number;
+  readonly output: string;
+  readonly errors: string;
+}
+
+async function applyAt(
+  urls: readonly string[],
+  base = '1',
+  changeId = 'c-1',
+  isTerminal = false,
+): Promise<Attempt> {
+  const io = createFakeIo({f: CHANGED}, {}, isTerminal);
+  const settings = {entryUrls: urls, token: TOKEN};
+  const entries = createEntryClients(settings, SUBMIT.callTimeoutMs);
+  const options = {
+    file: 'f',
+    why: 'fair',
+    who: '',
+    withoutHosts: [],
+    base,
+    changeId,
+    isProgressForced: false,
+    isJson: false,
+    submit: SUBMIT,
+  };
+  const exitCode = await runRulesApply(options, entries, io).catch(
+    (error: unknown) => {
+      assert.ok(isCliError(error), String(error));
+      return error.exitCode;
+    },
+  );
+  return {exitCode, output: io.output, errors: io.errors};
+}
+
+function createDeployment(t: TestContext): FakeDeployment {
+  const deployment = FakeDeployment.create(CONTENT);
+  t.after(() => deployment.stop());
+  return deployment;
+}
+
+interface FaultCase {
+  readonly name: string;
+  readonly faults: readonly ApplyFault[];
+  readonly exitCode: number;
+  readonly acceptedCount: number;
+}
+
+const FAULT_CASES: readonly FaultCase[] = [
+  {name: 'no fault', faults: ['none'], exitCode: 0, acceptedCount: 1},
+  {
+    name: 'an answer lost after the change took effect',
+    faults: ['lose_answer', 'none'],
+    exitCode: 0,
+    acceptedCount: 1,
+  },
+  {
+    name: 'a connection cut before the change took effect',
+    faults: ['cut', 'none'],
+    exitCode: 0,
+    acceptedCount: 1,
+  },
+  {
+    name: 'an entry that never answers',
+    faults: ['hang', 'none'],
+    exitCode: 0,
+    acceptedCount: 1,
+  },
+  {
+    name: 'an outcome that is decided later',
+    faults: ['undecided'],
+    exitCode: 0,
+    acceptedCount: 1,
+  },
+  {
+    name: 'every answer lost after the change took effect',
+    faults: ['lose_answer', 'lose_answer'],
+    exitCode: 4,
+    acceptedCount: 1,
+  },
+  {
+    name: 'every connection cut before the change took effect',
+    faults: ['cut', 'cut'],
+    exitCode: 4,
+    acceptedCount: 0,
+  },
+];
+
+for (const {name, faults, exitCode, acceptedCount} of FAULT_CASES) {
+  test(`[rules] applies a change at most once: ${name}`, async t => {
+    const deployment = createDeployment(t);
+    const urls: string[] = [];
+    for (const fault of faults) urls.push(await deployment.startEntry(fault));
+    const attempt = await applyAt(urls);
+    assert.equal(attempt.exitCode, exitCode, attempt.errors);
+    assert.equal(deployment.accepted.length, acceptedCount);
+  });
+}
+
+test('[rules] repeating an undecided change id tells its outcome', async t => {
+  const deployment = createDeployment(t);
+  const first = await applyAt([await deployment.startEntry('lose_answer')]);
+  assert.equal(first.exitCode, 4);
+  assert.match(first.errors, /anvilrudder rules change c-1/);
+  const second = await applyAt([await deployment.startEntry()]);
+  assert.equal(second.exitCode, 0);
+  assert.equal(second.output, 'accepted as revision 2\n');
+  assert.equal(deployment.accepted.length, 1);
+});
+
+test('[rules] no reachable entry is not an undecided change', async () => {
+  const attempt = await applyAt([CLOSED_URL, CLOSED_URL]);
+  assert.equal(attempt.exitCode, 3);
+});
+
+test('[rules] an entry that refuses connections is passed over', async t => {
+  const deployment = createDeployment(t);
+  const url = await deployment.startEntry();
+  const attempt = await applyAt([CLOSED_URL, url]);
+  assert.equal(attempt.exitCode, 0);
+});
+
+test('[rules] a refusal after a lost answer leaves the change undecided', async t => {
+  const deployment = createDeployment(t);
+  const urls = [
+    await deployment.startEntry('lose_answer'),
+    await deployment.startEntry('none', 'another-token'),
+  ];
+  const attempt = await applyAt(urls);
+  assert.equal(attempt.exitCode, 4);
+  assert.equal(deployment.accepted.length, 1);
+});
+
+test('[rules] of two operators with one base, one is refused', async t => {
+  const deployment = createDeployment(t);
+  const url = await deployment.startEntry();
+  const attempts = await Promise.all([
+    applyAt([url], '1', 'c-1'),
+    applyAt([url], '1', 'c-2'),
+  ]);
+  const exitCodes = attempts.map(attempt => attempt.exitCode).sort();
+  assert.deepEqual(exitCodes, [0, 1]);
+  const refused = attempts.find(attempt => attempt.exitCode === 1);
+  assert.equal(refused?.output, 'refused: the revision in force is 2\n');
+  assert.equal(deployment.accepted.length, 1);
+});
+
+test('shows progress on a terminal alone', async t => {
+  const deployment = createDeployment(t);
+  const url = await deployment.startEntry();
+  const plain = await applyAt([url], '1', 'c-1', false);
+  assert.doesNotMatch(plain.errors, /offering/);
+  const shown = await applyAt([url], '2', 'c-2', true);
+  assert.match(shown.errors, /offering the rules at http.* \(0 s\)/);
+});
