--- a/packages/cli/test/rule_files.test.ts
+++ b/packages/cli/test/rule_files.test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import {readFile} from 'node:fs/promises';
 import {test} from 'node:test';
+import {RULES_COMMANDS, TOP_COMMANDS} from '../src/command_table.js';
 import {runCli} from '../src/index.js';
 import {createFakeIo} from './fake_io.js';
 
-const EXAMPLES_URL = new URL('../../../../examples/', import.meta.url);
+const ROOT_URL = new URL('../../../../', import.meta.url);
+const EXAMPLES_URL = new URL('examples/', ROOT_URL);
 
 for (const name of ['penbridge.rules', 'lanka.rules']) {
   test(`accepts examples/${name} without a finding`, async () => {
@@ -15,6 +17,24 @@
   });
 }
 
+test('the rules of the guide are accepted', async () => {
+  const url = new URL('docs/guide/rule_file.md', ROOT_URL);
+  const page = await readFile(url, 'utf8');
+  const rules = /^```rules\n([^`]*)^```/m.exec(page)?.[1] ?? '';
+  const io = createFakeIo({f: rules});
+  assert.equal(await runCli(['rules', 'check', 'f'], io), 0);
+  assert.equal(io.output, 'f: ok\n');
+});
+
+test('the guide shows every command', async () => {
+  const url = new URL('docs/guide/command_line.md', ROOT_URL);
+  const page = await readFile(url, 'utf8');
+  const rulesCommands = Object.keys(RULES_COMMANDS).map(n => `rules ${n}`);
+  for (const name of [...rulesCommands, ...Object.keys(TOP_COMMANDS)]) {
+    assert.match(page, new RegExp(`^anvilrudder ${name}\\b`, 'm'));
+  }
+});
+
 const FAULTY = [
   'model name=quick version=v1 cost-per-mtok=0.2 quality=7 # Kim: base',
   'kind name=icebreaker quality=0.6 deadline-ms=8000',
