--- a/packages/entry/test/operators/control_routes.test.ts
+++ b/packages/entry/test/operators/control_routes.test.ts
@@ -180,7 +180,6 @@
   test('records the operator of the token and returns all findings', async () => {
     const request = {
       ...APPLY,
-      who: 'kim',
       baseRevision: 3n,
       withoutHosts: ['e'],
     };
