Report all faults of load options together, and the tool's own processor time

Cause: a wrong argument gave a stack trace and only the first fault; nothing told a run apart whose bottleneck was the tool. Change: LoadOptionError lists every fault, one line each; the report carries cpuShare. The object stand-in finds a watch's changes from the end of its history and takes any number of waiting watches without a listener warning.

--- a/packages/load/src/commands/args.ts
+++ b/packages/load/src/commands/args.ts
@@ -1,9 +1,11 @@
 import type {ArrivalProcess} from '../arrivals/arrivals.js';
 import {
   DEFAULT_LOAD_OPTIONS,
+  findOptionFaults,
   type KindShare,
   type LoadOptions,
 } from '../run/load_options.js';
+import {createLoadOptionError} from '../run/option_error.js';
 
 const ARRIVAL_PROCESSES: readonly ArrivalProcess[] = ['poisson', 'constant'];
 
@@ -68,54 +70,72 @@
   return text.split(',').filter(item => item !== '');
 }
 
-function parseNumber(name: string, text: string): number {
-  const value = Number(text);
-  if (text.trim() !== '' && Number.isFinite(value)) return value;
-  throw new Error(`--${name}: expected a number, got "${text}"`);
-}
+/** Reads arguments and collects what is wrong with them. */
+class ArgReader {
+  readonly faults: string[] = [];
 
-function parseArrivals(text: string): ArrivalProcess {
-  const process = ARRIVAL_PROCESSES.find(name => name === text);
-  if (process !== undefined) return process;
-  throw new Error(`--arrivals: expected poisson or constant, got "${text}"`);
-}
+  constructor(private readonly args: LoadArgs) {}
+
+  number(name: Exclude<keyof LoadArgs, 'json'>): number {
+    return this.parseNumber(name, this.args[name]);
+  }
+
+  arrivals(): ArrivalProcess {
+    const text = this.args.arrivals;
+    const process = ARRIVAL_PROCESSES.find(name => name === text);
+    if (process !== undefined) return process;
+    this.faults.push(`--arrivals: expected poisson or constant, got "${text}"`);
+    return 'poisson';
+  }
+
+  kinds(): readonly KindShare[] {
+    return parseList(this.args.kinds).map(item => {
+      const [kind, weight = '1'] = item.split('=');
+      return {kind, weight: this.parseNumber('kinds', weight)};
+    });
+  }
 
-function parseKind(text: string): KindShare {
-  const [kind, weight = '1'] = text.split('=');
-  return {kind, weight: parseNumber('kinds', weight)};
+  private parseNumber(name: string, text: string): number {
+    const value = Number(text);
+    if (text.trim() !== '' && Number.isFinite(value)) return value;
+    this.faults.push(`--${name}: expected a number, got "${text}"`);
+    return 1;
+  }
 }
 
 /**
  * Turns arguments into the options of a run.
  *
- * @throws Error for a malformed number, list or name.
+ * @throws LoadOptionError listing every malformed argument.
  */
 export function resolveLoadOptions(
   args: LoadArgs,
   targets: readonly string[],
   isDirect: boolean,
 ): LoadOptions {
-  const readNumber = (name: keyof typeof LOAD_ARGS & keyof LoadArgs) =>
-    parseNumber(name, String(args[name]));
-  return {
+  const reader = new ArgReader(args);
+  const options: LoadOptions = {
     targets,
     isDirect,
-    ratePerS: readNumber('rate'),
-    durationMs: readNumber('duration-ms'),
-    arrivals: parseArrivals(args.arrivals),
-    seed: readNumber('seed'),
-    kinds: parseList(args.kinds).map(parseKind),
+    ratePerS: reader.number('rate'),
+    durationMs: reader.number('duration-ms'),
+    arrivals: reader.arrivals(),
+    seed: reader.number('seed'),
+    kinds: reader.kinds(),
     apiKeys: parseList(args['api-keys']),
-    maxTokens: readNumber('max-tokens'),
-    promptCharacters: readNumber('prompt-characters'),
-    sessionShare: readNumber('session-share'),
-    confirmShare: readNumber('confirm-share'),
-    repeatShare: readNumber('repeat-share'),
+    maxTokens: reader.number('max-tokens'),
+    promptCharacters: reader.number('prompt-characters'),
+    sessionShare: reader.number('session-share'),
+    confirmShare: reader.number('confirm-share'),
+    repeatShare: reader.number('repeat-share'),
     service: args.service,
     model: args.model,
     version: args.version,
-    timeoutMs: readNumber('timeout-ms'),
-    maxInFlight: readNumber('max-in-flight'),
+    timeoutMs: reader.number('timeout-ms'),
+    maxInFlight: reader.number('max-in-flight'),
     bookingAddress: args.booking === '' ? undefined : args.booking,
   };
+  const faults = [...reader.faults, ...findOptionFaults(options)];
+  if (faults.length > 0) throw createLoadOptionError(faults);
+  return options;
 }
--- a/packages/load/src/commands/commands.ts
+++ b/packages/load/src/commands/commands.ts
@@ -2,6 +2,8 @@
 import {compareReports, formatComparison} from '../compare/compare_reports.js';
 import {formatReport} from '../report/table.js';
 import {writeReports, type NamedReport} from '../report/write_report.js';
+import type {LoadOptions} from '../run/load_options.js';
+import {isLoadOptionError} from '../run/option_error.js';
 import {isCorrect, runLoad} from '../run/run_load.js';
 import {
   LOAD_ARGS,
@@ -12,6 +14,7 @@
 
 /** Exit status when an answer was not whole or a booking contradicts. */
 const INCORRECT_EXIT_CODE = 2;
+const OPTION_EXIT_CODE = 1;
 
 async function finish(
   args: LoadArgs,
@@ -22,10 +25,52 @@
   if (!isAllCorrect) process.exitCode = INCORRECT_EXIT_CODE;
 }
 
+/** Prints the faults of options line by line; other errors pass. */
+async function reportOptionFaults(action: () => Promise<void>): Promise<void> {
+  try {
+    await action();
+  } catch (error) {
+    if (!isLoadOptionError(error)) throw error;
+    const lines = error.faults.map(fault => `error: ${fault}\n`);
+    process.stderr.write(lines.join(''));
+    process.exitCode = OPTION_EXIT_CODE;
+  }
+}
+
 function printJson(value: unknown): void {
   process.stdout.write(`${JSON.stringify(value, undefined, 2)}\n`);
 }
 
+async function runAndPrint(
+  args: LoadArgs,
+  options: LoadOptions,
+): Promise<void> {
+  const report = await runLoad(options);
+  if (args.json) printJson(report);
+  else process.stdout.write(formatReport(report));
+  await finish(args, [{name: 'load', report}]);
+}
+
+async function compareAndPrint(
+  args: LoadArgs,
+  directOptions: LoadOptions,
+  entryOptions: LoadOptions,
+): Promise<void> {
+  const direct = await runLoad(directOptions);
+  const entry = await runLoad(entryOptions);
+  const rows = compareReports(direct, entry);
+  if (args.json) printJson({direct, entry, rows});
+  else {
+    process.stdout.write(`direct: ${formatReport(direct)}\n`);
+    process.stdout.write(`entry: ${formatReport(entry)}\n`);
+    process.stdout.write(formatComparison(rows));
+  }
+  await finish(args, [
+    {name: 'direct', report: direct},
+    {name: 'entry', report: entry},
+  ]);
+}
+
 const run = defineCommand({
   meta: {name: 'run', description: 'Send a load and measure it'},
   args: {
@@ -41,14 +86,12 @@
     },
     ...LOAD_ARGS,
   },
-  run: async ({args}) => {
-    const targets = parseList(args.target);
-    const options = resolveLoadOptions(args, targets, args.direct);
-    const report = await runLoad(options);
-    if (args.json) printJson(report);
-    else process.stdout.write(formatReport(report));
-    await finish(args, [{name: 'load', report}]);
-  },
+  run: ({args}) =>
+    reportOptionFaults(async () => {
+      const targets = parseList(args.target);
+      const options = resolveLoadOptions(args, targets, args.direct);
+      await runAndPrint(args, options);
+    }),
 });
 
 const compare = defineCommand({
@@ -69,23 +112,14 @@
     },
     ...LOAD_ARGS,
   },
-  run: async ({args}) => {
-    const engines = parseList(args.engines);
-    const entries = parseList(args.entries);
-    const direct = await runLoad(resolveLoadOptions(args, engines, true));
-    const entry = await runLoad(resolveLoadOptions(args, entries, false));
-    const rows = compareReports(direct, entry);
-    if (args.json) printJson({direct, entry, rows});
-    else {
-      process.stdout.write(`direct: ${formatReport(direct)}\n`);
-      process.stdout.write(`entry: ${formatReport(entry)}\n`);
-      process.stdout.write(formatComparison(rows));
-    }
-    await finish(args, [
-      {name: 'direct', report: direct},
-      {name: 'entry', report: entry},
-    ]);
-  },
+  run: ({args}) =>
+    reportOptionFaults(async () => {
+      const engines = parseList(args.engines);
+      const entries = parseList(args.entries);
+      const directOptions = resolveLoadOptions(args, engines, true);
+      const entryOptions = resolveLoadOptions(args, entries, false);
+      await compareAndPrint(args, directOptions, entryOptions);
+    }),
 });
 
 /** The command `anvilrudder-load`. */
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -7,6 +7,7 @@
 export * from './report/write_report.js';
 export * from './run/booking_check.js';
 export * from './run/load_options.js';
+export * from './run/option_error.js';
 export * from './run/run_load.js';
 export * from './targets/target.js';
 export * from './targets/verify_answer.js';
--- a/packages/load/src/report/table.ts
+++ b/packages/load/src/report/table.ts
@@ -69,7 +69,8 @@
       `skipped=${measurement.skipped} tokens=${measurement.tokens}`,
     `requestsPerS=${formatNumber(report.requestsPerS)} ` +
       `okPerS=${formatNumber(report.okPerS)} ` +
-      `tokensPerS=${formatNumber(report.tokensPerS)}`,
+      `tokensPerS=${formatNumber(report.tokensPerS)} ` +
+      `cpuShare=${report.cpuShare.toFixed(3)}`,
     formatCounts('codes', measurement.byCode),
     formatCounts('execution', measurement.byExecution),
     formatCounts('versions', measurement.byModelVersion),
--- a/packages/load/src/run/run_load.ts
+++ b/packages/load/src/run/run_load.ts
@@ -20,6 +20,7 @@
   type ConfirmationRecord,
 } from './booking_check.js';
 import {findOptionFaults, type LoadOptions} from './load_options.js';
+import {createLoadOptionError} from './option_error.js';
 
 /** The outcome of a run. */
 export interface LoadReport {
@@ -28,11 +29,14 @@
   readonly requestsPerS: number;
   readonly okPerS: number;
   readonly tokensPerS: number;
+  /** Processor time of the tool as a share of one core. */
+  readonly cpuShare: number;
   readonly measurement: LoadMeasurement;
   readonly bookingCheck: BookingCheck | undefined;
 }
 
 const MS_PER_S = 1000;
+const US_PER_MS = 1000;
 /** Keeps the draws of arrivals, requests and sessions independent. */
 const SEED_STRIDE = 1_000_003;
 
@@ -48,6 +52,7 @@
   private readonly confirmations: ConfirmationRecord[] = [];
   private readonly workload: Workload;
   private readonly startedMs = performance.now();
+  private readonly startedCpu = process.cpuUsage();
 
   constructor(
     private readonly options: LoadOptions,
@@ -130,6 +135,7 @@
     const {options, recorder, confirmations} = this;
     const elapsedMs = this.nowMs();
     const measurement = recorder.measurement();
+    const cpu = process.cpuUsage(this.startedCpu);
     const perS = (count: number) => (count / elapsedMs) * MS_PER_S;
     const {bookingAddress} = options;
     const bookingCheck =
@@ -142,6 +148,7 @@
       requestsPerS: perS(measurement.sent),
       okPerS: perS(measurement.ok),
       tokensPerS: perS(measurement.tokens),
+      cpuShare: (cpu.user + cpu.system) / US_PER_MS / elapsedMs,
       measurement,
       bookingCheck,
     };
@@ -157,7 +164,7 @@
 /**
  * Sends a load and waits until each request has ended.
  *
- * @throws Error listing the faults of the options.
+ * @throws LoadOptionError listing the faults of the options.
  * @example
  * ```ts
  * const report = await runLoad({
@@ -168,7 +175,7 @@
  */
 export async function runLoad(options: LoadOptions): Promise<LoadReport> {
   const faults = findOptionFaults(options);
-  if (faults.length > 0) throw new Error(faults.join('; '));
+  if (faults.length > 0) throw createLoadOptionError(faults);
   const target = createTarget(options);
   try {
     return await runLoadOn(target, options);
--- a/packages/load/test/commands/load_command.test.ts
+++ b/packages/load/test/commands/load_command.test.ts
@@ -13,16 +13,50 @@
 
 const MAIN = fileURLToPath(new URL('../../src/main.js', import.meta.url));
 
-async function runCommand(args: readonly string[]): Promise<string> {
+interface CommandOutput {
+  readonly code: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+async function runCommand(args: readonly string[]): Promise<CommandOutput> {
   const child = spawn(process.execPath, [MAIN, ...args], {
-    stdio: ['ignore', 'pipe', 'inherit'],
+    stdio: ['ignore', 'pipe', 'pipe'],
   });
-  const output = text(child.stdout);
+  const outputs = Promise.all([text(child.stdout), text(child.stderr)]);
   const [code] = (await once(child, 'exit')) as [number];
-  assert.equal(code, 0);
-  return output;
+  const [stdout, stderr] = await outputs;
+  return {code, stdout, stderr};
 }
 
+test('all faults of the arguments are printed together', async () => {
+  const {code, stderr} = await runCommand([
+    ...['run', '--target', 'http://10.0.0.1:80', '--rate', 'x'],
+    ...['--arrivals', 'bursts', '--session-share', '2'],
+  ]);
+  assert.equal(code, 1);
+  assert.deepEqual(stderr.trimEnd().split('\n'), [
+    'error: --rate: expected a number, got "x"',
+    'error: --arrivals: expected poisson or constant, got "bursts"',
+    'error: targets must be http:// URLs of loopback IP numbers',
+    'error: shares must be between 0 and 1',
+  ]);
+});
+
+test('a wrong answer makes the exit status 2', async t => {
+  const entry = await startFakeEntry({
+    generate: (body, response) =>
+      response.end(formatAnswer(body, 'v1', texts => texts.slice(1))),
+  });
+  t.after(() => entry.stop());
+  const {code, stdout} = await runCommand([
+    ...['run', '--target', entry.url, '--rate', '20', '--duration-ms', '100'],
+    ...['--arrivals', 'constant'],
+  ]);
+  assert.equal(code, 2);
+  assert.match(stdout, /verdicts: foreign=2/);
+});
+
 test('compare sends one load both ways and writes a report', async t => {
   const loaded = [{model: 'quick', version: 'v1'}];
   const engine = await startEngineStandIn({loaded});
@@ -41,7 +75,7 @@
     ...['compare', '--engines', engines, '--entries', entry.url],
     ...[...load, 'constant', '--json', '--report', folder],
   ]);
-  const {direct, rows} = JSON.parse(output) as {
+  const {direct, rows} = JSON.parse(output.stdout) as {
     direct: LoadReport;
     rows: readonly ComparisonRow[];
   };
@@ -60,5 +94,5 @@
   const table = await runCommand([
     ...['run', '--target', entry.url, ...load, 'constant'],
   ]);
-  assert.match(table, /verdicts: whole=10/);
+  assert.match(table.stdout, /verdicts: whole=10/);
 });
--- a/packages/stand-ins/src/objects/object_stand_in.ts
+++ b/packages/stand-ins/src/objects/object_stand_in.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
   cutConnection,
@@ -91,6 +92,8 @@
 
   constructor(historyLimit: number) {
     this.objects = VersionedObjects.create(historyLimit);
+    // Each waiting watch listens to the signal.
+    setMaxListeners(0, this.stopSignal.signal);
   }
 
   setFaults(faults: Partial<ObjectFaults>): void {
--- a/packages/stand-ins/src/objects/versioned_objects.ts
+++ b/packages/stand-ins/src/objects/versioned_objects.ts
@@ -93,9 +93,11 @@
     version: number,
   ): readonly ObjectEvent[] | undefined {
     if (version < this.historyStart) return undefined;
-    return this.history.filter(
-      event => event.version > version && event.key.startsWith(prefix),
-    );
+    // The history is in the order of versions and most callers are near its end.
+    const last = this.history.findLastIndex(event => event.version <= version);
+    return this.history
+      .slice(last + 1)
+      .filter(event => event.key.startsWith(prefix));
   }
 
   /** Calls back after each change until the returned function is called. */
--- a/packages/stand-ins/test/objects/object_stand_in.test.ts
+++ b/packages/stand-ins/test/objects/object_stand_in.test.ts
@@ -3,6 +3,8 @@
 import {startObjectStandIn, type ObjectStandIn} from '../../src/index.js';
 import {call} from '../support/http.js';
 
+const WATCH_COUNT = 30;
+
 let objects: ObjectStandIn;
 
 before(async () => {
@@ -39,6 +41,22 @@
   );
 });
 
+test('a change reaches every waiting watch', async () => {
+  const {body} = await call(objects.address, 'GET', '/objects?prefix=m/');
+  const path = `/watch?prefix=m/&after=${String(body.storeVersion)}&timeoutMs=5000`;
+  const {watches} = objects.counters();
+  const watching = Array.from({length: WATCH_COUNT}, () =>
+    call(objects.address, 'GET', path),
+  );
+  while (objects.counters().watches < watches + WATCH_COUNT) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  await call(objects.address, 'PUT', '/objects/m/1', 'x');
+  for (const page of await Promise.all(watching)) {
+    assert.equal((page.body.events as readonly unknown[]).length, 1);
+  }
+});
+
 test('a watch from before the kept history is answered 410', async () => {
   for (let i = 0; i < 6; i += 1) {
     await call(objects.address, 'PUT', '/objects/h', String(i));
