Plot latency by the nines of its percentile

Cause: on an even axis the tail, 99 and above, took a fiftieth of the plot. Change: the axis places 90, 99, 99.9 and 99.99 at equal distances.

--- a/packages/load/src/report/svg_plot.ts
+++ b/packages/load/src/report/svg_plot.ts
@@ -4,11 +4,19 @@
   readonly points: ReadonlyArray<{readonly x: number; readonly y: number}>;
 }
 
+/** A labelled place on an axis. */
+export interface PlotTick {
+  readonly at: number;
+  readonly label: string;
+}
+
 /** Labels and lines of a plot. */
 export interface PlotOptions {
   readonly title: string;
   readonly xLabel: string;
   readonly yLabel: string;
+  /** Default: evenly spaced values. */
+  readonly xTicks?: readonly PlotTick[];
   readonly lines: readonly PlotLine[];
 }
 
@@ -65,22 +73,26 @@
   return `<text ${at} text-anchor="${anchor}">${escapeText(text)}</text>`;
 }
 
-function createTicks(scale: Scale): readonly string[] {
-  const bottom = HEIGHT - MARGIN.bottom;
-  return Array.from({length: TICK_COUNT + 1}, (_, i) => i / TICK_COUNT).flatMap(
-    share => {
-      const x = scale.x(share * scale.xMax);
-      const y = scale.y(share * scale.yMax);
-      const right = WIDTH - MARGIN.right;
-      const xLabel = Number((share * scale.xMax).toPrecision(3));
-      const yLabel = Number((share * scale.yMax).toPrecision(3));
-      return [
-        `<line x1="${MARGIN.left}" y1="${y}" x2="${right}" y2="${y}" stroke="#ddd"/>`,
-        createText(x, bottom + 18, String(xLabel), 'middle'),
-        createText(MARGIN.left - 8, y + 4, String(yLabel), 'end'),
-      ];
-    },
-  );
+function createEvenTicks(max: number): readonly PlotTick[] {
+  return Array.from({length: TICK_COUNT + 1}, (_, index) => {
+    const at = (index / TICK_COUNT) * max;
+    return {at, label: String(Number(at.toPrecision(3)))};
+  });
+}
+
+function createXTick(tick: PlotTick, scale: Scale): string {
+  const y = HEIGHT - MARGIN.bottom + 18;
+  return createText(scale.x(tick.at), y, tick.label, 'middle');
+}
+
+function createYTick(tick: PlotTick, scale: Scale): readonly string[] {
+  const y = scale.y(tick.at);
+  const right = WIDTH - MARGIN.right;
+  const at = y.toFixed(1);
+  return [
+    `<line x1="${MARGIN.left}" y1="${at}" x2="${right}" y2="${at}" stroke="#ddd"/>`,
+    createText(MARGIN.left - 8, y + 4, tick.label, 'end'),
+  ];
 }
 
 function createLine(
@@ -117,12 +129,14 @@
 export function createSvgPlot(options: PlotOptions): string {
   const {title, xLabel, yLabel, lines} = options;
   const scale = createScale(lines);
+  const xTicks = options.xTicks ?? createEvenTicks(scale.xMax);
   const middleX = (MARGIN.left + WIDTH - MARGIN.right) / 2;
   return [
     `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${HEIGHT}" font-family="sans-serif" font-size="12">`,
     '<rect width="100%" height="100%" fill="white"/>',
     createText(middleX, 22, title, 'middle'),
-    ...createTicks(scale),
+    ...xTicks.map(tick => createXTick(tick, scale)),
+    ...createEvenTicks(scale.yMax).flatMap(tick => createYTick(tick, scale)),
     ...lines.flatMap((line, index) => createLine(line, index, scale)),
     createText(middleX, HEIGHT - 12, xLabel, 'middle'),
     createText(MARGIN.left, MARGIN.top - 8, yLabel, 'middle'),
--- a/packages/load/src/report/write_report.ts
+++ b/packages/load/src/report/write_report.ts
@@ -2,7 +2,7 @@
 import {join} from 'node:path';
 import type {LatencySummary} from '../measure/latency_recorder.js';
 import type {LoadReport} from '../run/run_load.js';
-import {createSvgPlot, type PlotLine} from './svg_plot.js';
+import {createSvgPlot, type PlotLine, type PlotTick} from './svg_plot.js';
 
 /** A report and the name of its lines in plots. */
 export interface NamedReport {
@@ -19,11 +19,27 @@
   'whole',
 ];
 
-function createCurve(name: string, summary: LatencySummary): PlotLine {
-  const points = summary.curve.map(({percentile, latencyMs}) => ({
-    x: percentile,
-    y: latencyMs,
+const TICK_PERCENTILES: readonly number[] = [0, 50, 90, 99, 99.9, 99.99];
+
+/** Places 90, 99, 99.9 … at equal distances, so that the tail can be read. */
+function toNines(percentile: number): number {
+  return -Math.log10(1 - percentile / 100);
+}
+
+function createPercentileTicks(): readonly PlotTick[] {
+  return TICK_PERCENTILES.map(percentile => ({
+    at: toNines(percentile),
+    label: String(percentile),
   }));
+}
+
+function createCurve(name: string, summary: LatencySummary): PlotLine {
+  const points = summary.curve
+    .filter(({percentile}) => percentile < 100)
+    .map(({percentile, latencyMs}) => ({
+      x: toNines(percentile),
+      y: latencyMs,
+    }));
   return {name, points};
 }
 
@@ -35,6 +51,7 @@
     title: `Latency: ${latency}`,
     xLabel: 'percentile',
     yLabel: 'ms',
+    xTicks: createPercentileTicks(),
     lines: reports.map(({name, report}) =>
       createCurve(name, report.measurement.latencies[latency]),
     ),
