Collect expired claims by time that one collector measured

Cause: claims need an end, and no wall clocks of two hosts may be compared. Ruled out: a store version older than the retention by a wall clock; time between two holders (unknown, so it does not count). Change: collector with bounded listing; ages of store versions are handed on in an object.

--- a/packages/core/src/billing/billing_compaction.ts
+++ b/packages/core/src/billing/billing_compaction.ts
@@ -27,7 +27,9 @@
   readonly shard: number;
   /** Unique to this compaction. */
   readonly compactionId: string;
-  /** Monotonic time that passed since this holder's last compaction. */
+  /** This holder's last compaction that was written; undefined for none. */
+  readonly previousId: string | undefined;
+  /** Monotonic time that passed since then. */
   readonly elapsedMs: number;
   /** How long links of a hand-off and the progress of lost entries are kept. */
   readonly retentionMs: number;
@@ -148,8 +150,11 @@
   links: LinkListing,
   request: CompactionRequest,
 ): BillingTotals {
-  const {compactionId, elapsedMs, retentionMs} = request;
+  const {compactionId, previousId, retentionMs} = request;
   const {storeVersion, isComplete} = links;
+  // Two holders at once must not both count the same time.
+  const isOwnInterval = totals.compactionId === previousId;
+  const elapsedMs = isOwnInterval ? request.elapsedMs : 0;
   const step = {storeVersion, elapsedMs, retentionMs};
   const retention = advanceRetention(totals.retention, step);
   const next = {...totals, compactionId, retention};
--- a/packages/core/src/steps/retention.ts
+++ b/packages/core/src/steps/retention.ts
@@ -11,6 +11,8 @@
  */
 export interface RetentionMarks {
   readonly marks: readonly RetentionMark[];
+  /** Unique to one write of the marks, where they are an object. */
+  readonly stamp?: string;
 }
 
 /** No version has a known age. */
@@ -72,7 +74,7 @@
   try {
     const value = JSON.parse(text) as Partial<RetentionMarks>;
     return Array.isArray(value.marks)
-      ? {marks: value.marks}
+      ? {marks: value.marks, stamp: value.stamp}
       : NO_RETENTION_MARKS;
   } catch {
     return NO_RETENTION_MARKS;
--- a/packages/core/test/billing/billing_compaction.test.ts
+++ b/packages/core/test/billing/billing_compaction.test.ts
@@ -51,6 +51,7 @@
   const protocol = compactBatches({
     shard: 0,
     compactionId: `c${store.version}`,
+    previousId: findCompactionId(store),
     elapsedMs,
     retentionMs: RETENTION_MS,
     maxPages: 10,
@@ -77,6 +78,13 @@
   return model;
 }
 
+function findCompactionId(store: StoreModel): string | undefined {
+  const object = store.objects.find(o => o.key === resolveTotalsKey(0));
+  return object === undefined
+    ? undefined
+    : parseTotals(object.value).compactionId;
+}
+
 function countBilled(store: StoreModel): number {
   const object = store.objects.find(o => o.key === resolveTotalsKey(0))!;
   const usage = parseTotals(object.value).usage['2026-12/hanbit'];
--- a/packages/core/test/billing/billing_exploration.test.ts
+++ b/packages/core/test/billing/billing_exploration.test.ts
@@ -121,6 +121,7 @@
     yield* compactBatches({
       shard: 0,
       compactionId: `${name} ${round}`,
+      previousId: undefined,
       elapsedMs: 0,
       retentionMs: Infinity,
       maxPages: 1,
--- a/packages/entry/src/control/billing/billing_compactor.ts
+++ b/packages/entry/src/control/billing/billing_compactor.ts
@@ -45,23 +45,26 @@
     ...options,
   };
   let compactionCount = 0;
-  let countedAtMs: number | undefined;
+  let previousId: string | undefined;
+  let previousAtMs = 0;
   return {
     async compact(): Promise<CompactionOutcome> {
       const startedAtMs = nowMs();
       compactionCount += 1;
-      const outcome = await runStoreProtocol(
-        store,
-        compactBatches({
-          shard,
-          compactionId: `${member.incarnation}/${compactionCount}`,
-          elapsedMs: startedAtMs - (countedAtMs ?? startedAtMs),
-          retentionMs,
-          maxPages,
-        }),
-      );
-      const isTimeCounted = outcome.status === 'folded';
-      if (isTimeCounted || countedAtMs === undefined) countedAtMs = startedAtMs;
+      const compactionId = `${member.incarnation}/${compactionCount}`;
+      const protocol = compactBatches({
+        shard,
+        compactionId,
+        previousId,
+        elapsedMs: startedAtMs - previousAtMs,
+        retentionMs,
+        maxPages,
+      });
+      const outcome = await runStoreProtocol(store, protocol);
+      if (outcome.status === 'folded') {
+        previousId = compactionId;
+        previousAtMs = startedAtMs;
+      }
       return outcome;
     },
   };
--- /dev/null
+++ b/packages/entry/src/control/claims/claim_collector.ts
@@ -0,0 +1,132 @@
+import {
+  advanceRetention,
+  collectClaims,
+  findExpiredVersion,
+  NO_RETENTION_MARKS,
+  parseRetention,
+  readObject,
+  writeObject,
+  type CollectionOutcome,
+  type ConfirmedWrite,
+  type MemberId,
+  type ObjectStore,
+  type RetentionMarks,
+  type RetentionStep,
+  type StoreProtocol,
+} from '@anvilrudder/core';
+import {runStoreProtocol} from '../steps/run_store_protocol.js';
+
+/** Options of {@link createClaimCollector}. */
+export interface ClaimCollectorOptions {
+  readonly store: ObjectStore;
+  readonly member: MemberId;
+  /** How long a finished claim answers repeats of its call. */
+  readonly retentionMs?: number;
+  readonly nowMs?: () => number;
+}
+
+/** Deletes expired claims; run by the holder of the lease of this duty. */
+export interface ClaimCollector {
+  /** Goes on with one page of the listing; undefined when the store is out. */
+  collect(): Promise<CollectionOutcome | undefined>;
+}
+
+/** Object that hands the ages of store versions on to the next holder. */
+export const CLAIM_RETENTION_KEY = 'claim-retention';
+
+const DEFAULT_RETENTION_MS = 24 * 3600 * 1000;
+
+/** Ages are written so many times in one retention. */
+const WRITES_PER_RETENTION = 100;
+
+/**
+ * Creates the collector of expired claims.
+ *
+ * @example
+ * ```ts
+ * const collector = createClaimCollector({store, member});
+ * if (lease.current() !== undefined) await collector.collect();
+ * ```
+ */
+export function createClaimCollector(
+  options: ClaimCollectorOptions,
+): ClaimCollector {
+  return StoreClaimCollector.create(options);
+}
+
+class StoreClaimCollector implements ClaimCollector {
+  private retention: RetentionMarks = NO_RETENTION_MARKS;
+  /** When the ages of `retention` were right; undefined before the start. */
+  private agedAtMs: number | undefined;
+  private after: string | undefined;
+  private writeCount = 0;
+  /** Stamp of the last write of the ages by this collector. */
+  private stamp: string | undefined;
+
+  private constructor(
+    private readonly options: Required<ClaimCollectorOptions>,
+  ) {}
+
+  static create(options: ClaimCollectorOptions): StoreClaimCollector {
+    return new StoreClaimCollector({
+      retentionMs: DEFAULT_RETENTION_MS,
+      nowMs: () => performance.now(),
+      ...options,
+    });
+  }
+
+  async collect(): Promise<CollectionOutcome | undefined> {
+    const {store, retentionMs} = this.options;
+    const expiredVersion = findExpiredVersion(this.retention, retentionMs);
+    const protocol = collectClaims(this.after, expiredVersion);
+    const outcome = await runStoreProtocol(store, protocol);
+    if (outcome.storeVersion === undefined) return undefined;
+    this.after = outcome.nextAfter;
+    await this.age(outcome.storeVersion);
+    return outcome;
+  }
+
+  /** Ages the marks that the object API holds by the time measured here. */
+  private async age(storeVersion: number): Promise<void> {
+    const {store, member, retentionMs, nowMs} = this.options;
+    const now = nowMs();
+    const agedAtMs = this.agedAtMs ?? now;
+    const isDue = now - agedAtMs >= retentionMs / WRITES_PER_RETENTION;
+    if (this.agedAtMs !== undefined && !isDue) return;
+    this.writeCount += 1;
+    const stamp = `${member.incarnation}/${this.writeCount}`;
+    const step = {storeVersion, elapsedMs: now - agedAtMs, retentionMs};
+    const protocol = ageMarks(step, stamp, this.stamp);
+    const aged = await runStoreProtocol(store, protocol);
+    if (aged === undefined) return;
+    this.retention = aged;
+    this.agedAtMs = now;
+    this.stamp = stamp;
+  }
+}
+
+/**
+ * Two collectors at once must not both count the same time, so time counts
+ * only from one write of a collector to its next one.
+ */
+function* ageMarks(
+  step: RetentionStep,
+  stamp: string,
+  previousStamp: string | undefined,
+): StoreProtocol<RetentionMarks | undefined> {
+  const read = yield* readObject(CLAIM_RETENTION_KEY);
+  if (read.status === 'failed') return undefined;
+  const before = parseRetention(read.object?.value);
+  const isOwnInterval = before.stamp === previousStamp;
+  const elapsedMs = isOwnInterval ? step.elapsedMs : 0;
+  const retention = advanceRetention(before, {...step, elapsedMs});
+  const write: ConfirmedWrite = yield* writeObject({
+    key: CLAIM_RETENTION_KEY,
+    value: JSON.stringify({...retention, stamp}),
+    condition:
+      read.object === undefined
+        ? {kind: 'absent'}
+        : {kind: 'version', version: read.object.version},
+  });
+  return write.status === 'written' ? retention : undefined;
+}
