--- a/packages/core/src/acceptance/peer_report.ts
+++ b/packages/core/src/acceptance/peer_report.ts
@@ -108,6 +108,8 @@
  * ```
  */
 export function isGuestOf(state: EntryState, report: PeerReport): boolean {
+  // A leaving entry serves no more, so nobody has to wait for its grant.
+  if (report.isLeaving) return false;
   if (report.isGuest || state.active === undefined) return true;
   return !hasMember(state.active.members, report.sender);
 }
