Wait for no guest that obeys the proposal; explore stopped hosts

Ruled out: a shorter freshness bound; it would not help slow starts. Conclusion: joins in a row are not held up by each other.

--- a/packages/core/src/acceptance/decision.ts
+++ b/packages/core/src/acceptance/decision.ts
@@ -88,8 +88,8 @@
   const roster = resolveRoster(head);
   const isComplete = roster.every(m => state.ackedAtMs.has(formatMemberKey(m)));
   if (isComplete) {
-    const hasGrants = state.ackGrantUntilMs > state.pendingSeenAtMs;
-    return hasGrants ? state.ackGrantUntilMs + marginMs : 0;
+    const grantEndMs = resolveGrantEnd(state);
+    return grantEndMs === undefined ? 0 : grantEndMs + marginMs;
   }
   const counted = head.members.filter(
     member => !pending.vouchedHosts.includes(member.host),
@@ -125,6 +125,14 @@
   return [...new Set(silent.map(member => member.host))].sort();
 }
 
+// A guest that obeys the known head needs no wait for its grants.
+function resolveGrantEnd(state: EntryState): number | undefined {
+  const ends = [...state.ackGrantUntilMs]
+    .filter(([key]) => !state.ackedAtMs.has(key))
+    .map(([, untilMs]) => untilMs);
+  return ends.length === 0 ? undefined : Math.max(...ends);
+}
+
 function mayDecide(
   state: EntryState,
   pending: PendingChange,
--- a/packages/core/src/acceptance/entry_state.ts
+++ b/packages/core/src/acceptance/entry_state.ts
@@ -50,15 +50,13 @@
   readonly pendingSeenAtMs: number;
   /** Members that obey the known head, and when that was learnt. */
   readonly ackedAtMs: ReadonlyMap<string, number>;
-  /** End of the guests' grants that acknowledgements reported. */
-  readonly ackGrantUntilMs: number;
-  /** End of the grants this entry gave, by guest. */
-  readonly grantUntilMs: ReadonlyMap<string, number>;
   /**
-   * End of the grants this entry gave before it obeyed the active head, save
-   * those to entries that must acknowledge it themselves.
+   * End of the grants, by guest, that members gave before they obeyed the
+   * known head, as their acknowledgements reported.
    */
-  readonly oldGrantUntilMs: number;
+  readonly ackGrantUntilMs: ReadonlyMap<string, number>;
+  /** End of the grants this entry gave, by guest. */
+  readonly grantUntilMs: ReadonlyMap<string, number>;
   readonly joiners: ReadonlyMap<string, Joiner>;
   /** True once this entry wants to leave the members. */
   readonly isLeaving: boolean;
@@ -87,9 +85,8 @@
     grantedAtMs: new Map(),
     pendingSeenAtMs: 0,
     ackedAtMs: new Map(),
-    ackGrantUntilMs: 0,
+    ackGrantUntilMs: new Map(),
     grantUntilMs: new Map(),
-    oldGrantUntilMs: 0,
     joiners: new Map(),
     isLeaving: false,
   };
@@ -139,3 +136,13 @@
   if (current !== undefined && current >= timeMs) return times;
   return new Map(times).set(key, timeMs);
 }
+
+/** Sets several times in a map unless later ones are there. */
+export function withLatestAll(
+  times: ReadonlyMap<string, number>,
+  added: Iterable<readonly [string, number]>,
+): ReadonlyMap<string, number> {
+  let merged = times;
+  for (const [key, timeMs] of added) merged = withLatest(merged, key, timeMs);
+  return merged;
+}
--- a/packages/core/src/acceptance/knowledge.ts
+++ b/packages/core/src/acceptance/knowledge.ts
@@ -1,5 +1,5 @@
 import {formatMemberKey} from '../membership/member.js';
-import {resolveRoster, withLatest, type EntryState} from './entry_state.js';
+import {withLatest, withLatestAll, type EntryState} from './entry_state.js';
 import {listDigests, type RulesHead} from './head.js';
 
 /**
@@ -24,7 +24,7 @@
     known: head,
     pendingSeenAtMs: nowMs,
     ackedAtMs: new Map(),
-    ackGrantUntilMs: 0,
+    ackGrantUntilMs: new Map(),
   };
   return activateKnown(learnt, nowMs);
 }
@@ -89,20 +89,10 @@
   const {known, active} = state;
   if (known === undefined || active?.sequence === known.sequence) return state;
   if (listMissingDigests(state).length > 0) return state;
-  const oldGrantUntilMs = resolveOldGrantEnd(state, known);
   return {
     ...state,
     active: known,
-    oldGrantUntilMs,
     ackedAtMs: withLatest(state.ackedAtMs, formatMemberKey(state.self), nowMs),
-    ackGrantUntilMs: Math.max(state.ackGrantUntilMs, oldGrantUntilMs),
+    ackGrantUntilMs: withLatestAll(state.ackGrantUntilMs, state.grantUntilMs),
   };
 }
-
-function resolveOldGrantEnd(state: EntryState, head: RulesHead): number {
-  const rosterKeys = new Set(resolveRoster(head).map(formatMemberKey));
-  const ends = [...state.grantUntilMs]
-    .filter(([key]) => !rosterKeys.has(key))
-    .map(([, untilMs]) => untilMs);
-  return Math.max(0, ...ends);
-}
--- a/packages/core/src/acceptance/peer_report.ts
+++ b/packages/core/src/acceptance/peer_report.ts
@@ -3,12 +3,20 @@
   resolveRoster,
   resolveRosterDigest,
   withLatest,
+  withLatestAll,
   type EntryState,
 } from './entry_state.js';
 import type {RulesHead} from './head.js';
 import {learnHead, withConfirmation} from './knowledge.js';
 import {isFullMember} from './serving.js';
 
+/** A right to serve that a member gave to a guest. */
+export interface GuestGrant {
+  /** Key of the guest's identity. */
+  readonly guestKey: string;
+  readonly remainingMs: number;
+}
+
 /** What one entry tells another, as a request or as its answer. */
 export interface PeerReport {
   readonly sender: Member;
@@ -23,8 +31,8 @@
   readonly memberAgesMs: ReadonlyArray<number | undefined>;
   /** Which members obey the sender's active head, in the same order. */
   readonly acked: readonly boolean[];
-  /** Time left of the grants to guests among those acknowledgements. */
-  readonly ackGrantRemainingMs: number;
+  /** Grants that those members gave to guests before. */
+  readonly ackGrants: readonly GuestGrant[];
   /** In a request: the sender counts the answer as a guest. */
   readonly isGuest: boolean;
   /** In an answer: the sender recorded a grant for the receiver. */
@@ -66,7 +74,7 @@
       confirmedAtMs === undefined ? undefined : nowMs - confirmedAtMs,
     memberAgesMs: keys.map(key => resolveAge(state, key, nowMs)),
     acked: isCurrent ? keys.map(key => state.ackedAtMs.has(key)) : [],
-    ackGrantRemainingMs: Math.max(0, resolveGrantEnd(state) - nowMs),
+    ackGrants: isCurrent ? listAckGrants(state, nowMs) : [],
     isGuest: !isFullMember(state),
     isGuestGrant: options.isGuestGrant,
     isLeaving: state.isLeaving,
@@ -185,13 +193,11 @@
   for (const key of acked) {
     if (!ackedAtMs.has(key)) ackedAtMs.set(key, nowMs);
   }
-  const acknowledged = {...state, ackedAtMs};
-  if (report.ackGrantRemainingMs === 0) return acknowledged;
-  const grantUntilMs = nowMs + report.ackGrantRemainingMs;
-  return {
-    ...acknowledged,
-    ackGrantUntilMs: Math.max(state.ackGrantUntilMs, grantUntilMs),
-  };
+  const ends = report.ackGrants.map(
+    ({guestKey, remainingMs}) => [guestKey, nowMs + remainingMs] as const,
+  );
+  const ackGrantUntilMs = withLatestAll(state.ackGrantUntilMs, ends);
+  return {...state, ackedAtMs, ackGrantUntilMs};
 }
 
 function noteJoiner(
@@ -222,8 +228,13 @@
   return atMs === undefined ? undefined : nowMs - atMs;
 }
 
-function resolveGrantEnd(state: EntryState): number {
-  return Math.max(state.ackGrantUntilMs, state.oldGrantUntilMs);
+function listAckGrants(
+  state: EntryState,
+  nowMs: number,
+): readonly GuestGrant[] {
+  return [...state.ackGrantUntilMs]
+    .filter(([key, untilMs]) => untilMs > nowMs && !state.ackedAtMs.has(key))
+    .map(([guestKey, untilMs]) => ({guestKey, remainingMs: untilMs - nowMs}));
 }
 
 function listRosterKeys(head: RulesHead): readonly string[] {
--- a/packages/core/test/acceptance/exploration.test.ts
+++ b/packages/core/test/acceptance/exploration.test.ts
@@ -25,6 +25,8 @@
   deliver: 3,
   drop: 1,
   restart: 1,
+  kill: 1,
+  proposeWithout: 1,
 };
 const SCHEDULE_LENGTH = 90;
 const RUN_COUNT = Number(process.env['EXPLORATION_RUNS'] ?? 1_500);
@@ -146,8 +148,8 @@
     name: 'acknowledgements that leave out grants to guests',
     deployment: {memberCount: 3, guestCount: 1},
     variant: {
-      changeReport: (_, report) => ({...report, ackGrantRemainingMs: 0}),
-      beforeDecision: state => ({...state, ackGrantUntilMs: 0}),
+      changeReport: (_, report) => ({...report, ackGrants: []}),
+      beforeDecision: state => ({...state, ackGrantUntilMs: new Map()}),
     },
   },
   {
--- a/packages/core/test/acceptance/protocol_model.ts
+++ b/packages/core/test/acceptance/protocol_model.ts
@@ -50,7 +50,9 @@
   | 'decideSlowly'
   | 'deliver'
   | 'drop'
-  | 'restart';
+  | 'restart'
+  | 'kill'
+  | 'proposeWithout';
 
 /** Replaces parts of the protocol, to show that the exploration sees it. */
 export interface Variant {
@@ -84,6 +86,7 @@
     guestServed: 0,
   };
   violation: string | undefined;
+  private readonly dead = new Set<string>();
   private nowMs = START_MS;
   private head: RulesHead;
   private readonly olderHeads: RulesHead[] = [];
@@ -176,7 +179,12 @@
     drop: (_, other) => {
       this.messages.splice(other % this.messages.length, 1);
     },
+    kill: index => {
+      this.dead.add(this.entries[index].self.host);
+    },
+    proposeWithout: index => this.propose(index, true, run => run(), true),
     restart: index => {
+      this.dead.delete(this.entries[index].self.host);
       const host = Number(this.entries[index].self.host.slice(1));
       const self = createMember(host, this.runCount++);
       this.entries[index] = createEntryState(self, OPTIONS);
@@ -189,6 +197,7 @@
 
   private step(index: number, event: EntryEvent): void {
     const before = this.entries[index];
+    if (this.dead.has(before.self.host)) return;
     const {state} = stepEntry(before, event, this.nowMs);
     const earlier = before.known?.sequence ?? 0;
     if ((state.known?.sequence ?? 0) < earlier) {
@@ -205,9 +214,11 @@
     const peer =
       (index + 1 + (other % (this.entries.length - 1))) % this.entries.length;
     const {self} = this.entries[index];
+    if (this.dead.has(self.host)) return;
     const sentAtMs = this.nowMs;
     const request = this.createReport(index);
     transmit(() => {
+      if (this.dead.has(this.entries[peer].self.host)) return;
       this.step(peer, {kind: 'peerAsked', report: request});
       const answer = this.createAnswer(peer, request);
       transmit(() => {
@@ -248,10 +259,12 @@
     index: number,
     hasRules: boolean,
     transmit: (run: () => void) => void,
+    isVouching = false,
   ): void {
     const state = this.entries[index];
     const {known} = state;
-    if (known === undefined) return;
+    if (known === undefined || this.dead.has(state.self.host)) return;
+    const withoutHosts = isVouching ? [...this.dead] : [];
     const members = resolveMembers({
       members: known.members,
       joiners: [
@@ -259,7 +272,7 @@
         ...(hasMember(known.members, state.self) ? [] : [state.self]),
       ],
       lostKeys: this.listLostKeys(state, known),
-      withoutHosts: [],
+      withoutHosts,
     });
     if (!hasRules && isSameMembers(members, known.members)) return;
     const changeId = `c${this.changeCount++}`;
@@ -271,7 +284,7 @@
       coordinator: state.self,
       who: 'w',
       why: 'y',
-      vouchedHosts: [],
+      vouchedHosts: withoutHosts,
     });
     if (result.kind !== 'proposed') return;
     if (hasRules) {
@@ -297,6 +310,7 @@
 
   private decide(index: number, transmit: (run: () => void) => void): void {
     const state = this.entries[index];
+    if (this.dead.has(state.self.host)) return;
     const input = this.variant.beforeDecision?.(state) ?? state;
     const decision = resolveDecision(input, this.nowMs);
     if (decision === undefined || state.known === undefined) return;
@@ -330,6 +344,7 @@
   private check(): void {
     const {digest} = this.head.rules;
     this.entries.forEach((entry, index) => {
+      if (this.dead.has(entry.self.host)) return;
       const state = this.variant.beforeServing?.(entry, this.nowMs) ?? entry;
       const servesBy = resolveServing(state, this.nowMs);
       if (servesBy === 'none' || state.active === undefined) return;
--- a/packages/peers/src/report_codec.ts
+++ b/packages/peers/src/report_codec.ts
@@ -53,7 +53,10 @@
     memberAges: encodeAges(report.memberAgesMs, ageUnitMs),
     ageUnitMs,
     acked: encodeBits(report.acked),
-    ackGrantRemainingMs: Math.ceil(report.ackGrantRemainingMs),
+    ackGrants: report.ackGrants.map(({guestKey, remainingMs}) => ({
+      guestKey,
+      remainingMs: Math.ceil(remainingMs),
+    })),
     isGuest: report.isGuest,
     isGuestGrant: report.isGuestGrant,
     isLeaving: report.isLeaving,
@@ -90,7 +93,10 @@
       age === NOT_HEARD ? undefined : age * message.ageUnitMs,
     ),
     acked: decodeBits(message.acked),
-    ackGrantRemainingMs: message.ackGrantRemainingMs,
+    ackGrants: message.ackGrants.map(({guestKey, remainingMs}) => ({
+      guestKey,
+      remainingMs,
+    })),
     isGuest: message.isGuest,
     isGuestGrant: message.isGuestGrant,
     isLeaving: message.isLeaving,
