--- a/packages/cli/test/fake_deployment.ts
+++ b/packages/cli/test/fake_deployment.ts
@@ -154,6 +154,7 @@
           host: 'entry-1',
           incarnation: 'i1',
           failureDomain: 'fd-a',
+          peerAddress: '127.0.0.1:1',
           heardAgeMs: 20,
           revision: this.deployment.revision,
         },
--- a/packages/demo/src/checks.ts
+++ b/packages/demo/src/checks.ts
@@ -1,5 +1,12 @@
 import {callGenerate, callPlain, type GenerateAnswer} from './caller.js';
 import type {Deployment} from './deployment.js';
+import {
+  checkAudit,
+  checkExplain,
+  checkRivalOperator,
+  checkRollout,
+  checkWithdrawal,
+} from './rule_checks.js';
 
 /** What one check of the demo saw. */
 export interface CheckResult {
@@ -22,7 +29,16 @@
   {name: 'a session keeps its version across entries', run: checkSession},
   {name: 'a foreign session token is refused', run: checkForeignSession},
   {name: 'a confirmation sent twice runs once', run: checkConfirmation},
+  {name: 'a kind between two models uses both', run: checkCascade},
   {name: 'bad requests get typed errors', run: checkBadRequests},
+  {name: 'a roll-out takes effect at every entry', run: checkRollout},
+  {
+    name: 'a second operator on an old base is refused',
+    run: checkRivalOperator,
+  },
+  {name: 'a withdrawal under load: zero requests after', run: checkWithdrawal},
+  {name: 'explain names the rule, who asked and why', run: checkExplain},
+  {name: 'the audit trail holds the changes', run: checkAudit},
   {name: 'a planned stop cuts no request', run: checkPlannedStop},
 ];
 
@@ -114,6 +130,20 @@
   };
 }
 
+async function checkCascade(deployment: Deployment): Promise<CheckResult> {
+  const {apiKey} = deployment.organisations[0];
+  const answers = await Promise.all(
+    Array.from({length: 40}, () => ask(deployment, apiKey, 'translation-note')),
+  );
+  const countOf = (model: string): number =>
+    answers.filter(answer => answer.isWhole && answer.model === model).length;
+  const [quick, deep] = [countOf('quick'), countOf('deep')];
+  return {
+    isOk: quick > 0 && deep > 0 && quick + deep === answers.length,
+    seen: `quick ${quick}, deep ${deep}`,
+  };
+}
+
 async function checkBadRequests(deployment: Deployment): Promise<CheckResult> {
   const url = `${deployment.entries[0].callerUrl}/v1/generate`;
   const {apiKey} = deployment.organisations[0];
--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -72,6 +72,8 @@
           '16',
           '--token-delay-ms',
           '5',
+          '--confidence',
+          'quick@v1=0.7,quick@v2=0.7,deep@v1=0.95',
         ),
     ),
   ]);
--- /dev/null
+++ b/packages/demo/src/rule_checks.ts
@@ -0,0 +1,199 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {readFileSync, writeFileSync} from 'node:fs';
+import {dirname, join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {callGenerate, callPlain} from './caller.js';
+import type {CheckResult} from './checks.js';
+import type {Deployment} from './deployment.js';
+
+const CLI = join(
+  dirname(fileURLToPath(import.meta.url)),
+  '../../../cli/dist/src/main.js',
+);
+const LOAD_WORKERS = 8;
+const LOAD_AFTER_MS = 500;
+const ROLLOUT_REQUESTS = 40;
+
+interface CliResult {
+  readonly exitCode: number | null;
+  readonly output: string;
+}
+
+/** Puts half of the new work of a model on its next version. */
+export async function checkRollout(
+  deployment: Deployment,
+): Promise<CheckResult> {
+  const rules = readFileSync(deployment.rulesFile, 'utf8');
+  const edited = rules.replace('share=0%', 'share=50%');
+  const applied = await applyRules(deployment, 'half.rules', edited, [
+    '--why',
+    'half of the new work on v2',
+    '--base',
+    '1',
+  ]);
+  const counts = await Promise.all(
+    deployment.entries.map(({callerUrl}) =>
+      countVersion(deployment, callerUrl),
+    ),
+  );
+  return {
+    isOk: applied.exitCode === 0 && counts.every(count => count > 0),
+    seen: `exit ${describe(applied)}, v2 ${counts.join('/')} of ${ROLLOUT_REQUESTS}`,
+  };
+}
+
+/** Applies a file whose base is a revision that is no longer in force. */
+export async function checkRivalOperator(
+  deployment: Deployment,
+): Promise<CheckResult> {
+  const rules = readFileSync(deployment.rulesFile, 'utf8');
+  const applied = await applyRules(deployment, 'rival.rules', rules, [
+    '--why',
+    'an edit of the first revision',
+    '--base',
+    '1',
+  ]);
+  return {
+    isOk: applied.exitCode === 1,
+    seen: `exit ${describe(applied)}`,
+  };
+}
+
+/** Withdraws a version while requests run at every entry. */
+export async function checkWithdrawal(
+  deployment: Deployment,
+): Promise<CheckResult> {
+  let isOver = false;
+  let answered = 0;
+  let failed = 0;
+  const workers = Array.from({length: LOAD_WORKERS}, async (_, index) => {
+    const entry = deployment.entries[index % deployment.entries.length];
+    while (!isOver) {
+      const answer = await callGenerate({
+        baseUrl: entry.callerUrl,
+        apiKey: deployment.organisations[0].apiKey,
+        kind: 'icebreaker',
+        prompt: `load ${index}`,
+        maxTokens: 4,
+      });
+      if (answer.isWhole) answered += 1;
+      else failed += 1;
+    }
+  });
+  const rules = readFileSync(deployment.rulesFile, 'utf8');
+  const edited = `${rules.replace('share=0%', 'share=50%')}\nwithdraw model=quick version=v2 # mina: bad ratings\n`;
+  const applied = await applyRules(deployment, 'withdraw.rules', edited, [
+    '--why',
+    'bad ratings of v2',
+    '--base',
+    '2',
+  ]);
+  const atAcceptance = await countExecutions(deployment, 'quick@v2');
+  await new Promise(resolve => setTimeout(resolve, LOAD_AFTER_MS));
+  isOver = true;
+  await Promise.all(workers);
+  const after = (await countExecutions(deployment, 'quick@v2')) - atAcceptance;
+  return {
+    isOk: applied.exitCode === 0 && after === 0 && failed === 0 && answered > 0,
+    seen: `exit ${describe(applied)}, ${after} after acceptance, ${answered} answered, ${failed} failed`,
+  };
+}
+
+/** Asks which version a request gets and by which rules. */
+export async function checkExplain(
+  deployment: Deployment,
+): Promise<CheckResult> {
+  const {exitCode, output} = await runCli(deployment, [
+    'explain',
+    '--organisation',
+    'colombo-one',
+    '--kind',
+    'casting-brief',
+  ]);
+  return {
+    isOk: exitCode === 0 && output.includes('dilani'),
+    seen: `exit ${exitCode}`,
+  };
+}
+
+/** Reads the audit trail of the changes made above. */
+export async function checkAudit(deployment: Deployment): Promise<CheckResult> {
+  const {exitCode, output} = await runCli(deployment, ['audit', '--json']);
+  const isHeld =
+    output.includes('bad ratings of v2') && output.includes('"mina"');
+  const isOk = exitCode === 0 && isHeld;
+  return {isOk, seen: isOk ? 'exit 0' : `exit ${exitCode}: ${output}`};
+}
+
+// The output of the command is worth showing only when it failed.
+function describe({exitCode, output}: CliResult): string {
+  const lastLine = output.trim().split('\n').at(-1);
+  return exitCode === 0 ? '0' : `${exitCode} (${lastLine})`;
+}
+
+function applyRules(
+  deployment: Deployment,
+  name: string,
+  content: string,
+  options: readonly string[],
+): Promise<CliResult> {
+  const file = join(deployment.folder, name);
+  writeFileSync(file, content);
+  return runCli(deployment, ['rules', 'apply', file, ...options]);
+}
+
+async function runCli(
+  deployment: Deployment,
+  args: readonly string[],
+): Promise<CliResult> {
+  const child = spawn(process.execPath, [CLI, ...args], {
+    env: {
+      ...process.env,
+      ANVILRUDDER_ENTRIES: deployment.entries
+        .map(entry => entry.peerUrl)
+        .join(','),
+      ANVILRUDDER_TOKEN: deployment.operatorToken,
+    },
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  let output = '';
+  child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
+  child.stderr.on('data', (chunk: Buffer) => (output += chunk.toString()));
+  const [exitCode] = (await once(child, 'close')) as [number | null];
+  return {exitCode, output};
+}
+
+async function countVersion(
+  deployment: Deployment,
+  baseUrl: string,
+): Promise<number> {
+  const answers = await Promise.all(
+    Array.from({length: ROLLOUT_REQUESTS}, (_, index) =>
+      callGenerate({
+        baseUrl,
+        apiKey: deployment.organisations[0].apiKey,
+        kind: 'icebreaker',
+        prompt: `roll-out ${index}`,
+        maxTokens: 2,
+      }),
+    ),
+  );
+  return answers.filter(answer => answer.version === 'v2').length;
+}
+
+async function countExecutions(
+  deployment: Deployment,
+  version: string,
+): Promise<number> {
+  const counts = await Promise.all(
+    deployment.engineUrls.map(async url => {
+      const {body} = await callPlain(`${url}/admin/counters`);
+      const counters = JSON.parse(body) as {
+        readonly executionsByVersion: Readonly<Record<string, number>>;
+      };
+      return counters.executionsByVersion[version] ?? 0;
+    }),
+  );
+  return counts.reduce((sum, count) => sum + count, 0);
+}
--- a/packages/entry/src/backends/backend_directory.ts
+++ b/packages/entry/src/backends/backend_directory.ts
@@ -51,7 +51,7 @@
  */
 export class BackendDirectory {
   private readonly states = new Map<string, BackendState>();
-  private entryAddresses: readonly string[] = [];
+  private entries: readonly BackendHost[] = [];
 
   private constructor() {}
 
@@ -62,9 +62,7 @@
   /** Takes a new host list; open requests at removed hosts go on. */
   replaceHosts(hosts: readonly BackendHost[]): void {
     const listed = new Set<string>();
-    this.entryAddresses = hosts
-      .filter(host => host.role === 'entry')
-      .map(host => host.address);
+    this.entries = hosts.filter(host => host.role === 'entry');
     for (const host of hosts) {
       if (host.role === 'entry') continue;
       listed.add(host.host);
@@ -80,9 +78,9 @@
     }
   }
 
-  /** Peer addresses of the entries that the host list names. */
-  listEntryAddresses(): readonly string[] {
-    return this.entryAddresses;
+  /** The entries that the host list names, with their peer addresses. */
+  listEntries(): readonly BackendHost[] {
+    return this.entries;
   }
 
   /** Takes a load report; a server that says it drains is leaving. */
--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -3,6 +3,7 @@
 import {parseRules, type MemberId, type ObjectStore} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import {HttpObjectStore, createCountingStore} from '@anvilrudder/platform';
+import type {BackendHost} from '../backends/backend_directory.js';
 import type {Settings} from '../config/settings_schema.js';
 import type {ClaimRunner} from '../entry_context.js';
 import {
@@ -31,8 +32,8 @@
   readonly settings: Settings;
   readonly logger: Logger;
   readonly metrics: MetricRegistry;
-  /** Addresses of other entries by the host list. */
-  readonly listEntryAddresses: () => readonly string[];
+  /** The entries of the host list, with their peer addresses. */
+  readonly listEntries: () => readonly BackendHost[];
 }
 
 /** The control parts of a running entry. */
@@ -54,7 +55,7 @@
  *
  * @example
  * ```ts
- * const control = await startControl({settings, logger, metrics, listEntryAddresses});
+ * const control = await startControl({settings, logger, metrics, listEntries});
  * ```
  */
 export async function startControl(
@@ -66,15 +67,16 @@
   const peers = await startPeerServer(settings.peer);
   const peerAddress = settings.peer.advertise ?? peers.address;
   const audit = createAuditTrail({store});
-  const keeper = createRulesKeeper({
+  const keeper: AcceptanceKeeper = createRulesKeeper({
     self: {...member, failureDomain: settings.failureDomain, peerAddress},
     store,
     parse: parseRules,
     initialRules: readInitialRules(settings),
     listSeedAddresses: () => [
       ...settings.peer.seeds,
-      ...options.listEntryAddresses(),
+      ...options.listEntries().map(({address}) => address),
     ],
+    listGoneHosts: () => listGoneHosts(options.listEntries(), keeper),
     storeTimeoutMs: settings.platform.callTimeoutMs,
     acceptance: {freshnessMs: settings.rules.freshnessMs},
     onEvent: event => {
@@ -136,6 +138,20 @@
   };
 }
 
+// A list without entries, such as one that only names backend servers, says
+// nothing of them.
+function listGoneHosts(
+  entries: readonly BackendHost[],
+  keeper: AcceptanceKeeper,
+): readonly string[] {
+  if (entries.length === 0) return [];
+  const listed = new Set(entries.map(({host}) => host));
+  return keeper
+    .status()
+    .members.map(({host}) => host)
+    .filter(host => !listed.has(host));
+}
+
 function createStore(settings: Settings, metrics: MetricRegistry): ObjectStore {
   const {store, counters} = createCountingStore(
     HttpObjectStore.create({
--- a/packages/entry/src/stages/admit.ts
+++ b/packages/entry/src/stages/admit.ts
@@ -16,7 +16,7 @@
  */
 export function admitRequest(
   context: EntryContext,
-  request: GenerateRequest,
+  _request: GenerateRequest,
 ): () => void {
   const open = context.openRequests;
   if (open.count > context.settings.requests.maxQueued) {
--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -50,7 +50,7 @@
     settings,
     logger,
     metrics,
-    listEntryAddresses: () => backends.listEntryAddresses(),
+    listEntries: () => backends.listEntries(),
   });
   let isAccepting = true;
   const context: EntryContext = {
--- a/packages/stand-ins/src/commands/commands.ts
+++ b/packages/stand-ins/src/commands/commands.ts
@@ -60,6 +60,11 @@
     'cache-entries': createNumberArg(1024, 'prefix blocks in the cache'),
     'cache-event-lag-ms': createNumberArg(0, 'lag of cache events'),
     'cache-event-loss-every': createNumberArg(0, 'every n-th event is lost'),
+    confidence: {
+      type: 'string',
+      default: '',
+      description: 'own estimate, model@version=0.8,…',
+    },
   },
   run: ({args}) =>
     runStandIn(
@@ -77,6 +82,7 @@
         cacheEntries: parseNumber(args['cache-entries']),
         cacheEventLagMs: parseNumber(args['cache-event-lag-ms']),
         cacheEventLossEvery: parseNumber(args['cache-event-loss-every']),
+        confidence: parseQuality(args.confidence),
       }),
     ),
 });
--- a/packages/stand-ins/src/engine/engine_types.ts
+++ b/packages/stand-ins/src/engine/engine_types.ts
@@ -31,6 +31,11 @@
   readonly cacheEventLagMs?: number;
   /** Every n-th cache event is lost; 0 loses none. Default 0. */
   readonly cacheEventLossEvery?: number;
+  /**
+   * Mean of the engine's own estimate of its answers by `model@version`; a
+   * version that is not named gives none. Default none.
+   */
+  readonly confidence?: Readonly<Record<string, number>>;
 }
 
 /** Faults of the engine. */
@@ -128,6 +133,7 @@
     cacheEntries: options.cacheEntries ?? 1024,
     cacheEventLagMs: options.cacheEventLagMs ?? 0,
     cacheEventLossEvery: options.cacheEventLossEvery ?? 0,
+    confidence: options.confidence ?? {},
   };
 }
 
--- a/packages/stand-ins/src/engine/generation.ts
+++ b/packages/stand-ins/src/engine/generation.ts
@@ -4,6 +4,7 @@
   setTimeout as sleep,
 } from 'node:timers/promises';
 import {cutConnection, sendJson} from '../http/http_server.js';
+import {hashToUnit} from '../utils/hash.js';
 import type {EngineCounts} from './engine_counts.js';
 import type {EngineFaultState} from './engine_fault_state.js';
 import type {GenerateBody, ResolvedEngineOptions} from './engine_types.js';
@@ -27,6 +28,9 @@
 /** Tokens written between two turns of the event loop without a delay. */
 const TOKENS_PER_TURN = 16;
 
+/** Width of the range of confidences of one version. */
+const CONFIDENCE_SPREAD = 0.4;
+
 function formatEvent(name: string, data: unknown): string {
   return `event: ${name}\ndata: ${JSON.stringify(data)}\n\n`;
 }
@@ -144,9 +148,19 @@
       tokenCount: maxTokens,
       promptTokens: countPromptTokens(prompt),
       cachedPromptTokens,
+      confidence: this.resolveConfidence(),
     });
   }
 
+  // Spread evenly around the mean of the version, the same for each request.
+  private resolveConfidence(): number | undefined {
+    const {requestId, model, version} = this.body;
+    const mean = this.context.options.confidence[`${model}@${version}`];
+    if (mean === undefined) return undefined;
+    const spread = (hashToUnit(requestId) - 0.5) * CONFIDENCE_SPREAD;
+    return Math.min(1, Math.max(0, mean + spread));
+  }
+
   private writeToken(index: number, text: string): void {
     const {duplicateTokens, skipToken} = this.context.faults.current;
     if (index === skipToken) return;
