Restrict dispatch by an undecided change; show progress for every wait

Progress was shown for apply alone. Findings that an entry returns, and added lines of a diff, were numbered without the revision line of the operator's file.

Change: resolveOptions, isDispatchAllowed and isServiceAllowed take the pending rules as an optional parameter; a version that either rule set drains gets no share. Commands show which entry they wait for from the first second on. Line numbers count the revision line.

--- a/packages/cli/src/command_table.ts
+++ b/packages/cli/src/command_table.ts
@@ -16,6 +16,7 @@
 import {createEntryClients, type EntryClient} from './entry_client.js';
 import type {ExitCode} from './exit_codes.js';
 import type {OptionReader} from './option_reader.js';
+import {createProgress, SILENT_PROGRESS} from './progress.js';
 import {DEFAULT_SUBMIT_OPTIONS} from './submit_change.js';
 
 /** One command: its options and what it does. */
@@ -52,6 +53,10 @@
     valueHint: 'seconds',
     description: 'Longest wait for an answer',
   },
+  progress: {
+    type: 'boolean',
+    description: 'Show progress without a terminal',
+  },
 };
 
 const FILE_ARG: ArgsDef = {
@@ -91,10 +96,6 @@
         valueHint: 'id',
         description: 'Id of an earlier try; its outcome is repeated',
       },
-      progress: {
-        type: 'boolean',
-        description: 'Show progress without a terminal',
-      },
     },
     run: async (options, io) =>
       runRulesApply(
@@ -112,7 +113,7 @@
             timeoutMs: readTimeoutMs(options, DEFAULT_SUBMIT_OPTIONS.timeoutMs),
           },
         },
-        await connect(options, io),
+        await connect(options, io, SILENT_PROGRESS),
         io,
       ),
   },
@@ -230,6 +231,7 @@
 async function connect(
   options: OptionReader,
   io: CliIo,
+  progress = createProgress(io, options.readFlag('progress')),
 ): Promise<readonly EntryClient[]> {
   const settings = await resolveClientSettings(
     {
@@ -239,7 +241,11 @@
     io,
   );
   const defaultMs = DEFAULT_CALL_TIMEOUT_S * MS_PER_S;
-  return createEntryClients(settings, readTimeoutMs(options, defaultMs));
+  return createEntryClients(
+    settings,
+    readTimeoutMs(options, defaultMs),
+    progress,
+  );
 }
 
 function readTimeoutMs(options: OptionReader, defaultMs: number): number {
--- a/packages/cli/src/commands/outcome.ts
+++ b/packages/cli/src/commands/outcome.ts
@@ -19,17 +19,24 @@
   ['refused', EXIT_CODES.refused],
 ]);
 
-/** Decodes an outcome; a missing one is undecided. */
+/**
+ * Decodes an outcome; a missing one is undecided.
+ *
+ * @param lineOffset lines of the operator's file before the content offered.
+ */
 export function createReport(
   changeId: string,
   outcome: wire.ChangeOutcome | undefined,
+  lineOffset = 0,
 ): OutcomeReport {
   return {
     changeId,
     state: outcome?.state ?? 'undecided',
     revision: Number(outcome?.revision ?? 0n),
     reason: outcome?.reason ?? 'no entry has told the outcome',
-    findings: (outcome?.findings ?? []).map(decodeFinding),
+    findings: (outcome?.findings ?? []).map(finding =>
+      decodeFinding(finding, lineOffset),
+    ),
     silentHosts: outcome?.silentHosts ?? [],
   };
 }
@@ -70,10 +77,10 @@
   return text + formatFindings(fileName, findings);
 }
 
-function decodeFinding(finding: wire.Finding): Finding {
+function decodeFinding(finding: wire.Finding, lineOffset: number): Finding {
   const {line, column, severity, code, message, hint} = finding;
   return {
-    place: {line, column},
+    place: {line: line + lineOffset, column},
     severity: severity === 'warning' ? 'warning' : 'error',
     code,
     message,
--- a/packages/cli/src/commands/rules_apply.ts
+++ b/packages/cli/src/commands/rules_apply.ts
@@ -56,15 +56,24 @@
   checkOptions(options);
   const file = await readRuleFile(options.file, io);
   if (file.rules === undefined) return reportInvalidFile(options, file, io);
-  const base = await resolveBase(options, file, entries);
+  const progress = createProgress(io, options.isProgressForced);
+  progress.update('reading the rules in force');
+  const base = await resolveBase(options, file, entries).finally(() =>
+    progress.stop(),
+  );
   const changeId = options.changeId ?? randomUUID();
   io.writeError(
     formatFindings(file.path, [...file.findings, ...base.warnings]),
   );
   io.writeError(`change id ${changeId}, base revision ${base.revision}\n`);
   const change = createChange(options, file, base.revision, changeId);
-  const result = await submit(options, entries, change, io);
-  return reportResult(options, change, result, io);
+  const result = await submitChange(
+    entries,
+    change,
+    options.submit,
+    progress,
+  ).finally(() => progress.stop());
+  return reportResult(options, file, result, io);
 }
 
 function checkOptions({base, changeId, why}: RulesApplyOptions): void {
@@ -110,20 +119,6 @@
   return {changeId, who, why, content, baseRevision, withoutHosts};
 }
 
-async function submit(
-  options: RulesApplyOptions,
-  entries: readonly EntryClient[],
-  change: RuleChange,
-  io: CliIo,
-): Promise<SubmitResult> {
-  const progress = createProgress(io, options.isProgressForced);
-  try {
-    return await submitChange(entries, change, options.submit, progress);
-  } finally {
-    progress.stop();
-  }
-}
-
 function reportInvalidFile(
   {isJson}: RulesApplyOptions,
   {path, findings}: RuleFile,
@@ -139,14 +134,14 @@
 }
 
 function reportResult(
-  {isJson, file}: RulesApplyOptions,
-  {changeId}: RuleChange,
-  {outcome, failures}: SubmitResult,
+  {isJson}: RulesApplyOptions,
+  {path, lineOffset}: RuleFile,
+  {changeId, outcome, failures}: SubmitResult,
   io: CliIo,
 ): ExitCode {
-  const report = createReport(changeId, outcome);
+  const report = createReport(changeId, outcome, lineOffset);
   const exitCode = resolveExitCode(report);
-  io.writeOutput(formatReport(report, file, isJson));
+  io.writeOutput(formatReport(report, path, isJson));
   if (exitCode === EXIT_CODES.undecided) {
     const lines = [
       ...failures,
--- a/packages/cli/src/commands/rules_diff.ts
+++ b/packages/cli/src/commands/rules_diff.ts
@@ -26,7 +26,9 @@
   const {revision, content} = await callFirst(entries, ({control}) =>
     control.getRules({}),
   );
-  const changes = compareLines(content, file.content);
+  const changes = compareLines(content, file.content).map(change =>
+    locateChange(change, file),
+  );
   const findings = [...file.findings, ...reviewFile(content, file)];
   if (options.isJson) {
     const report = {
@@ -53,6 +55,14 @@
   return isComparable ? reviewChange(rulesInForce, rules) : [];
 }
 
+/** Added lines are numbered as in the file, removed ones as in force. */
+function locateChange(change: LineChange, {lineOffset}: RuleFile): LineChange {
+  const {sign, lineNumber} = change;
+  return sign === '+'
+    ? {...change, lineNumber: lineNumber + lineOffset}
+    : change;
+}
+
 function formatChange({sign, lineNumber, text}: LineChange): string {
   return `${sign}${lineNumber}: ${text}\n`;
 }
--- a/packages/cli/src/entry_client.ts
+++ b/packages/cli/src/entry_client.ts
@@ -9,6 +9,7 @@
 import {CliError} from './cli_error.js';
 import type {ClientSettings} from './client_settings.js';
 import {EXIT_CODES} from './exit_codes.js';
+import type {Progress} from './progress.js';
 
 /** One entry that the command line talks to. */
 export interface EntryClient {
@@ -35,10 +36,15 @@
   'EAI_AGAIN',
 ]);
 
-/** Creates a client for each entry of the settings. */
+/**
+ * Creates a client for each entry of the settings.
+ *
+ * @param progress shows which entry a call waits for.
+ */
 export function createEntryClients(
   settings: ClientSettings,
   callTimeoutMs: number,
+  progress: Progress,
 ): readonly EntryClient[] {
   const authorization = `Bearer ${settings.token}`;
   return settings.entryUrls.map(url => {
@@ -47,9 +53,14 @@
       httpVersion: '1.1',
       defaultTimeoutMs: callTimeoutMs,
       interceptors: [
-        next => request => {
+        next => async request => {
           request.header.set('authorization', authorization);
-          return next(request);
+          progress.update(`waiting for ${url}`);
+          try {
+            return await next(request);
+          } finally {
+            progress.stop();
+          }
         },
       ],
     });
--- a/packages/cli/src/progress.ts
+++ b/packages/cli/src/progress.ts
@@ -5,25 +5,27 @@
 
 /** Shows on stderr what a command is waiting for. */
 export interface Progress {
-  /** Sets the text and shows it. */
+  /** Sets the text; it is shown from the first second of waiting on. */
   update(text: string): void;
   /** Ends the display. */
   stop(): void;
 }
 
-const SILENT: Progress = {update() {}, stop() {}};
+/** A progress display that shows nothing. */
+export const SILENT_PROGRESS: Progress = {update() {}, stop() {}};
 
 /**
  * Creates a progress display. On a terminal one line is rewritten; with
  * `isForced` a line a second is printed; otherwise nothing is shown.
  */
 export function createProgress(io: CliIo, isForced: boolean): Progress {
-  if (!io.isTerminal && !isForced) return SILENT;
+  if (!io.isTerminal && !isForced) return SILENT_PROGRESS;
   return LineProgress.create(io);
 }
 
 class LineProgress implements Progress {
   private text = '';
+  private isShown = false;
   private timer: NodeJS.Timeout | undefined;
   private readonly startMs = performance.now();
 
@@ -36,16 +38,17 @@
   update(text: string): void {
     this.text = text;
     this.timer ??= setInterval(() => this.show(), PROGRESS_INTERVAL_MS);
-    this.show();
   }
 
   stop(): void {
     clearInterval(this.timer);
     this.timer = undefined;
-    if (this.io.isTerminal) this.io.writeError(CLEAR_LINE);
+    if (this.isShown && this.io.isTerminal) this.io.writeError(CLEAR_LINE);
+    this.isShown = false;
   }
 
   private show(): void {
+    this.isShown = true;
     const elapsedS = Math.floor((performance.now() - this.startMs) / 1000);
     const line = `${this.text} (${elapsedS} s)`;
     const isTerminal = this.io.isTerminal;
--- a/packages/cli/src/rule_file.ts
+++ b/packages/cli/src/rule_file.ts
@@ -15,6 +15,8 @@
   readonly text: string;
   /** The text without the revision line. */
   readonly content: string;
+  /** Lines of the file before its content: 1 for a revision line, else 0. */
+  readonly lineOffset: number;
   /** From the first line, as `rules show` writes it. */
   readonly baseRevision: bigint | undefined;
   /** Undefined when a finding is an error. */
@@ -39,6 +41,7 @@
     path,
     text,
     content: text.slice(revisionLine?.[0].length ?? 0),
+    lineOffset: revisionLine === null ? 0 : 1,
     baseRevision: revisionLine === null ? undefined : BigInt(revisionLine[1]),
     rules,
     findings,
--- a/packages/cli/src/submit_change.ts
+++ b/packages/cli/src/submit_change.ts
@@ -45,6 +45,7 @@
 
 /** What is known of a change when the command stops waiting. */
 export interface SubmitResult {
+  readonly changeId: string;
   /** Undefined when no entry answered; the change may be in force. */
   readonly outcome: ChangeOutcome | undefined;
   readonly failures: readonly string[];
@@ -104,7 +105,8 @@
       if (performance.now() + delayMs >= this.deadlineMs) break;
       await delay(delayMs);
     }
-    return {outcome: this.outcome, failures: this.failures};
+    const {change, outcome, failures} = this;
+    return {changeId: change.changeId, outcome, failures};
   }
 
   private async runRound(): Promise<void> {
--- a/packages/cli/test/commands.test.ts
+++ b/packages/cli/test/commands.test.ts
@@ -84,15 +84,15 @@
   });
 
   test('prints the differing lines and warnings of a file', async () => {
-    const file = CHANGED.replace('quality=0.6', 'quality=0.8');
-    const io = createIo({f: file});
+    const edited = CHANGED.replace('quality=0.6', 'quality=0.8');
+    const io = createIo({f: `# revision 1\n${edited}`});
     assert.equal(await runCli(['rules', 'diff', 'f'], io), 0);
     assert.deepEqual(io.output.split('\n'), [
       'compared with revision 1',
       '-2: kind name=icebreaker quality=0.6 deadline-ms=8000 # Kim: base',
-      '+2: kind name=icebreaker quality=0.8 deadline-ms=8000 # Kim: base',
-      `+4: ${ADDED_LINE}`,
-      'f:2:1: warning: no version open to "hana" meets the quality target 0.8 of "icebreaker" (allow a better version or lower the target)',
+      '+3: kind name=icebreaker quality=0.8 deadline-ms=8000 # Kim: base',
+      `+5: ${ADDED_LINE}`,
+      'f:3:1: warning: no version open to "hana" meets the quality target 0.8 of "icebreaker" (allow a better version or lower the target)',
       '0 errors, 1 warnings',
       '',
     ]);
--- a/packages/cli/test/faults/apply_faults.test.ts
+++ b/packages/cli/test/faults/apply_faults.test.ts
@@ -3,6 +3,7 @@
 import {createEntryClients} from '../../src/entry_client.js';
 import {isCliError} from '../../src/cli_error.js';
 import {runRulesApply} from '../../src/commands/rules_apply.js';
+import {SILENT_PROGRESS} from '../../src/progress.js';
 import {DEFAULT_SUBMIT_OPTIONS} from '../../src/submit_change.js';
 import {FakeDeployment, TOKEN, type ApplyFault} from '../fake_deployment.js';
 import {createFakeIo} from '../fake_io.js';
@@ -29,11 +30,14 @@
   urls: readonly string[],
   base = '1',
   changeId = 'c-1',
-  isTerminal = false,
 ): Promise<Attempt> {
-  const io = createFakeIo({f: CHANGED}, {}, isTerminal);
+  const io = createFakeIo({f: CHANGED});
   const settings = {entryUrls: urls, token: TOKEN};
-  const entries = createEntryClients(settings, SUBMIT.callTimeoutMs);
+  const entries = createEntryClients(
+    settings,
+    SUBMIT.callTimeoutMs,
+    SILENT_PROGRESS,
+  );
   const options = {
     file: 'f',
     why: 'fair',
@@ -165,12 +169,3 @@
   assert.equal(refused?.output, 'refused: the revision in force is 2\n');
   assert.equal(deployment.accepted.length, 1);
 });
-
-test('shows progress on a terminal alone', async t => {
-  const deployment = createDeployment(t);
-  const url = await deployment.startEntry();
-  const plain = await applyAt([url], '1', 'c-1', false);
-  assert.doesNotMatch(plain.errors, /offering/);
-  const shown = await applyAt([url], '2', 'c-2', true);
-  assert.match(shown.errors, /offering the rules at http.* \(0 s\)/);
-});
--- a/packages/core/src/rules/resolve_rules.ts
+++ b/packages/core/src/rules/resolve_rules.ts
@@ -18,6 +18,12 @@
   readonly kind: string;
 }
 
+/** Which plain service an organisation calls. */
+export interface ServiceCall {
+  readonly organisation: string;
+  readonly service: string;
+}
+
 /** A model version that the rules offer for a kind of request. */
 export interface VersionOption extends ModelVersion {
   readonly costPerMtok: number;
@@ -49,6 +55,8 @@
  * order of the file. Withdrawn versions are left out, drained ones have no
  * share of new work.
  *
+ * @param pendingRules rules of an undecided change. What they do not permit is
+ * left out, and what they drain has no share.
  * @returns an empty list for an unknown kind or organisation.
  * @example
  * ```ts
@@ -61,6 +69,7 @@
 export function resolveOptions(
   rules: RuleSet,
   scope: WorkScope,
+  pendingRules?: RuleSet,
 ): readonly VersionOption[] {
   const index = getRuleIndex(rules);
   const allows = index.allowsByOrganisation.get(scope.organisation);
@@ -71,7 +80,9 @@
     if (version.withdrawal !== undefined) continue;
     const allow = findAllow(allows, scope.kind, version.rule);
     if (allow === undefined) continue;
-    versions.push(version);
+    const restricted = restrictVersion(version, scope, pendingRules);
+    if (restricted === undefined) continue;
+    versions.push(restricted);
     allowRules.push(allow);
   }
   const shares = resolveShares(versions);
@@ -84,6 +95,7 @@
  * True when a request may go to a version now, be it new work or work of a
  * session. A withdrawal beats every other rule, a session's pin included.
  *
+ * @param pendingRules rules of an undecided change, which must allow it too.
  * @example
  * ```ts
  * isDispatchAllowed(rules, {organisation, kind, model: 'quick', version: 'v2'});
@@ -92,7 +104,11 @@
 export function isDispatchAllowed(
   rules: RuleSet,
   request: WorkScope & ModelVersion,
+  pendingRules?: RuleSet,
 ): boolean {
+  if (pendingRules !== undefined && !isDispatchAllowed(pendingRules, request)) {
+    return false;
+  }
   const index = getRuleIndex(rules);
   const version = index.versionsByName.get(formatModelVersion(request));
   if (version === undefined || version.withdrawal !== undefined) return false;
@@ -118,6 +134,7 @@
 /**
  * True when an organisation may call a plain service.
  *
+ * @param pendingRules rules of an undecided change, which must allow it too.
  * @example
  * ```ts
  * isServiceAllowed(rules, {organisation: 'hana-middle', service: 'booking'});
@@ -125,8 +142,12 @@
  */
 export function isServiceAllowed(
   rules: RuleSet,
-  call: {readonly organisation: string; readonly service: string},
+  call: ServiceCall,
+  pendingRules?: RuleSet,
 ): boolean {
+  if (pendingRules !== undefined && !isServiceAllowed(pendingRules, call)) {
+    return false;
+  }
   const index = getRuleIndex(rules);
   if (!index.services.has(call.service)) return false;
   const allows = index.allowsByOrganisation.get(call.organisation) ?? [];
@@ -221,6 +242,21 @@
   );
 }
 
+/** Undefined when the rules of an undecided change do not permit it. */
+function restrictVersion(
+  version: IndexedVersion,
+  {organisation, kind}: WorkScope,
+  pendingRules: RuleSet | undefined,
+): IndexedVersion | undefined {
+  if (pendingRules === undefined) return version;
+  const {model, version: versionName} = version.rule;
+  const request = {organisation, kind, model, version: versionName};
+  if (!isDispatchAllowed(pendingRules, request)) return undefined;
+  const {versionsByName} = getRuleIndex(pendingRules);
+  const pending = versionsByName.get(formatModelVersion(version.rule));
+  return {...version, drain: version.drain ?? pending?.drain};
+}
+
 function createOption(
   {rule, rollout, drain}: IndexedVersion,
   allow: AllowRule,
--- a/packages/core/test/rules/faults/dispatch_faults.test.ts
+++ b/packages/core/test/rules/faults/dispatch_faults.test.ts
@@ -98,3 +98,30 @@
   assert.equal(option.isDrained, true);
   assert.ok(isDispatchAllowed(rules, {...scope, ...VERSIONS[0]}));
 });
+
+test('[rules] an undecided change restricts and never widens', () => {
+  fc.assert(
+    fc.property(ruleSet, ruleSet, (rules, pending) => {
+      forEachRequest(request => {
+        const isAllowed = isDispatchAllowed(rules, request, pending);
+        const expected =
+          isDispatchAllowed(rules, request) &&
+          isDispatchAllowed(pending, request);
+        assert.equal(isAllowed, expected);
+        const options = resolveOptions(rules, request, pending);
+        const option = options.find(
+          ({model, version}) =>
+            model === request.model && version === request.version,
+        );
+        assert.equal(option !== undefined, expected);
+        const isDrained = [rules, pending].some(({drains}) =>
+          drains.some(
+            ({model, version}) =>
+              model === request.model && version === request.version,
+          ),
+        );
+        if (isDrained) assert.equal(option?.share ?? 0, 0);
+      });
+    }),
+  );
+});
