Write the fault tables with one line a case

Change: the same cases and assertions, one line each; the engine table's expected phase, failure, execution and code are one text.

--- a/packages/load/test/targets/entry_target.test.ts
+++ b/packages/load/test/targets/entry_target.test.ts
@@ -68,94 +68,25 @@
 const STREAM_ERROR = {
   error: {code: 'stream_broken', message: 'x', execution: 'unknown'},
 };
-const REFUSAL = {
+const REFUSAL = JSON.stringify({
   error: {code: 'overloaded', message: 'x', execution: 'notRun'},
-};
+});
+const OTHER = 'load-2';
+const OWN_IDS = {requestId: 'load-1', engineRequestId: 'load-1'};
 
+// prettier-ignore
 const ANSWER_CASES: readonly AnswerCase[] = [
-  {
-    answer: 'whole',
-    write: (body, response) => response.end(formatAnswer(body, 'v1')),
-    code: 'ok',
-    execution: 'ran',
-    verdict: 'whole',
-  },
-  {
-    answer: 'last token missing',
-    write: (body, response) =>
-      response.end(formatAnswer(body, 'v1', texts => texts.slice(0, -1))),
-    code: 'ok',
-    execution: 'ran',
-    verdict: 'incomplete',
-  },
-  {
-    answer: 'count of another length',
-    write: (body, response) =>
-      response.end(formatAnswer(body, 'v1', undefined, {tokenCount: 9})),
-    code: 'ok',
-    execution: 'ran',
-    verdict: 'incomplete',
-  },
-  {
-    answer: 'tokens swapped',
-    write: (body, response) =>
-      response.end(formatAnswer(body, 'v1', texts => [...texts].reverse())),
-    code: 'ok',
-    execution: 'ran',
-    verdict: 'foreign',
-  },
-  {
-    answer: 'tokens of another request',
-    write: (body, response) =>
-      response.end(
-        formatAnswer({...body, requestId: 'load-2'}, 'v1', undefined, {
-          requestId: 'load-1',
-          engineRequestId: 'load-1',
-        }),
-      ),
-    code: 'ok',
-    execution: 'ran',
-    verdict: 'foreign',
-  },
-  {
-    answer: 'request id of another request',
-    write: (body, response) =>
-      response.end(formatAnswer({...body, requestId: 'load-2'}, 'v1')),
-    code: 'ok',
-    execution: 'ran',
-    verdict: 'foreign',
-  },
-  {
-    answer: 'error event',
-    write: (_, response) => response.end(formatEvent('error', STREAM_ERROR)),
-    code: 'stream_broken',
-    execution: 'unknown',
-  },
-  {
-    answer: 'refusal',
-    write: (_, response) =>
-      response.writeHead(503).end(JSON.stringify(REFUSAL)),
-    code: 'overloaded',
-    execution: 'notRun',
-  },
-  {
-    answer: 'status without a body',
-    write: (_, response) => response.writeHead(500).end(),
-    code: 'status_500',
-    execution: 'unknown',
-  },
-  {
-    answer: 'stream without an end',
-    write: (_, response) => response.end(formatEvent('start', {})),
-    code: 'client_no_end',
-    execution: 'unknown',
-  },
-  {
-    answer: 'connection cut',
-    write: (_, response) => response.socket?.destroy(),
-    code: 'client_cut',
-    execution: 'unknown',
-  },
+  {answer: 'whole', write: (b, r) => r.end(formatAnswer(b, 'v1')), code: 'ok', execution: 'ran', verdict: 'whole'},
+  {answer: 'without its last token', write: (b, r) => r.end(formatAnswer(b, 'v1', t => t.slice(0, -1))), code: 'ok', execution: 'ran', verdict: 'incomplete'},
+  {answer: 'of another length', write: (b, r) => r.end(formatAnswer(b, 'v1', t => t, {tokenCount: 9})), code: 'ok', execution: 'ran', verdict: 'incomplete'},
+  {answer: 'with tokens swapped', write: (b, r) => r.end(formatAnswer(b, 'v1', t => [...t].reverse())), code: 'ok', execution: 'ran', verdict: 'foreign'},
+  {answer: 'with tokens of another request', write: (b, r) => r.end(formatAnswer({...b, requestId: OTHER}, 'v1', t => t, OWN_IDS)), code: 'ok', execution: 'ran', verdict: 'foreign'},
+  {answer: 'with the id of another request', write: (b, r) => r.end(formatAnswer({...b, requestId: OTHER}, 'v1')), code: 'ok', execution: 'ran', verdict: 'foreign'},
+  {answer: 'with an error event', write: (_, r) => r.end(formatEvent('error', STREAM_ERROR)), code: 'stream_broken', execution: 'unknown'},
+  {answer: 'refused', write: (_, r) => r.writeHead(503).end(REFUSAL), code: 'overloaded', execution: 'notRun'},
+  {answer: 'of a bare status', write: (_, r) => r.writeHead(500).end(), code: 'status_500', execution: 'unknown'},
+  {answer: 'without an end', write: (_, r) => r.end(formatEvent('start', {})), code: 'client_no_end', execution: 'unknown'},
+  {answer: 'cut', write: (_, r) => r.socket?.destroy(), code: 'client_cut', execution: 'unknown'},
 ];
 
 for (const {answer, write, code, execution, verdict} of ANSWER_CASES) {
@@ -195,7 +126,7 @@
     confirm: (key, response) => {
       keys.push(key);
       if (keys.length === 1) response.end('{}');
-      else response.writeHead(503).end(JSON.stringify(REFUSAL));
+      else response.writeHead(503).end(REFUSAL);
     },
   });
   const first = await target.confirm(CONFIRMATION);
--- a/packages/platform/test/faults/engine_client.test.ts
+++ b/packages/platform/test/faults/engine_client.test.ts
@@ -1,13 +1,7 @@
 import assert from 'node:assert/strict';
 import {after, test} from 'node:test';
-import type {Execution} from '@anvilrudder/core';
 import {expectedTokens, type EngineFaults} from '@anvilrudder/stand-ins';
-import type {
-  BackendFailure,
-  BackendPhase,
-  GenerateOptions,
-  GenerateRequest,
-} from '../../src/index.js';
+import type {GenerateOptions, GenerateRequest} from '../../src/index.js';
 import {
   REQUEST,
   TOKEN_COUNT,
@@ -24,134 +18,50 @@
   readonly faults: Partial<EngineFaults>;
   readonly request?: Partial<GenerateRequest>;
   readonly options?: GenerateOptions;
-  readonly phase: BackendPhase;
-  readonly failure: BackendFailure;
-  readonly execution: Execution;
-  readonly code?: string;
-  readonly tokenCount: number;
+  /** Phase, failure, execution and code of the error. */
+  readonly expected: string;
+  readonly tokens: number;
 }
 
+const WITHHELD: GenerateOptions = {confirmSend: () => false};
+const IMPATIENT: GenerateOptions = {
+  firstByteTimeoutMs: 40,
+  idleTimeoutMs: 40,
+};
+const REFUSED = 'refused refused notRun';
+const CUT = 'streaming cut unknown';
+const SHORT = 'streaming incomplete unknown';
+const ALL = TOKEN_COUNT;
+
+// prettier-ignore
 const STREAM_FAULT_CASES: readonly StreamFaultCase[] = [
-  {
-    fault: 'queue full',
-    faults: {refuse: 1},
-    phase: 'refused',
-    failure: 'refused',
-    execution: 'notRun',
-    code: 'full',
-    tokenCount: 0,
-  },
-  {
-    fault: 'version not loaded',
-    faults: {},
-    request: {version: 'v9'},
-    phase: 'refused',
-    failure: 'refused',
-    execution: 'notRun',
-    code: 'not_loaded',
-    tokenCount: 0,
-  },
-  {
-    fault: 'withheld right before the first byte',
-    faults: {},
-    options: {confirmSend: () => false},
-    phase: 'beforeFirstByte',
-    failure: 'withheld',
-    execution: 'notRun',
-    tokenCount: 0,
-  },
-  {
-    fault: 'engine hangs before it answers',
-    faults: {isHung: true},
-    options: {firstByteTimeoutMs: 40},
-    phase: 'sent',
-    failure: 'timeout',
-    execution: 'unknown',
-    tokenCount: 0,
-  },
-  {
-    fault: 'cut before the first token',
-    faults: {cutAfterTokens: 0},
-    phase: 'streaming',
-    failure: 'cut',
-    execution: 'unknown',
-    tokenCount: 0,
-  },
-  {
-    fault: 'cut after three tokens',
-    faults: {cutAfterTokens: 3},
-    phase: 'streaming',
-    failure: 'cut',
-    execution: 'unknown',
-    tokenCount: 3,
-  },
-  {
-    fault: 'cut between the last token and the end',
-    faults: {cutAfterTokens: TOKEN_COUNT},
-    phase: 'streaming',
-    failure: 'cut',
-    execution: 'unknown',
-    tokenCount: TOKEN_COUNT,
-  },
-  {
-    fault: 'cut of a resumed stream',
-    faults: {cutAfterTokens: 2},
-    request: {resumeFromToken: 3},
-    phase: 'streaming',
-    failure: 'cut',
-    execution: 'unknown',
-    tokenCount: 5,
-  },
-  {
-    fault: 'token left out',
-    faults: {skipToken: 2},
-    phase: 'streaming',
-    failure: 'incomplete',
-    execution: 'unknown',
-    tokenCount: 2,
-  },
-  {
-    fault: 'last token left out',
-    faults: {skipToken: TOKEN_COUNT - 1},
-    phase: 'streaming',
-    failure: 'incomplete',
-    execution: 'unknown',
-    tokenCount: TOKEN_COUNT - 1,
-  },
-  {
-    fault: 'engine reports a failure',
-    faults: {failRate: 1},
-    phase: 'streaming',
-    failure: 'failed',
-    execution: 'ran',
-    code: 'failed',
-    tokenCount: 3,
-  },
-  {
-    fault: 'engine stalls within the answer',
-    faults: {tokenDelayMs: 60_000},
-    options: {idleTimeoutMs: 40},
-    phase: 'streaming',
-    failure: 'timeout',
-    execution: 'unknown',
-    tokenCount: 1,
-  },
+  {fault: 'queue full', faults: {refuse: 1}, expected: `${REFUSED} full`, tokens: 0},
+  {fault: 'not loaded', faults: {}, request: {version: 'v9'}, expected: `${REFUSED} not_loaded`, tokens: 0},
+  {fault: 'withheld right before the first byte', faults: {}, options: WITHHELD, expected: 'beforeFirstByte withheld notRun', tokens: 0},
+  {fault: 'hangs before it answers', faults: {isHung: true}, options: IMPATIENT, expected: 'sent timeout unknown', tokens: 0},
+  {fault: 'cut before the first token', faults: {cutAfterTokens: 0}, expected: CUT, tokens: 0},
+  {fault: 'cut after three tokens', faults: {cutAfterTokens: 3}, expected: CUT, tokens: 3},
+  {fault: 'cut between the last token and the end', faults: {cutAfterTokens: ALL}, expected: CUT, tokens: ALL},
+  {fault: 'cut of a resumed stream', faults: {cutAfterTokens: 2}, request: {resumeFromToken: 3}, expected: CUT, tokens: 5},
+  {fault: 'token left out', faults: {skipToken: 2}, expected: SHORT, tokens: 2},
+  {fault: 'last token left out', faults: {skipToken: ALL - 1}, expected: SHORT, tokens: ALL - 1},
+  {fault: 'engine reports a failure', faults: {failRate: 1}, expected: 'streaming failed ran failed', tokens: 3},
+  {fault: 'stalls within the answer', faults: {tokenDelayMs: 60_000}, options: IMPATIENT, expected: 'streaming timeout unknown', tokens: 1},
 ];
 
 for (const row of STREAM_FAULT_CASES) {
-  const {phase, failure, execution, code, tokenCount} = row;
-  test(`[not-run] ${row.fault}: ${phase}, ${failure}, ${execution}`, async t => {
+  test(`[not-run] ${row.fault}: ${row.expected}`, async t => {
     const engine = await startEngine(t);
     engine.setFaults(row.faults);
     const request = {...REQUEST, ...row.request};
     const {texts, error} = await run(engine.address, request, row.options);
-    const expected = expectedTokens(request, tokenCount);
+    assert.ok(error);
+    const {phase, failure, execution, code = '', tokenCount} = error;
+    const seen = [phase, failure, execution, code].join(' ').trim();
+    assert.equal(seen, row.expected);
+    assert.equal(tokenCount, row.tokens);
+    const expected = expectedTokens(request, row.tokens);
     assert.deepEqual(texts, expected.slice(request.resumeFromToken ?? 0));
-    assert.deepEqual(
-      [error?.phase, error?.failure, error?.execution, error?.code],
-      [phase, failure, execution, code],
-    );
-    assert.equal(error?.tokenCount, tokenCount);
     if (execution !== 'notRun') return;
     assert.deepEqual(engine.counters().executions, {});
   });
--- a/packages/platform/test/faults/put_with_readback.test.ts
+++ b/packages/platform/test/faults/put_with_readback.test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
 import type {Execution, ObjectStore, StoredObject} from '@anvilrudder/core';
-import {startObjectStandIn, type ObjectStandIn} from '@anvilrudder/stand-ins';
+import {
+  startObjectStandIn,
+  type ObjectFaults,
+  type ObjectStandIn,
+} from '@anvilrudder/stand-ins';
 import {
   HttpObjectStore,
   isObjectStoreError,
@@ -52,69 +56,24 @@
 
 const foreignWrite = (key: string) => store.put(key, FOREIGN, {kind: 'any'});
 
+const foreignAndLost = async (key: string) => {
+  await foreignWrite(key);
+  objects.setFaults({loseWrites: 1});
+};
+const setFaults = (faults: Partial<ObjectFaults>) => () =>
+  objects.setFaults(faults);
+
+// prettier-ignore
 const CASES: readonly ReadbackCase[] = [
-  {
-    fault: 'no fault',
-    prepare: () => {},
-    status: 'written',
-    writes: 1,
-  },
-  {
-    fault: 'the answer is lost',
-    prepare: () => objects.setFaults({loseWriteAnswers: 1}),
-    status: 'written',
-    writes: 1,
-  },
-  {
-    fault: 'the write is lost',
-    prepare: () => objects.setFaults({loseWrites: 1}),
-    status: 'written',
-    writes: 2,
-  },
-  {
-    fault: 'the answer is lost and read back from a stale copy',
-    prepare: () => objects.setFaults({loseWriteAnswers: 1, staleReads: true}),
-    status: 'written',
-    writes: 2,
-  },
-  {
-    fault: 'another writer was first',
-    prepare: foreignWrite,
-    status: 'conflict',
-    mayHaveTakenEffect: false,
-    writes: 1,
-  },
-  {
-    fault: 'the write is lost and another writer was first',
-    prepare: async key => {
-      await foreignWrite(key);
-      objects.setFaults({loseWrites: 1});
-    },
-    status: 'conflict',
-    mayHaveTakenEffect: true,
-    writes: 2,
-  },
-  {
-    fault: 'outage',
-    prepare: () => objects.setFaults({isDown: true}),
-    execution: 'notRun',
-    writes: 2,
-    maxAttempts: 2,
-  },
-  {
-    fault: 'each write is lost',
-    prepare: () => objects.setFaults({loseWrites: 2}),
-    execution: 'unknown',
-    writes: 2,
-    maxAttempts: 2,
-  },
-  {
-    fault: 'the answer of the last write is lost',
-    prepare: () => objects.setFaults({loseWriteAnswers: 1}),
-    status: 'written',
-    writes: 1,
-    maxAttempts: 1,
-  },
+  {fault: 'no fault', prepare: () => {}, status: 'written', writes: 1},
+  {fault: 'answer lost', prepare: setFaults({loseWriteAnswers: 1}), status: 'written', writes: 1},
+  {fault: 'write lost', prepare: setFaults({loseWrites: 1}), status: 'written', writes: 2},
+  {fault: 'answer lost, stale reads', prepare: setFaults({loseWriteAnswers: 1, staleReads: true}), status: 'written', writes: 2},
+  {fault: 'another writer first', prepare: foreignWrite, status: 'conflict', mayHaveTakenEffect: false, writes: 1},
+  {fault: 'another writer first, write lost', prepare: foreignAndLost, status: 'conflict', mayHaveTakenEffect: true, writes: 2},
+  {fault: 'outage', prepare: setFaults({isDown: true}), execution: 'notRun', writes: 2, maxAttempts: 2},
+  {fault: 'each write lost', prepare: setFaults({loseWrites: 2}), execution: 'unknown', writes: 2, maxAttempts: 2},
+  {fault: 'answer of the last write lost', prepare: setFaults({loseWriteAnswers: 1}), status: 'written', writes: 1, maxAttempts: 1},
 ];
 
 for (const row of CASES) {
--- a/packages/platform/test/faults/service_client.test.ts
+++ b/packages/platform/test/faults/service_client.test.ts
@@ -26,44 +26,13 @@
   readonly executions: number;
 }
 
+// prettier-ignore
 const SERVICE_FAULT_CASES: readonly ServiceFaultCase[] = [
-  {
-    fault: 'the service refuses',
-    faults: {refuse: 1},
-    phase: 'refused',
-    execution: 'notRun',
-    executions: 0,
-  },
-  {
-    fault: 'withheld right before the first byte',
-    faults: {},
-    call: {confirmSend: () => false},
-    phase: 'beforeFirstByte',
-    execution: 'notRun',
-    executions: 0,
-  },
-  {
-    fault: 'cut off before it runs',
-    faults: {dropBeforeRun: 1},
-    phase: 'sent',
-    execution: 'unknown',
-    executions: 0,
-  },
-  {
-    fault: 'cut off after it ran',
-    faults: {dropAfterRun: 1},
-    phase: 'sent',
-    execution: 'unknown',
-    executions: 1,
-  },
-  {
-    fault: 'the answer is later than the timeout',
-    faults: {delayMs: 200},
-    call: {timeoutMs: 60},
-    phase: 'sent',
-    execution: 'unknown',
-    executions: 1,
-  },
+  {fault: 'the service refuses', faults: {refuse: 1}, phase: 'refused', execution: 'notRun', executions: 0},
+  {fault: 'withheld right before the first byte', faults: {}, call: {confirmSend: () => false}, phase: 'beforeFirstByte', execution: 'notRun', executions: 0},
+  {fault: 'cut off before it runs', faults: {dropBeforeRun: 1}, phase: 'sent', execution: 'unknown', executions: 0},
+  {fault: 'cut off after it ran', faults: {dropAfterRun: 1}, phase: 'sent', execution: 'unknown', executions: 1},
+  {fault: 'the answer is later than the timeout', faults: {delayMs: 200}, call: {timeoutMs: 60}, phase: 'sent', execution: 'unknown', executions: 1},
 ];
 
 for (const row of SERVICE_FAULT_CASES) {
--- a/packages/platform/test/http/http_transport.test.ts
+++ b/packages/platform/test/http/http_transport.test.ts
@@ -48,63 +48,28 @@
 interface FaultCase {
   readonly fault: string;
   readonly onHead: (socket: Socket) => void;
-  readonly timeoutMs?: number;
+  readonly timeoutMs: number;
   readonly phase: RequestPhase;
   readonly failure: TransportFailure;
 }
 
+const HALF_ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc';
+
+// prettier-ignore
 const FAULT_CASES: readonly FaultCase[] = [
-  {
-    fault: 'the peer closes after it read the request',
-    onHead: socket => socket.end(),
-    phase: 'sent',
-    failure: 'cut',
-  },
-  {
-    fault: 'the peer resets after it read the request',
-    onHead: socket => socket.resetAndDestroy(),
-    phase: 'sent',
-    failure: 'cut',
-  },
-  {
-    fault: 'the peer never answers',
-    onHead: () => {},
-    timeoutMs: 30,
-    phase: 'sent',
-    failure: 'timeout',
-  },
-  {
-    fault: 'the peer answers what is not HTTP',
-    onHead: socket => socket.end('hello\r\n\r\n'),
-    phase: 'sent',
-    failure: 'cut',
-  },
-  {
-    fault: 'the peer closes within the body',
-    onHead: socket =>
-      socket.end('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc'),
-    phase: 'streaming',
-    failure: 'cut',
-  },
-  {
-    fault: 'the peer stalls within the body',
-    onHead: socket =>
-      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc'),
-    timeoutMs: 50,
-    phase: 'streaming',
-    failure: 'timeout',
-  },
+  {fault: 'closes after it read the request', onHead: s => s.end(), timeoutMs: 2000, phase: 'sent', failure: 'cut'},
+  {fault: 'resets after it read the request', onHead: s => s.resetAndDestroy(), timeoutMs: 2000, phase: 'sent', failure: 'cut'},
+  {fault: 'never answers', onHead: () => {}, timeoutMs: 30, phase: 'sent', failure: 'timeout'},
+  {fault: 'answers what is not HTTP', onHead: s => s.end('hello\r\n\r\n'), timeoutMs: 2000, phase: 'sent', failure: 'cut'},
+  {fault: 'closes within the body', onHead: s => s.end(HALF_ANSWER), timeoutMs: 2000, phase: 'streaming', failure: 'cut'},
+  {fault: 'stalls within the body', onHead: s => s.write(HALF_ANSWER), timeoutMs: 50, phase: 'streaming', failure: 'timeout'},
 ];
 
 for (const {fault, onHead, timeoutMs, phase, failure} of FAULT_CASES) {
-  test(`${fault}: ${phase}, ${failure}, written once`, async t => {
+  test(`the peer ${fault}: ${phase}, ${failure}, written once`, async t => {
     const server = await startServer(t, onHead);
-    const request = createRequest(server.address);
-    const sending = transport.send({
-      ...request,
-      timeoutMs: timeoutMs ?? request.timeoutMs,
-    });
-    await assertFails(sending, phase, failure);
+    const request = {...createRequest(server.address), timeoutMs};
+    await assertFails(transport.send(request), phase, failure);
     assert.equal(server.heads.length, 1);
   });
 }
--- a/packages/platform/test/objects/store_wrappers.test.ts
+++ b/packages/platform/test/objects/store_wrappers.test.ts
@@ -38,37 +38,14 @@
 const put = (store: ObjectStore) => store.put('k', 'v', {kind: 'any'});
 const watch = (store: ObjectStore) => store.watch('k', 0, 0);
 
+// prettier-ignore
 const RETRY_CASES: readonly RetryCase[] = [
   {call: 'read, cut', run: get, failures: [CUT, CUT], sent: 3},
   {call: 'write, not run', run: put, failures: [UNAVAILABLE], sent: 2},
-  {
-    call: 'write, unknown',
-    run: put,
-    failures: [CUT],
-    sent: 1,
-    failure: 'cut',
-  },
-  {
-    call: 'read, down for long',
-    run: get,
-    failures: [UNAVAILABLE, UNAVAILABLE, UNAVAILABLE],
-    sent: 3,
-    failure: 'unavailable',
-  },
-  {
-    call: 'watch, cut',
-    run: watch,
-    failures: [CUT],
-    sent: 1,
-    failure: 'cut',
-  },
-  {
-    call: 'watch, history gone',
-    run: watch,
-    failures: [GONE],
-    sent: 1,
-    failure: 'historyGone',
-  },
+  {call: 'write, unknown', run: put, failures: [CUT], sent: 1, failure: 'cut'},
+  {call: 'read, down for long', run: get, failures: [UNAVAILABLE, UNAVAILABLE, UNAVAILABLE], sent: 3, failure: 'unavailable'},
+  {call: 'watch, cut', run: watch, failures: [CUT], sent: 1, failure: 'cut'},
+  {call: 'watch, history gone', run: watch, failures: [GONE], sent: 1, failure: 'historyGone'},
 ];
 
 for (const {call, run, failures, sent, failure} of RETRY_CASES) {
@@ -95,7 +72,6 @@
 });
 
 test('a circuit open for one call is closed by the probe of another', async t => {
-  t.mock.timers.enable({apis: ['setTimeout']});
   let nowMs = 0;
   t.mock.method(performance, 'now', () => nowMs);
   const scripted = createScriptedStore([UNAVAILABLE]);
