Follow the check scores of all answers between ratings

Cause: after a drift the estimate waits for late ratings; check scores tell of it at once. Change: the estimated quality moves along the learnt line with the mean check score of recent answers, as far as it rests on ratings; escalated answers no longer enter the direct figures; ratings keep 0.99, checks 0.997.

--- a/packages/core/src/routing/quality_model.ts
+++ b/packages/core/src/routing/quality_model.ts
@@ -7,6 +7,7 @@
   createBinnedScores,
   createTally,
   estimateBin,
+  estimateShift,
   estimateTally,
   resolveBin,
   type BinnedScores,
@@ -64,6 +65,8 @@
   readonly version: string;
   /** Check score between 0 and 1, where the answer was checked. */
   readonly checkScore?: number;
+  /** True for an answer after the first of a cascade. */
+  readonly isEscalated?: boolean;
 }
 
 /** Options of {@link LearntQuality}. */
@@ -72,9 +75,9 @@
   readonly priorWeight?: number;
   /** Ratings that the version's mean counts for within a check bin; 3. */
   readonly binPriorWeight?: number;
-  /** Weight that older ratings keep with each new one; 0.98. */
+  /** Weight that older ratings keep with each new one; 0.99. */
   readonly retention?: number;
-  /** Weight that older check scores keep with each new one; 0.999. */
+  /** Weight that older check scores keep with each new one; 0.997. */
   readonly checkRetention?: number;
   /** Intervals of the check score; 12. */
   readonly binCount?: number;
@@ -85,8 +88,8 @@
 const DEFAULTS: Required<LearntQualityOptions> = {
   priorWeight: 6,
   binPriorWeight: 3,
-  retention: 0.98,
-  checkRetention: 0.999,
+  retention: 0.99,
+  checkRetention: 0.997,
   binCount: 12,
   ratingsPerRevision: 20,
 };
@@ -129,7 +132,13 @@
     const record = this.find(kind, option);
     const {priorWeight, retention} = this.options;
     const kept = priorWeight * retention ** (record?.direct.count ?? 0);
-    return estimateTally(record?.direct, option.quality, kept);
+    const rated = estimateTally(record?.direct, option.quality, kept);
+    if (record === undefined) return rated;
+    const {weight} = record.direct;
+    const shift = estimateShift(record.byCheck, record.checkCounts);
+    // The prior is not about the requests that were rated.
+    const mean = rated.mean + (shift * weight) / (weight + kept);
+    return {...rated, mean: clamp(mean, 0, 1)};
   }
 
   checkBins(kind: string, option: ModelOption): readonly CheckBin[] {
@@ -161,15 +170,15 @@
     const {retention, ratingsPerRevision} = this.options;
     const record = this.resolve(rating.kind, rating);
     const score = clamp(rating.score, 0, 1);
-    if (rating.previous === undefined) {
-      addScore(record.direct, score, retention);
-    } else {
+    if (rating.previous !== undefined) {
       const {checkScore} = rating.previous;
       const scores = this.resolvePrevious(record, rating.previous);
       addBinnedScore(scores, checkScore, score, retention);
-    }
-    if (rating.checkScore !== undefined) {
-      addBinnedScore(record.byCheck, rating.checkScore, score, retention);
+    } else {
+      addScore(record.direct, score, retention);
+      if (rating.checkScore !== undefined) {
+        addBinnedScore(record.byCheck, rating.checkScore, score, retention);
+      }
     }
     this.sinceRevision += 1;
     if (this.sinceRevision < ratingsPerRevision) return;
@@ -179,7 +188,8 @@
 
   /** Takes in the end of an answer. */
   observeOutcome(outcome: OutcomeObservation): void {
-    if (outcome.checkScore === undefined) return;
+    // Escalated answers are to harder requests than the others.
+    if (outcome.checkScore === undefined || outcome.isEscalated) return;
     const {checkCounts} = this.resolve(outcome.kind, outcome);
     for (const bin of checkCounts.keys()) {
       checkCounts[bin] *= this.options.checkRetention;
--- a/packages/core/src/routing/score_tally.ts
+++ b/packages/core/src/routing/score_tally.ts
@@ -33,6 +33,7 @@
 const SCORE_VARIANCE = 0.03;
 // Pulls the slope towards 0, an uninformative check, while ratings are few.
 const SLOPE_RIDGE = 0.3;
+const MIN_SHIFT_CHECKS = 50;
 
 /** Creates a tally without scores. */
 export function createTally(): Tally {
@@ -106,6 +107,32 @@
   return estimateTally(scores.bins[bin], prior, priorWeight);
 }
 
+/**
+ * Estimates how far the mean score has moved since the ratings, from the
+ * check scores of all answers, which come at once and are many.
+ */
+export function estimateShift(
+  {line, bins}: BinnedScores,
+  checkCounts: readonly number[],
+): number {
+  const total = checkCounts.reduce((sum, count) => sum + count, 0);
+  if (total < MIN_SHIFT_CHECKS || line.weight === 0) return 0;
+  const now = checkCounts.reduce(
+    (sum, count, bin) => sum + (count * (bin + 0.5)) / bins.length,
+    0,
+  );
+  const checkMean = line.check / line.weight;
+  return estimateSlope(line) * (now / total - checkMean);
+}
+
+function estimateSlope(line: LineFit): number {
+  const checkMean = line.check / line.weight;
+  const scoreMean = line.score / line.weight;
+  const spread = line.checkSquare - line.weight * checkMean ** 2;
+  const covariance = line.product - line.weight * checkMean * scoreMean;
+  return covariance / (spread + SLOPE_RIDGE);
+}
+
 function readLine(
   line: LineFit,
   checkScore: number,
@@ -114,10 +141,6 @@
 ): number {
   if (line.weight === 0) return mean;
   const checkMean = line.check / line.weight;
-  const scoreMean = line.score / line.weight;
-  const spread = line.checkSquare - line.weight * checkMean ** 2;
-  const covariance = line.product - line.weight * checkMean * scoreMean;
-  const slope = covariance / (spread + SLOPE_RIDGE);
   const level = (line.score + priorWeight * mean) / (line.weight + priorWeight);
-  return clamp(level + slope * (checkScore - checkMean), 0, 1);
+  return clamp(level + estimateSlope(line) * (checkScore - checkMean), 0, 1);
 }
--- a/packages/experiments/src/model_choice/choice_run.ts
+++ b/packages/experiments/src/model_choice/choice_run.ts
@@ -158,7 +158,7 @@
       const answer = sampleAnswer(version?.skill ?? 0, difficulty, random);
       const {checkScore} = answer;
       const observed = {kind: kind.kind, ...step, checkScore};
-      chooser.observeOutcome({...observed});
+      chooser.observeOutcome({...observed, isEscalated: index > 0});
       segment.cost += step.costPerMtok;
       const isRated = random() < scenario.ratingShare;
       if (isRated && random() >= scenario.ratingLossShare) {
