Decide in the entry by learnt choice, balancer, admission, limits and roll-outs

Cause: the entry chose by first fit; the decision core stood beside it. Change: engine pool, pool admission with queues, limits of organisations shared between entries, retry budget, roll-out watch with rulings that outlast the entries, rating loop and the exchange of facts between entries. New work whose version is withdrawn between route and first byte takes another route.

--- a/packages/core/src/retries/retry_budget.ts
+++ b/packages/core/src/retries/retry_budget.ts
@@ -13,6 +13,8 @@
   readonly minPerS: number;
   /** Further attempts that may be saved up; 20. */
   readonly maxSaved: number;
+  /** Further attempts saved at the start; 0. */
+  readonly initialSaved: number;
 }
 
 /** The policies that settings can name. */
@@ -29,6 +31,7 @@
   ratio: 0.1,
   minPerS: 1,
   maxSaved: 20,
+  initialSaved: 0,
 };
 const MS_PER_S = 1000;
 
@@ -37,13 +40,15 @@
  * at most that share to the load when every attempt fails.
  */
 export class RetryBudget {
-  private saved = 0;
+  private saved: number;
   private refilledMs: number | undefined;
 
-  private constructor(private readonly options: RetryBudgetOptions) {}
+  private constructor(private readonly options: RetryBudgetOptions) {
+    this.saved = options.initialSaved;
+  }
 
   /**
-   * Creates an empty budget.
+   * Creates a budget.
    *
    * @example
    * ```ts
--- a/packages/demo/src/rule_checks.ts
+++ b/packages/demo/src/rule_checks.ts
@@ -14,6 +14,8 @@
 const LOAD_WORKERS = 8;
 const LOAD_AFTER_MS = 500;
 const ROLLOUT_REQUESTS = 40;
+const IN_FORCE_BOUND_MS = 12_000;
+const POLL_MS = 50;
 
 interface CliResult {
   readonly exitCode: number | null;
@@ -32,6 +34,7 @@
     '--base',
     '1',
   ]);
+  await waitForRevision(deployment, 2);
   const counts = await Promise.all(
     deployment.entries.map(({callerUrl}) =>
       countVersion(deployment, callerUrl),
@@ -66,7 +69,7 @@
 ): Promise<CheckResult> {
   let isOver = false;
   let answered = 0;
-  let failed = 0;
+  const failures = new Map<string, number>();
   const workers = Array.from({length: LOAD_WORKERS}, async (_, index) => {
     const entry = deployment.entries[index % deployment.entries.length];
     while (!isOver) {
@@ -78,7 +81,7 @@
         maxTokens: 4,
       });
       if (answer.isWhole) answered += 1;
-      else failed += 1;
+      else failures.set(answer.code, (failures.get(answer.code) ?? 0) + 1);
     }
   });
   const rules = readFileSync(deployment.rulesFile, 'utf8');
@@ -95,8 +98,12 @@
   await Promise.all(workers);
   const after = (await countExecutions(deployment, 'quick@v2')) - atAcceptance;
   return {
-    isOk: applied.exitCode === 0 && after === 0 && failed === 0 && answered > 0,
-    seen: `exit ${describe(applied)}, ${after} after acceptance, ${answered} answered, ${failed} failed`,
+    isOk:
+      applied.exitCode === 0 &&
+      after === 0 &&
+      failures.size === 0 &&
+      answered > 0,
+    seen: `exit ${describe(applied)}, ${after} after acceptance, ${answered} answered, failed ${JSON.stringify([...failures])}`,
   };
 }
 
@@ -164,6 +171,24 @@
   return {exitCode, output};
 }
 
+async function waitForRevision(
+  deployment: Deployment,
+  revision: number,
+): Promise<void> {
+  const giveUpAtMs = performance.now() + IN_FORCE_BOUND_MS;
+  for (const {callerUrl} of deployment.entries) {
+    for (;;) {
+      const {body} = await callPlain(`${callerUrl}/readyz`);
+      const ready = JSON.parse(body) as {readonly revision: number};
+      if (ready.revision >= revision) break;
+      if (performance.now() > giveUpAtMs) {
+        throw new Error(`revision ${revision} is not in force everywhere`);
+      }
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+  }
+}
+
 async function countVersion(
   deployment: Deployment,
   baseUrl: string,
@@ -186,6 +211,7 @@
   deployment: Deployment,
   version: string,
 ): Promise<number> {
+  await waitForRevision(deployment, 2);
   const counts = await Promise.all(
     deployment.engineUrls.map(async url => {
       const {body} = await callPlain(`${url}/admin/counters`);
--- a/packages/entry/src/backends/backend_directory.ts
+++ b/packages/entry/src/backends/backend_directory.ts
@@ -20,6 +20,8 @@
   readonly slots: number;
   readonly loaded: readonly ModelVersion[];
   readonly isDraining: boolean;
+  /** Age of the report when it was read. */
+  readonly reportAgeMs: number;
 }
 
 /** What this entry knows of one backend server. */
@@ -52,6 +54,7 @@
 export class BackendDirectory {
   private readonly states = new Map<string, BackendState>();
   private entries: readonly BackendHost[] = [];
+  private readonly listeners = new Set<() => void>();
 
   private constructor() {}
 
@@ -59,6 +62,17 @@
     return new BackendDirectory();
   }
 
+  /** Calls back after each refresh, until the returned function is called. */
+  onChange(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Tells the listeners that a refresh is over. */
+  notifyChange(): void {
+    for (const listener of this.listeners) listener();
+  }
+
   /** Takes a new host list; open requests at removed hosts go on. */
   replaceHosts(hosts: readonly BackendHost[]): void {
     const listed = new Set<string>();
@@ -78,6 +92,18 @@
     }
   }
 
+  /** `ip:port` of a backend server; undefined when it is not listed. */
+  findAddress(hostName: string): string | undefined {
+    return this.states.get(hostName)?.host.address;
+  }
+
+  /** Servers that said themselves that they are leaving. */
+  listSelfLeaving(): readonly string[] {
+    return [...this.states.values()]
+      .filter(state => state.saidLeaving)
+      .map(state => state.host.host);
+  }
+
   /** The entries that the host list names, with their peer addresses. */
   listEntries(): readonly BackendHost[] {
     return this.entries;
--- a/packages/entry/src/backends/watch_backends.ts
+++ b/packages/entry/src/backends/watch_backends.ts
@@ -37,6 +37,7 @@
   async function refresh(): Promise<void> {
     await refreshHosts(options);
     await refreshLoads(options);
+    options.directory.notifyChange();
     if (!isStopped) timer = setTimeout(() => void refresh(), options.pollMs);
   }
 
--- a/packages/entry/src/config/settings_schema.ts
+++ b/packages/entry/src/config/settings_schema.ts
@@ -1,3 +1,9 @@
+import {
+  ADMISSION_POLICIES,
+  MODEL_POLICIES,
+  SERVER_POLICIES,
+  SHARE_POLICIES,
+} from '@anvilrudder/core';
 import {z} from 'zod';
 
 const ADDRESS = z.string().regex(/^\S+:\d+$/, 'expected ip:port');
@@ -7,6 +13,15 @@
 const NAME = z
   .string()
   .regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, 'expected a lower-case name');
+type NameOf<T> = Extract<keyof T, string>;
+
+// The names that a table of policies offers to the settings.
+function listNames<T extends object>(
+  policies: T,
+): [NameOf<T>, ...Array<NameOf<T>>] {
+  return Object.keys(policies) as [NameOf<T>, ...Array<NameOf<T>>];
+}
+
 const DURATION_MS = z.number().int().positive();
 
 const LISTEN = z.strictObject({
@@ -55,6 +70,8 @@
     hostsUrl: z.url(),
     /** Base URL of the rating service; no ratings when unset. */
     ratingsUrl: z.url().optional(),
+    /** Answers that the rating service takes a second, from all entries. */
+    ratingsPerS: z.number().positive().default(50),
     /** Longest wait for one call of the object API. */
     callTimeoutMs: DURATION_MS.default(2000),
     /** Time between two reads of the host list. */
@@ -122,9 +139,17 @@
   decisions: z
     .strictObject({
       /** How the model and version are chosen. */
-      modelPolicy: z.string().default('learnt'),
+      modelPolicy: z.enum(listNames(MODEL_POLICIES)).default('learnt-mix'),
       /** How the backend server is chosen. */
-      backendPolicy: z.string().default('prefix-bounded'),
+      backendPolicy: z
+        .enum(listNames(SERVER_POLICIES))
+        .default('prefix-bounded'),
+      /** How requests are admitted to the servers of a version. */
+      admissionPolicy: z
+        .enum(listNames(ADMISSION_POLICIES))
+        .default('predictive'),
+      /** How the limits of organisations are split between entries. */
+      limitPolicy: z.enum(listNames(SHARE_POLICIES)).default('demand-share'),
       /** Weight of cost and of exposure to bad versions. */
       weights: z
         .strictObject({
--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -20,8 +20,11 @@
   createPeerDirectory,
   type PeerDirectory,
 } from './peering/peer_directory.js';
-import {startPeerServer} from './peering/peer_server.js';
-import {createPeerTransports} from './peering/peer_transports.js';
+import {startPeerServer, type Routes} from './peering/peer_server.js';
+import {
+  createPeerTransports,
+  type PeerTransports,
+} from './peering/peer_transports.js';
 
 const START_WAIT_MS = 10_000;
 const PEER_TIMEOUT_MS = 1000;
@@ -45,7 +48,10 @@
   readonly billing: Billing;
   readonly audit: AuditTrail;
   readonly directory: PeerDirectory;
+  readonly transports: PeerTransports;
   readonly peerAddress: string;
+  /** Adds a service to the server for other entries. */
+  mount(routes: Routes): void;
   stop(): Promise<void>;
 }
 
@@ -101,7 +107,7 @@
     metrics,
   });
   const claimKeeper = createClaimKeeper({store, member});
-  peers.mount([
+  const routes: Routes[] = [
     keeper.routes,
     billing.routes,
     createControlRoutes({
@@ -115,7 +121,8 @@
         sha256: tokenSha256,
       })),
     }),
-  ]);
+  ];
+  peers.mount(routes);
   const isServing = await keeper.waitUntilServing(START_WAIT_MS);
   if (!isServing) logger.warn('rules_not_confirmed', {});
   return {
@@ -126,7 +133,12 @@
     billing,
     audit,
     directory,
+    transports,
     peerAddress,
+    mount(added) {
+      routes.push(added);
+      peers.mount(routes);
+    },
     async stop() {
       claimKeeper.stop();
       await billing.stop();
--- /dev/null
+++ b/packages/entry/src/decisions/pace_meter.ts
@@ -0,0 +1,31 @@
+/** Measures the mean time between the tokens of one attempt. */
+export class PaceMeter {
+  private firstAtMs: number | undefined;
+  private lastAtMs = 0;
+  private gapCount = 0;
+
+  private constructor() {}
+
+  /**
+   * @example
+   * ```ts
+   * const pace = PaceMeter.create();
+   * pace.observe(performance.now());
+   * ```
+   */
+  static create(): PaceMeter {
+    return new PaceMeter();
+  }
+
+  observe(nowMs: number): void {
+    if (this.firstAtMs === undefined) this.firstAtMs = nowMs;
+    else this.gapCount += 1;
+    this.lastAtMs = nowMs;
+  }
+
+  /** Undefined before the second token. */
+  get meanMs(): number | undefined {
+    if (this.firstAtMs === undefined || this.gapCount === 0) return undefined;
+    return (this.lastAtMs - this.firstAtMs) / this.gapCount;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/decisions/pool_admission.ts
@@ -0,0 +1,192 @@
+import {
+  AdmissionController,
+  RouterError,
+  formatModelVersion,
+  type AdmissionPolicyName,
+  type DispatchOutcome,
+  type ModelVersion,
+  type Priority,
+  type Random,
+  type Rejection,
+} from '@anvilrudder/core';
+
+const LATE_CHECK_PERIOD_MS = 50;
+const MIN_CONCURRENCY = 2;
+
+/** A request that wants a place at the servers of a version. */
+export interface PlaceRequest {
+  readonly id: string;
+  readonly priority: Priority;
+  /** Monotonic time. */
+  readonly deadlineAtMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** A place at the servers of a version; ends with its outcome, if known. */
+export interface Place {
+  end(outcome: DispatchOutcome | undefined): void;
+}
+
+/** Options of {@link PoolAdmission}. */
+export interface PoolAdmissionOptions {
+  readonly random: Random;
+  readonly policy: AdmissionPolicyName;
+  readonly maxQueueSize: number;
+  /** This entry's part of the slots of a version's servers. */
+  readonly resolveOwnSlots: (version: ModelVersion) => number;
+}
+
+interface Waiter {
+  readonly resolve: () => void;
+  readonly reject: (error: RouterError) => void;
+}
+
+interface Pool {
+  readonly controller: AdmissionController;
+  readonly waiters: Map<string, Waiter>;
+  lateTimer: NodeJS.Timeout | undefined;
+}
+
+/**
+ * Admits requests to the servers of each version: at once, after a wait in a
+ * bounded queue, or refused at once with a time to come back.
+ */
+export class PoolAdmission {
+  private readonly pools = new Map<string, Pool>();
+
+  private constructor(private readonly options: PoolAdmissionOptions) {}
+
+  /**
+   * @example
+   * ```ts
+   * const place = await admission.acquire(version, request);
+   * place.end({serviceMs, firstTokenMs, wasRefused: false});
+   * ```
+   */
+  static create(options: PoolAdmissionOptions): PoolAdmission {
+    return new PoolAdmission(options);
+  }
+
+  /** Requests that wait in all queues. */
+  get queuedCount(): number {
+    let count = 0;
+    for (const {controller} of this.pools.values()) {
+      count += controller.queueSize;
+    }
+    return count;
+  }
+
+  /**
+   * @throws RouterError `overloaded` when the request is given up, or
+   *     `deadline_exceeded` when its caller left while it waited.
+   */
+  async acquire(version: ModelVersion, request: PlaceRequest): Promise<Place> {
+    const pool = this.resolvePool(version);
+    const {id, priority, deadlineAtMs} = request;
+    const admission = pool.controller.offer(
+      {id, priority, deadlineMs: deadlineAtMs},
+      performance.now(),
+    );
+    if (admission.action === 'reject') {
+      throw createOverloadError(admission.rejections[0]);
+    }
+    this.rejectAll(pool, admission.rejections);
+    if (admission.action === 'queue') await this.wait(pool, request);
+    return this.createPlace(pool);
+  }
+
+  private resolvePool(version: ModelVersion): Pool {
+    const key = formatModelVersion(version);
+    let pool = this.pools.get(key);
+    if (pool === undefined) {
+      const {random, policy, maxQueueSize} = this.options;
+      const ownSlots = Math.ceil(this.options.resolveOwnSlots(version));
+      pool = {
+        controller: AdmissionController.create({
+          random,
+          policy,
+          maxQueueSize,
+          initialConcurrency: Math.max(MIN_CONCURRENCY, ownSlots),
+        }),
+        waiters: new Map(),
+        lateTimer: undefined,
+      };
+      this.pools.set(key, pool);
+    }
+    return pool;
+  }
+
+  private async wait(pool: Pool, request: PlaceRequest): Promise<void> {
+    const {id, signal} = request;
+    const onAbort = (): void => {
+      if (!pool.controller.cancel(id)) return;
+      pool.waiters.get(id)?.reject(createLeftError());
+      pool.waiters.delete(id);
+    };
+    signal.addEventListener('abort', onAbort);
+    try {
+      await new Promise<void>((resolve, reject) => {
+        pool.waiters.set(id, {resolve, reject});
+        this.scheduleLateCheck(pool);
+        if (signal.aborted) onAbort();
+      });
+    } finally {
+      signal.removeEventListener('abort', onAbort);
+    }
+  }
+
+  private createPlace(pool: Pool): Place {
+    let isEnded = false;
+    return {
+      end: outcome => {
+        if (isEnded) return;
+        isEnded = true;
+        if (outcome === undefined) pool.controller.abandon();
+        else pool.controller.finish(outcome, performance.now());
+        this.advance(pool);
+      },
+    };
+  }
+
+  private advance(pool: Pool): void {
+    const change = pool.controller.takeReady(performance.now());
+    this.rejectAll(pool, change.rejections);
+    for (const id of change.dispatched) {
+      pool.waiters.get(id)?.resolve();
+      pool.waiters.delete(id);
+    }
+  }
+
+  private rejectAll(pool: Pool, rejections: readonly Rejection[]): void {
+    for (const rejection of rejections) {
+      pool.waiters.get(rejection.id)?.reject(createOverloadError(rejection));
+      pool.waiters.delete(rejection.id);
+    }
+  }
+
+  // A request whose deadline has come too near is told so at once, not when
+  // the next place falls free.
+  private scheduleLateCheck(pool: Pool): void {
+    if (pool.lateTimer !== undefined) return;
+    pool.lateTimer = setTimeout(() => {
+      pool.lateTimer = undefined;
+      this.advance(pool);
+      if (pool.waiters.size > 0) this.scheduleLateCheck(pool);
+    }, LATE_CHECK_PERIOD_MS);
+    pool.lateTimer.unref();
+  }
+}
+
+function createOverloadError({retryAfterMs}: Rejection): RouterError {
+  return RouterError.create('The predicted wait exceeds the deadline.', {
+    code: 'overloaded',
+    retryAfterMs,
+  });
+}
+
+function createLeftError(): RouterError {
+  return RouterError.create('The deadline passed before the request ran.', {
+    code: 'deadline_exceeded',
+    execution: 'notRun',
+  });
+}
--- /dev/null
+++ b/packages/entry/src/decisions/rating_loop.ts
@@ -0,0 +1,162 @@
+import {
+  planRatingShares,
+  type ModelVersion,
+  type Random,
+  type RatingObservation,
+} from '@anvilrudder/core';
+import type {Logger, MetricRegistry} from '@anvilrudder/observability';
+import type {
+  Rating,
+  RatingAcceptance,
+  RatingPage,
+  RatingRequest,
+} from '@anvilrudder/platform';
+
+const POLL_PERIOD_MS = 1000;
+const MAX_QUEUED = 100;
+const MAX_REMEMBERED = 10_000;
+const MAX_ANSWER_CHARACTERS = 16_384;
+const RATE_WEIGHT = 0.2;
+const MS_PER_S = 1000;
+
+/** A whole answer that may be rated. */
+export interface RatableAnswer extends ModelVersion {
+  readonly requestId: string;
+  readonly kind: string;
+  readonly text: string;
+  readonly checkScore: number | undefined;
+  /** True for a version in roll-out, which needs evidence soon. */
+  readonly isCandidate: boolean;
+}
+
+/** The rating service at its address. */
+export interface RatingService {
+  rate(request: RatingRequest): Promise<RatingAcceptance>;
+  list(after: number): Promise<RatingPage>;
+}
+
+/** Options of {@link startRatingLoop}. */
+export interface RatingLoopOptions {
+  readonly service: RatingService;
+  /** This entry's part of the service's rate. */
+  readonly budgetPerS: () => number;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: MetricRegistry;
+  /** Takes in every rating, late and in any order. */
+  readonly onRating: (rating: RatingObservation) => void;
+  /** Takes in the rating of an answer of this entry, once. */
+  readonly onOwnRating: (rating: Rating) => void;
+}
+
+/** Sends answers to the rating service and reads the ratings. */
+export interface RatingLoop {
+  offer(answer: RatableAnswer): void;
+  stop(): void;
+}
+
+type Group = 'candidate' | 'other';
+
+/**
+ * Starts the loop. Answers beyond the rate of the service are not rated.
+ *
+ * @example
+ * ```ts
+ * const ratings = startRatingLoop(options);
+ * ratings.offer(answer);
+ * ```
+ */
+export function startRatingLoop(options: RatingLoopOptions): RatingLoop {
+  const {service, random, metrics, logger} = options;
+  const queue: RatableAnswer[] = [];
+  const sent = new Map<string, RatableAnswer>();
+  const offered: Record<Group, number> = {candidate: 0, other: 0};
+  const ratesPerS: Record<Group, number> = {candidate: 0, other: 0};
+  let after = 0;
+  let pausedUntilMs = 0;
+  let timer: NodeJS.Timeout | undefined;
+  let isStopped = false;
+
+  function offer(answer: RatableAnswer): void {
+    const group: Group = answer.isCandidate ? 'candidate' : 'other';
+    offered[group] += 1;
+    const shares = planRatingShares({
+      budgetPerS: options.budgetPerS(),
+      candidateRequestsPerS: ratesPerS.candidate,
+      otherRequestsPerS: ratesPerS.other,
+    });
+    if (queue.length >= MAX_QUEUED || random() >= shares[group]) return;
+    queue.push(answer);
+  }
+
+  async function sendQueued(): Promise<void> {
+    while (queue.length > 0 && performance.now() >= pausedUntilMs) {
+      const answer = queue.shift();
+      if (answer === undefined) return;
+      const {requestId, kind, model, version} = answer;
+      const text = answer.text.slice(0, MAX_ANSWER_CHARACTERS);
+      const result = await service.rate({
+        requestId,
+        kind,
+        model,
+        version,
+        answer: text,
+      });
+      metrics.count('ratings_sent_total', {status: result.status});
+      if (result.status === 'limited') {
+        pausedUntilMs = performance.now() + result.retryAfterMs;
+      } else {
+        remember(answer);
+      }
+    }
+  }
+
+  function remember(answer: RatableAnswer): void {
+    sent.set(answer.requestId, answer);
+    if (sent.size <= MAX_REMEMBERED) return;
+    const [oldest] = sent.keys();
+    sent.delete(oldest);
+  }
+
+  async function readRatings(): Promise<void> {
+    const page = await service.list(after);
+    after = page.next;
+    for (const rating of page.ratings) {
+      const own = sent.get(rating.requestId);
+      const {kind, model, version, score} = rating;
+      const checkScore = own?.checkScore;
+      options.onRating({kind, model, version, score, checkScore});
+      if (own === undefined) continue;
+      sent.delete(rating.requestId);
+      options.onOwnRating(rating);
+    }
+  }
+
+  async function turn(): Promise<void> {
+    for (const group of ['candidate', 'other'] as const) {
+      const ratePerS = (offered[group] * MS_PER_S) / POLL_PERIOD_MS;
+      ratesPerS[group] += RATE_WEIGHT * (ratePerS - ratesPerS[group]);
+      offered[group] = 0;
+    }
+    try {
+      await sendQueued();
+      await readRatings();
+    } catch (error) {
+      logger.debug('rating_service_failed', {reason: String(error)});
+    }
+  }
+
+  function schedule(): void {
+    if (isStopped) return;
+    timer = setTimeout(() => void turn().finally(schedule), POLL_PERIOD_MS);
+  }
+
+  schedule();
+  return {
+    offer,
+    stop() {
+      isStopped = true;
+      clearTimeout(timer);
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/decisions/rollout_watch.ts
@@ -0,0 +1,138 @@
+import {
+  EvidenceLedger,
+  RolloutMonitor,
+  RulingLedger,
+  formatModelVersion,
+  isSameModelVersion,
+  type EvidenceSample,
+  type MemberId,
+  type ModelOption,
+  type ModelVersion,
+  type RolloutRule,
+  type RuleSet,
+  type Ruling,
+} from '@anvilrudder/core';
+
+/** Options of {@link RolloutWatch}. */
+export interface RolloutWatchOptions {
+  readonly member: MemberId;
+  /**
+   * True when shares grow on evidence up to what the rules allow; false when
+   * the rules' shares hold from the start.
+   */
+  readonly rampsOnEvidence: boolean;
+  /** Called when this entry's test stops a version. */
+  readonly onStop: (ruling: Ruling) => void;
+}
+
+/** Follows the roll-outs of the rules in force and stops bad versions. */
+export class RolloutWatch {
+  readonly evidence: EvidenceLedger;
+  readonly rulings = RulingLedger.create();
+  private readonly monitors = new Map<string, RolloutMonitor>();
+
+  private constructor(private readonly options: RolloutWatchOptions) {
+    this.evidence = EvidenceLedger.create(options.member);
+  }
+
+  /**
+   * @example
+   * ```ts
+   * const watch = RolloutWatch.create({member, rampsOnEvidence: true, onStop});
+   * watch.tick(rules);
+   * ```
+   */
+  static create(options: RolloutWatchOptions): RolloutWatch {
+    return new RolloutWatch(options);
+  }
+
+  /** Adds what this entry saw of a version. */
+  record(version: ModelVersion, sample: EvidenceSample): void {
+    this.evidence.record(version, sample);
+  }
+
+  isStopped(version: ModelVersion): boolean {
+    return this.rulings.isStopped(version);
+  }
+
+  /** Takes in a ruling of a peer, an operator or the object API. */
+  mergeRuling(ruling: Ruling): boolean {
+    const isNew = this.rulings.merge(ruling);
+    if (isNew && ruling.state === 'allowed') {
+      const monitor = this.monitors.get(formatModelVersion(ruling));
+      monitor?.restart(this.evidence, performance.now());
+    }
+    return isNew;
+  }
+
+  /** Decides anew on each roll-out of the rules. */
+  tick(rules: RuleSet): void {
+    const seen = new Set<string>();
+    for (const rollout of rules.rollouts) {
+      const baseline = findBaseline(rules, rollout);
+      if (rollout.share === 0 || baseline === undefined) continue;
+      seen.add(formatModelVersion(rollout));
+      this.decide(rollout, baseline);
+    }
+    for (const key of this.monitors.keys()) {
+      if (!seen.has(key)) this.monitors.delete(key);
+    }
+  }
+
+  /** Holds the shares of versions in roll-out to their present step. */
+  limitShares(options: readonly ModelOption[]): readonly ModelOption[] {
+    if (!this.options.rampsOnEvidence || this.monitors.size === 0) {
+      return options;
+    }
+    if (!options.some(option => this.findMonitor(option))) return options;
+    return options.map(option => {
+      const monitor = this.findMonitor(option);
+      if (monitor === undefined) return option;
+      return {...option, share: Math.min(option.share, monitor.share)};
+    });
+  }
+
+  private decide(rollout: RolloutRule, baseline: ModelVersion): void {
+    const key = formatModelVersion(rollout);
+    const {model, version, share} = rollout;
+    const nowMs = performance.now();
+    let monitor = this.monitors.get(key);
+    if (monitor === undefined) {
+      monitor = RolloutMonitor.create(
+        {candidate: {model, version}, baseline, maxShare: share},
+        nowMs,
+      );
+      this.monitors.set(key, monitor);
+    }
+    if (this.isStopped(rollout)) return;
+    const decision = monitor.decide(this.evidence, nowMs);
+    if (decision.action !== 'stop') return;
+    const {host} = this.options.member;
+    this.options.onStop(
+      this.rulings.stop({model, version}, host, decision.reason),
+    );
+  }
+
+  private findMonitor(option: ModelVersion): RolloutMonitor | undefined {
+    return this.monitors.get(formatModelVersion(option));
+  }
+}
+
+// The version that the rules keep for the model's other work.
+function findBaseline(
+  rules: RuleSet,
+  candidate: ModelVersion,
+): ModelVersion | undefined {
+  const isNamed = (
+    list: readonly ModelVersion[],
+    version: ModelVersion,
+  ): boolean => list.some(each => isSameModelVersion(each, version));
+  return rules.models.find(
+    version =>
+      version.model === candidate.model &&
+      version.version !== candidate.version &&
+      !isNamed(rules.rollouts, version) &&
+      !isNamed(rules.withdrawals, version) &&
+      !isNamed(rules.drains, version),
+  );
+}
--- a/packages/entry/src/entry_context.ts
+++ b/packages/entry/src/entry_context.ts
@@ -1,7 +1,5 @@
 import type {
   BillingRecord,
-  ModelChooser,
-  ModelVersion,
   ServiceRule,
   SessionKeyRing,
 } from '@anvilrudder/core';
@@ -13,6 +11,7 @@
 } from '@anvilrudder/platform';
 import type {BackendDirectory} from './backends/backend_directory.js';
 import type {Settings} from './config/settings_schema.js';
+import type {Decisions} from './decisions/start_decisions.js';
 import type {RulesKeeper} from './control/rules_keeper.js';
 import type {OpenRequests} from './server/open_requests.js';
 import type {Authenticator} from './stages/authenticate.js';
@@ -35,11 +34,6 @@
   ): Promise<ServiceAnswer>;
 }
 
-/** Versions stopped on evidence, until an operator overrules. */
-export interface StoppedVersions {
-  isStopped(version: ModelVersion): boolean;
-}
-
 /** Everything that the stages of a request use. */
 export interface EntryContext {
   readonly settings: Settings;
@@ -48,8 +42,7 @@
   readonly callers: Authenticator;
   readonly sessionKeys: SessionKeyRing;
   readonly keeper: RulesKeeper;
-  readonly chooser: ModelChooser;
-  readonly stoppedVersions: StoppedVersions;
+  readonly decisions: Decisions;
   readonly backends: BackendDirectory;
   readonly engines: EngineClient;
   readonly services: ServiceClient;
--- a/packages/entry/src/stages/admit.ts
+++ b/packages/entry/src/stages/admit.ts
@@ -1,29 +1,29 @@
 import {RouterError} from '@anvilrudder/core';
 import type {EntryContext} from '../entry_context.js';
-import type {GenerateRequest} from './caller_request.js';
+import {resolveInForce} from './check_rules.js';
 
-const OVERLOAD_RETRY_MS = 1000;
+const JOURNAL_RETRY_MS = 2000;
 
 /**
- * Admits a request or refuses it at once.
+ * Admits a request of an organisation or refuses it at once.
  *
  * @returns A function to call when the request ends.
- * @throws RouterError `overloaded` or `limit_exceeded`.
+ * @throws RouterError `limit_exceeded`, `overloaded` or `not_ready`.
  * @example
  * ```ts
- * const release = admitRequest(context, request);
+ * const release = admitRequest(context, 'school-a');
  * ```
  */
 export function admitRequest(
   context: EntryContext,
-  _request: GenerateRequest,
+  organisation: string,
 ): () => void {
-  const open = context.openRequests;
-  if (open.count > context.settings.requests.maxQueued) {
-    throw RouterError.create('This entry has too many open requests.', {
+  if (context.billing.isFull()) {
+    throw RouterError.create('Too many answers wait to be billed.', {
       code: 'overloaded',
-      retryAfterMs: OVERLOAD_RETRY_MS,
+      retryAfterMs: JOURNAL_RETRY_MS,
     });
   }
-  return () => undefined;
+  const {rules} = resolveInForce(context.keeper);
+  return context.decisions.limits.acquire(organisation, rules);
 }
--- a/packages/entry/src/stages/call_service.ts
+++ b/packages/entry/src/stages/call_service.ts
@@ -13,6 +13,7 @@
 import {createSendGate, mayHaveRun} from '../backends/send_gate.js';
 import type {EntryContext} from '../entry_context.js';
 import type {AnswerWriter} from '../server/answer_writer.js';
+import {admitRequest} from './admit.js';
 import {resolveOrganisation} from './authenticate.js';
 import type {RawRequest, ServiceRequest} from './caller_request.js';
 import {assertServiceAllowed, resolveInForce} from './check_rules.js';
@@ -43,9 +44,10 @@
   const request = createServiceRequest(context, service, raw);
   const rule = resolveServiceRule(context, service);
   assertServiceAllowed(context.keeper, request);
-  const result = await context.claims.run(request, rule, () =>
-    callServers(context, request, rule),
-  );
+  const release = admitRequest(context, request.organisation);
+  const result = await context.claims
+    .run(request, rule, () => callServers(context, request, rule))
+    .finally(release);
   context.metrics.count('service_calls_total', {service});
   answer.writeRawJson(result.status, result.body);
 }
--- a/packages/entry/src/stages/cascade.ts
+++ b/packages/entry/src/stages/cascade.ts
@@ -16,6 +16,14 @@
   readonly answered: ModelVersion;
   readonly result: StepResult;
   readonly steps: readonly RunStep[];
+  /** The answer as the caller got it. */
+  readonly text: string;
+}
+
+/** Passes tokens on to the caller and keeps their text. */
+interface Relay {
+  readonly write: TokenSink;
+  readonly parts: readonly string[];
 }
 
 interface BufferedToken {
@@ -47,7 +55,7 @@
     try {
       const held: BufferedToken[] = [];
       const sink: TokenSink = isLast
-        ? relay
+        ? relay.write
         : async (index, text) => void held.push({index, text});
       const result = await runStep(context, step, sink);
       ran.push({...version, result});
@@ -57,8 +65,9 @@
         });
         continue;
       }
-      for (const token of held) await relay(token.index, token.text);
-      return {answered: version, result, steps: ran};
+      for (const token of held) await relay.write(token.index, token.text);
+      const text = relay.parts.join('');
+      return {answered: version, result, steps: ran, text};
     } catch (error) {
       if (isLast || !canEscalate(error)) {
         throw ran.length > 0 ? markRan(error) : error;
@@ -74,9 +83,11 @@
   plan: RoutePlan,
   version: ModelVersion,
   answer: AnswerWriter,
-): TokenSink {
+): Relay {
   let lastTokenAtMs: number | undefined;
-  return async (index, text) => {
+  const parts: string[] = [];
+  const write: TokenSink = async (index, text) => {
+    parts.push(text);
     const nowMs = performance.now();
     if (lastTokenAtMs === undefined) {
       const waitedMs = nowMs - request.receivedAtMs;
@@ -94,6 +105,7 @@
     lastTokenAtMs = nowMs;
     await answer.writeEvent('token', {index, text});
   };
+  return {write, parts};
 }
 
 // A step that could not be run may be replaced by the next one; a caller
--- a/packages/entry/src/stages/dispatch.ts
+++ b/packages/entry/src/stages/dispatch.ts
@@ -1,7 +1,10 @@
 import {
   RouterError,
+  findRetryRefusal,
   formatModelVersion,
   isRouterError,
+  type AttemptOutcome,
+  type DispatchOutcome,
   type ModelVersion,
 } from '@anvilrudder/core';
 import {
@@ -10,14 +13,16 @@
   type BackendError,
   type DoneEvent,
 } from '@anvilrudder/platform';
-import type {BackendView} from '../backends/backend_directory.js';
 import {createSendGate, mayHaveRun} from '../backends/send_gate.js';
+import type {PickedServer} from '../decisions/engine_pool.js';
+import {PaceMeter} from '../decisions/pace_meter.js';
 import type {EntryContext} from '../entry_context.js';
 import type {GenerateRequest} from './caller_request.js';
-import {assertDispatchAllowed} from './check_rules.js';
+import {assertDispatchAllowed, createWithdrawnError} from './check_rules.js';
 
 const MAX_ATTEMPTS = 4;
 const NO_BACKEND_RETRY_MS = 2000;
+const PREFIX_KEY_CHARACTERS = 256;
 
 /** One model version of a plan, to be run for a request. */
 export interface StepRequest extends ModelVersion {
@@ -42,13 +47,16 @@
 
 /** Tokens passed on and attempts failed so far. */
 interface Progress {
+  readonly startedAtMs: number;
+  firstTokenAtMs: number | undefined;
   tokenCount: number;
   readonly failures: BackendError[];
 }
 
 /**
- * Runs one step to its whole answer: attempts, retries, and resumptions of a
- * broken stream, each of them allowed by the rules at its own moment.
+ * Runs one step to its whole answer: a place at the servers of the version,
+ * then attempts, retries and resumptions of a broken stream, each of them
+ * allowed by the rules at its own moment.
  *
  * @throws RouterError when no whole answer can be had.
  * @example
@@ -61,42 +69,94 @@
   step: StepRequest,
   sink: TokenSink,
 ): Promise<StepResult> {
-  const progress: Progress = {tokenCount: 0, failures: []};
-  const avoided = new Set<string>();
-  for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-    const server = chooseServer(context, step, avoided);
-    if (server === undefined) break;
+  const {request} = step;
+  const place = await context.decisions.admission.acquire(step, {
+    id: resolveEngineRequestId(step),
+    priority: request.priority,
+    deadlineAtMs: request.deadlineAtMs,
+    signal: request.signal,
+  });
+  const progress: Progress = {
+    startedAtMs: performance.now(),
+    firstTokenAtMs: undefined,
+    tokenCount: 0,
+    failures: [],
+  };
+  let isWhole = false;
+  try {
+    const result = await runAttempts(context, step, progress, sink);
+    isWhole = true;
+    return result;
+  } finally {
+    place.end(resolveDispatchOutcome(progress, isWhole));
+  }
+}
+
+async function runAttempts(
+  context: EntryContext,
+  step: StepRequest,
+  progress: Progress,
+  sink: TokenSink,
+): Promise<StepResult> {
+  const {engines, retries} = context.decisions;
+  const excluded = new Set<string>();
+  const {model, version, request} = step;
+  const prefixKey = request.prompt.slice(0, PREFIX_KEY_CHARACTERS);
+  retries.recordFirstAttempt(performance.now());
+  for (;;) {
+    const server = engines.pick({model, version, prefixKey, excluded});
+    if (server === undefined) throw createFinalError(step, progress);
     try {
       return await runAttempt(context, step, server, progress, sink);
     } catch (error) {
       if (!isBackendError(error)) throw explainRefusal(error, progress);
       progress.failures.push(error);
-      avoided.add(server.host.host);
+      excluded.add(server.id);
       noteFailure(context, step, server, error);
     }
-    if (step.request.signal.aborted) break;
+    if (!mayRetry(context, step, progress)) {
+      throw createFinalError(step, progress);
+    }
   }
-  throw createFinalError(step, progress);
+}
+
+// A generation may be repeated: a second run costs, and harms nobody.
+function mayRetry(
+  context: EntryContext,
+  step: StepRequest,
+  progress: Progress,
+): boolean {
+  const {request} = step;
+  if (request.signal.aborted) return false;
+  const refusal = findRetryRefusal({
+    execution: progress.failures.at(-1)?.execution ?? 'notRun',
+    isIdempotent: true,
+    attemptCount: progress.failures.length,
+    maxAttempts: MAX_ATTEMPTS,
+    remainingMs: request.deadlineAtMs - performance.now(),
+    expectedMs: 0,
+  });
+  return (
+    refusal === undefined &&
+    context.decisions.retries.tryTake(performance.now())
+  );
 }
 
 async function runAttempt(
   context: EntryContext,
   step: StepRequest,
-  server: BackendView,
+  server: PickedServer,
   progress: Progress,
   sink: TokenSink,
 ): Promise<StepResult> {
   const {request, model, version} = step;
-  const {organisation, kind} = request;
-  const closeRequest = context.backends.openRequest(server.host.host);
-  const question = {organisation, kind, model, version};
-  const gate = createSendGate(() =>
-    assertDispatchAllowed(context.keeper, question),
-  );
+  const gate = createSendGate(() => assertMaySend(context, step));
   const engineRequestId = resolveEngineRequestId(step);
+  const pace = PaceMeter.create();
+  let outcome: AttemptOutcome = {isFailure: false};
   try {
     const events = context.engines.generate(
-      server.host.address,
+      server.address,
       {
         requestId: engineRequestId,
         model,
@@ -110,17 +170,62 @@
       {signal: request.signal, confirmSend: gate.confirmSend},
     );
     for await (const event of events) {
-      if (event.kind === 'done') return createResult(event, engineRequestId);
+      if (event.kind === 'done') {
+        outcome = {isFailure: false, paceMs: pace.meanMs};
+        return createResult(event, engineRequestId);
+      }
+      pace.observe(performance.now());
+      progress.firstTokenAtMs ??= performance.now();
       progress.tokenCount = event.index + 1;
       await sink(event.index, event.text);
     }
     throw createBackendError({phase: 'streaming', failure: 'incomplete'});
   } catch (error) {
     gate.rethrow(error);
+    outcome = resolveAttemptOutcome(request, error);
     throw error;
   } finally {
-    closeRequest();
+    context.decisions.engines.finish(server.id, outcome);
+  }
+}
+
+function assertMaySend(context: EntryContext, step: StepRequest): void {
+  const {model, version, request} = step;
+  const {organisation, kind} = request;
+  if (context.decisions.rollouts.isStopped(step)) {
+    throw createWithdrawnError(step);
   }
+  assertDispatchAllowed(context.keeper, {organisation, kind, model, version});
+}
+
+// A caller that left says nothing about the server, and neither does a
+// refusal for want of a slot.
+function resolveAttemptOutcome(
+  request: GenerateRequest,
+  error: unknown,
+): AttemptOutcome {
+  if (!isBackendError(error) || request.signal.aborted) {
+    return {isFailure: false};
+  }
+  return {
+    isFailure: error.code !== 'full',
+    isUnreachable: error.phase === 'beforeFirstByte',
+  };
+}
+
+function resolveDispatchOutcome(
+  progress: Progress,
+  isWhole: boolean,
+): DispatchOutcome | undefined {
+  const {startedAtMs, firstTokenAtMs, failures} = progress;
+  const wasRefused = failures.some(failure => failure.code === 'full');
+  if (!isWhole && !wasRefused) return undefined;
+  const endedAtMs = performance.now();
+  return {
+    serviceMs: endedAtMs - startedAtMs,
+    firstTokenMs: (firstTokenAtMs ?? endedAtMs) - startedAtMs,
+    wasRefused,
+  };
 }
 
 // All attempts of a step share one id, so that an engine can tell a retry or
@@ -141,37 +246,20 @@
   };
 }
 
-// Fewest open requests of this entry first, then the shortest reported queue.
-function chooseServer(
-  context: EntryContext,
-  step: StepRequest,
-  avoided: ReadonlySet<string>,
-): BackendView | undefined {
-  const candidates = context.backends
-    .listServing(step)
-    .filter(view => !avoided.has(view.host.host));
-  return [...candidates].sort(
-    (a, b) => a.inFlight - b.inFlight || reportedWork(a) - reportedWork(b),
-  )[0];
-}
-
-function reportedWork(view: BackendView): number {
-  return (view.load?.running ?? 0) + (view.load?.queued ?? 0);
-}
-
 function noteFailure(
   context: EntryContext,
   step: StepRequest,
-  server: BackendView,
+  server: PickedServer,
   error: BackendError,
 ): void {
   if (error.code === 'draining') {
-    context.backends.recordDraining(server.host.host);
+    context.backends.recordDraining(server.id);
+    context.decisions.engines.markLeaving(server.id, 'server');
   }
   context.metrics.count('attempt_failures_total', {phase: error.phase});
   context.logger.warn('attempt_failed', {
     requestId: step.request.requestId,
-    server: server.host.host,
+    server: server.id,
     version: formatModelVersion(step),
     phase: error.phase,
     failure: error.failure,
--- a/packages/entry/src/stages/generate.ts
+++ b/packages/entry/src/stages/generate.ts
@@ -1,15 +1,22 @@
-import {formatModelVersion, verifySession} from '@anvilrudder/core';
+import {
+  formatModelVersion,
+  isRouterError,
+  verifySession,
+} from '@anvilrudder/core';
 import type {EntryContext} from '../entry_context.js';
 import type {AnswerWriter} from '../server/answer_writer.js';
 import {admitRequest} from './admit.js';
 import {resolveOrganisation} from './authenticate.js';
 import type {GenerateRequest, RawRequest} from './caller_request.js';
 import {startDeadline} from './deadline.js';
-import {runPlan} from './cascade.js';
+import {runPlan, type PlanOutcome} from './cascade.js';
 import {parseGenerateBody} from './parse_request.js';
-import {resolveRequestKind, resolveRoute} from './route.js';
+import {resolveRequestKind, resolveRoute, type RoutePlan} from './route.js';
+import {observeAnswer} from './observe.js';
 import {issueSessionToken, settleGeneration} from './settle.js';
 
+const MAX_ROUTES = 3;
+
 /**
  * Serves one generation request through its stages: parse, authenticate,
  * admit, route, dispatch, relay, settle.
@@ -26,7 +33,7 @@
   answer: AnswerWriter,
 ): Promise<void> {
   const request = createGenerateRequest(context, raw);
-  const release = admitRequest(context, request);
+  const release = admitRequest(context, request.organisation);
   const deadline = startDeadline(request.deadlineAtMs, raw.signal);
   try {
     await serveAdmitted(context, {...request, signal: deadline.signal}, answer);
@@ -64,14 +71,50 @@
   };
 }
 
+interface RoutedOutcome {
+  readonly plan: RoutePlan;
+  readonly outcome: PlanOutcome;
+}
+
+// The rules may change between the route and the first byte. New work then
+// takes another route; a session or a version asked for by name has no other.
+async function runRouted(
+  context: EntryContext,
+  request: GenerateRequest,
+  answer: AnswerWriter,
+): Promise<RoutedOutcome> {
+  for (let attempt = 1; ; attempt += 1) {
+    const plan = resolveRoute(context, request);
+    try {
+      const outcome = await runPlan(context, request, plan, answer);
+      return {plan, outcome};
+    } catch (error) {
+      const mayReroute =
+        plan.source === 'chosen' &&
+        attempt < MAX_ROUTES &&
+        !answer.isStreaming &&
+        isRefusedByRules(error);
+      if (!mayReroute) throw error;
+    }
+  }
+}
+
+function isRefusedByRules(error: unknown): boolean {
+  return (
+    isRouterError(error) &&
+    error.execution === 'notRun' &&
+    (error.code === 'version_withdrawn' || error.code === 'not_allowed')
+  );
+}
+
 async function serveAdmitted(
   context: EntryContext,
   request: GenerateRequest,
   answer: AnswerWriter,
 ): Promise<void> {
-  const plan = resolveRoute(context, request);
-  const outcome = await runPlan(context, request, plan, answer);
+  const {plan, outcome} = await runRouted(context, request, answer);
   await settleGeneration(context, request, plan, outcome);
+  observeAnswer(context, request, outcome);
   const {model, version} = outcome.answered;
   context.logger.info('request_settled', {
     requestId: request.requestId,
--- a/packages/entry/src/stages/model_options.ts
+++ b/packages/entry/src/stages/model_options.ts
@@ -1,7 +1,9 @@
 import {
+  isSameModelVersion,
   resolveOptions,
   type ModelOption,
   type RuleSet,
+  type VersionOption,
   type WorkScope,
 } from '@anvilrudder/core';
 
@@ -45,7 +47,17 @@
     version: option.version,
     costPerMtok: option.costPerMtok,
     quality: option.quality,
-    share: option.share,
+    share: resolveChooserShare(rules, option),
     sourceLine: option.sources[0]?.line ?? 0,
   }));
 }
+
+// The chooser holds versions in roll-out to their share and lets the others
+// of the model take all that is left, also when a candidate is out of service.
+function resolveChooserShare(rules: RuleSet, option: VersionOption): number {
+  const isInRollout = rules.rollouts.some(rule =>
+    isSameModelVersion(rule, option),
+  );
+  if (isInRollout) return option.share;
+  return option.share > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/packages/entry/src/stages/observe.ts
@@ -0,0 +1,40 @@
+import {isSameModelVersion} from '@anvilrudder/core';
+import type {EntryContext} from '../entry_context.js';
+import type {GenerateRequest} from './caller_request.js';
+import type {PlanOutcome} from './cascade.js';
+
+/**
+ * Tells the decisions of a whole answer: what ran, how sure the engines were,
+ * and the text for the rating service.
+ *
+ * @example
+ * ```ts
+ * observeAnswer(context, request, outcome);
+ * ```
+ */
+export function observeAnswer(
+  context: EntryContext,
+  request: GenerateRequest,
+  outcome: PlanOutcome,
+): void {
+  const {chooser, ratings, rollouts} = context.decisions;
+  for (const {model, version, result} of outcome.steps) {
+    const checkScore = result.confidence;
+    chooser.observeOutcome({kind: request.kind, model, version, checkScore});
+    rollouts.record({model, version}, {requests: 1, checkScore});
+  }
+  const inForce = context.keeper.inForce();
+  const isCandidate =
+    inForce?.rules.rollouts.some(rule =>
+      isSameModelVersion(rule, outcome.answered),
+    ) ?? false;
+  ratings?.offer({
+    requestId: request.requestId,
+    kind: request.kind,
+    model: outcome.answered.model,
+    version: outcome.answered.version,
+    text: outcome.text,
+    checkScore: outcome.result.confidence,
+    isCandidate,
+  });
+}
--- a/packages/entry/src/stages/route.ts
+++ b/packages/entry/src/stages/route.ts
@@ -24,19 +24,21 @@
 
 const NO_BACKEND_RETRY_MS = 2000;
 
+/** Who set the versions: the caller, its session, or the chooser. */
+export type PlanSource = 'explicit' | 'session' | 'chosen';
+
 /** The model versions to run for a request, cheapest first. */
 export interface RoutePlan {
   readonly revision: number;
   /** The rules of that revision. */
   readonly rules: RuleSet;
+  readonly source: PlanSource;
   readonly steps: readonly ModelVersion[];
   /** Lowest check score that makes a step final, for each step but the last. */
   readonly checkThresholds: readonly number[];
 }
 
-type PlannedSteps = Omit<RoutePlan, 'revision' | 'rules'>;
-
-type PlanSource = 'explicit' | 'session' | 'chosen';
+type PlannedSteps = Pick<RoutePlan, 'steps' | 'checkThresholds'>;
 
 interface PlanInput {
   readonly context: EntryContext;
@@ -92,7 +94,7 @@
     options: listCommonOptions(context, request),
     cascadeModels: resolveCascade(rules, request.kind)?.models ?? [],
   });
-  return {revision, rules, ...plan};
+  return {revision, rules, source, ...plan};
 }
 
 function resolvePlanSource(request: GenerateRequest): PlanSource {
@@ -149,7 +151,7 @@
 
 function planChosen(input: PlanInput): PlannedSteps {
   const {context, request, options, cascadeModels} = input;
-  const plan = context.chooser.choose({
+  const plan = context.decisions.chooser.choose({
     organisation: request.organisation,
     kind: request.kind,
     key: request.session?.sessionId ?? request.requestId,
@@ -187,8 +189,8 @@
 ): readonly ModelVersion[] {
   return options.filter(
     option =>
-      context.stoppedVersions.isStopped(option) ||
-      context.backends.listServing(option).length === 0,
+      context.decisions.rollouts.isStopped(option) ||
+      context.decisions.engines.countAvailable(option) === 0,
   );
 }
 
@@ -198,7 +200,9 @@
   request: GenerateRequest,
 ): readonly ModelOption[] {
   const [current, ...pending] = listRuleSets(resolveInForce(context.keeper));
-  const options = resolveModelOptions(current, request);
+  const options = context.decisions.rollouts.limitShares(
+    resolveModelOptions(current, request),
+  );
   if (pending.length === 0) return options;
   return options.filter(option =>
     pending.every(rules =>
@@ -211,7 +215,10 @@
 
 function isWithdrawnNow(context: EntryContext, wanted: ModelVersion): boolean {
   const ruleSets = listRuleSets(resolveInForce(context.keeper));
-  return ruleSets.some(rules => isWithdrawn(rules, wanted));
+  return (
+    context.decisions.rollouts.isStopped(wanted) ||
+    ruleSets.some(rules => isWithdrawn(rules, wanted))
+  );
 }
 
 function assertNotWithdrawn(context: EntryContext, wanted: ModelVersion): void {
--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -1,10 +1,10 @@
-import {ModelChooser} from '@anvilrudder/core';
 import {MetricRegistry, createLogger} from '@anvilrudder/observability';
 import {BackendDirectory} from './backends/backend_directory.js';
 import {createBackendClients} from './backends/create_backend_clients.js';
 import {watchBackends} from './backends/watch_backends.js';
 import type {Settings} from './config/settings_schema.js';
 import {startControl} from './control/start_control.js';
+import {startDecisions} from './decisions/start_decisions.js';
 import type {EntryContext} from './entry_context.js';
 import {createCallerServer} from './server/caller_server.js';
 import {listen} from './server/listen.js';
@@ -52,6 +52,17 @@
     metrics,
     listEntries: () => backends.listEntries(),
   });
+  const decisions = await startDecisions({
+    settings,
+    logger,
+    metrics,
+    control,
+    backends,
+  });
+  const refreshPool = (): void =>
+    decisions.engines.refresh(control.directory.listLive().length + 1);
+  refreshPool();
+  const stopRefreshing = backends.onChange(refreshPool);
   let isAccepting = true;
   const context: EntryContext = {
     settings,
@@ -70,8 +81,7 @@
       })),
     },
     keeper: control.keeper,
-    chooser: ModelChooser.create({weights: settings.decisions.weights}),
-    stoppedVersions: {isStopped: () => false},
+    decisions,
     claims: control.claims,
     billing: control.billing,
     backends,
@@ -100,6 +110,8 @@
       isAccepting = false;
       await stopCallers(context, server);
       stopWatching();
+      stopRefreshing();
+      await decisions.stop();
       await control.stop();
       await clients.close();
       logger.info('entry_stopped', {});
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -21,3 +21,5 @@
   FetchContentRequest,
   FetchContentResponse,
 } from './gen/anvilrudder/v1/peer_pb.js';
+export * from './share/share_rpc.js';
+export {ShareService} from './gen/anvilrudder/v1/share_pb.js';
--- /dev/null
+++ b/packages/peers/src/share/share_rpc.ts
@@ -0,0 +1,97 @@
+import {create} from '@bufbuild/protobuf';
+import {
+  createClient,
+  type ServiceImpl,
+  type Transport,
+} from '@connectrpc/connect';
+import {
+  decodeEvidence,
+  encodeEvidence,
+  type EvidenceDelta,
+  type LimitHeartbeat,
+  type Ruling,
+} from '@anvilrudder/core';
+import {
+  ShareService,
+  SharedFactsSchema,
+  type SharedFacts as SharedFactsMessage,
+} from '../gen/anvilrudder/v1/share_pb.js';
+
+/** What one entry tells another for its decisions. */
+export interface SharedFacts {
+  readonly evidence: EvidenceDelta;
+  readonly rulings: readonly Ruling[];
+  readonly limitUse: LimitHeartbeat;
+  /** Ids of backend servers that said themselves that they are leaving. */
+  readonly leavingServers: readonly string[];
+}
+
+/**
+ * Creates the handlers of the share service.
+ *
+ * @param exchange takes in the caller's facts and gives the own ones.
+ * @example
+ * ```ts
+ * router.service(ShareService, createShareHandlers(facts => merge(facts)));
+ * ```
+ */
+export function createShareHandlers(
+  exchange: (facts: SharedFacts) => SharedFacts,
+): ServiceImpl<typeof ShareService> {
+  return {
+    share: ({facts}) => ({
+      facts: encodeFacts(exchange(decodeFacts(facts))),
+    }),
+  };
+}
+
+/**
+ * Creates a function that exchanges facts with a peer.
+ *
+ * @returns a function that rejects with a ConnectError without an answer.
+ * @example
+ * ```ts
+ * const theirs = await createShareClient(transport)(ours);
+ * ```
+ */
+export function createShareClient(
+  transport: Transport,
+): (facts: SharedFacts) => Promise<SharedFacts> {
+  const client = createClient(ShareService, transport);
+  return async facts => {
+    const response = await client.share({facts: encodeFacts(facts)});
+    return decodeFacts(response.facts);
+  };
+}
+
+function encodeFacts(facts: SharedFacts): SharedFactsMessage {
+  return create(SharedFactsSchema, {
+    evidence: encodeEvidence(facts.evidence),
+    rulings: [...facts.rulings],
+    limitUse: {
+      member: facts.limitUse.member,
+      uses: [...facts.limitUse.uses],
+    },
+    leavingServers: [...facts.leavingServers],
+  });
+}
+
+function decodeFacts(message: SharedFactsMessage | undefined): SharedFacts {
+  const facts = message ?? create(SharedFactsSchema);
+  return {
+    evidence:
+      facts.evidence === ''
+        ? {rows: [], revision: 0}
+        : decodeEvidence(facts.evidence),
+    rulings: facts.rulings.flatMap(ruling =>
+      ruling.state === 'stopped' || ruling.state === 'allowed'
+        ? [{...ruling, state: ruling.state}]
+        : [],
+    ),
+    limitUse: {
+      member: facts.limitUse?.member ?? '',
+      uses: facts.limitUse?.uses ?? [],
+    },
+    leavingServers: facts.leavingServers,
+  };
+}
