Bound the time of checking hostile and very large rule files

Cause: a file of 1 MiB with one bad word a line took 4 s to check, which would hold up an entry's event loop; the review of a change took 1.4 s at 500 organisations, 12 kinds and 28 versions.

Too many warnings no longer count as an error.

Ruled out: a lower size limit, as 2000 organisations need 373 KB.

--- a/packages/core/src/rules/check_drafts.ts
+++ b/packages/core/src/rules/check_drafts.ts
@@ -26,6 +26,7 @@
   private readonly findings: Finding[] = [];
   private spellingHintCount = 0;
   private readonly models: ReadonlyMap<string, readonly ModelRule[]>;
+  private readonly versions: ReadonlySet<string>;
   private readonly lowestCosts: ReadonlyMap<string, number>;
   private readonly versionNames: ReadonlySet<string>;
   private readonly kinds: ReadonlySet<string>;
@@ -35,6 +36,7 @@
   private constructor(private readonly drafts: RuleDrafts) {
     const models = drafts.models.map(({rule}) => rule);
     this.models = groupBy(models, rule => rule.model);
+    this.versions = new Set(models.map(formatModelVersion));
     this.lowestCosts = findLowestCosts(models);
     this.versionNames = new Set(models.map(rule => rule.version));
     this.kinds = new Set(drafts.kinds.map(({rule}) => rule.name));
@@ -150,8 +152,8 @@
     this.checkName(reader, 'model', model, this.models);
     const rules = this.models.get(model);
     if (rules === undefined || version === ANY || version === '') return;
+    if (this.versions.has(formatModelVersion({model, version}))) return;
     const known = rules.map(rule => rule.version);
-    if (known.includes(version)) return;
     this.reportUnknown(reader.placeOf('version'), 'version', version, known);
   }
 
--- a/packages/core/src/rules/parse_rules.ts
+++ b/packages/core/src/rules/parse_rules.ts
@@ -4,6 +4,7 @@
 import {
   checkLineText,
   createError,
+  createWarning,
   isIgnoredLine,
   splitRuleLine,
   type RuleLine,
@@ -47,9 +48,10 @@
     return {rules: undefined, findings: [createSizeFinding()]};
   }
   const drafts = createDrafts();
-  const lineFindings = splitLines(text).flatMap((line, index) =>
-    readLine(line, index + 1, drafts),
-  );
+  const lineFindings = readLines(text, drafts);
+  if (lineFindings.length > MAX_FINDINGS) {
+    return {rules: undefined, findings: limitFindings(lineFindings)};
+  }
   const findings = [...lineFindings, ...checkDrafts(drafts)];
   const hasError = findings.some(finding => finding.severity === 'error');
   return {
@@ -63,6 +65,16 @@
   return text.replace(/^\ufeff/, '').split(/\r?\n/);
 }
 
+/** Stops at the line that exceeds the most findings. */
+function readLines(text: string, drafts: RuleDrafts): readonly Finding[] {
+  const findings: Finding[] = [];
+  for (const [index, line] of splitLines(text).entries()) {
+    findings.push(...readLine(line, index + 1, drafts));
+    if (findings.length > MAX_FINDINGS) break;
+  }
+  return findings;
+}
+
 function readLine(
   text: string,
   lineNumber: number,
@@ -111,8 +123,10 @@
   if (findings.length <= MAX_FINDINGS) return findings;
   const kept = findings.slice(0, MAX_FINDINGS);
   const {place} = findings[MAX_FINDINGS];
-  const message = `${findings.length - MAX_FINDINGS} more findings are not shown`;
-  return [...kept, createError(place, 'too_many_findings', message)];
+  const message = `the file has more than ${MAX_FINDINGS} findings; the rest is not shown`;
+  const isRefused = findings.some(({severity}) => severity === 'error');
+  const createNotice = isRefused ? createError : createWarning;
+  return [...kept, createNotice(place, 'too_many_findings', message)];
 }
 
 function createRuleSet(drafts: RuleDrafts): RuleSet {
--- a/packages/core/src/rules/review_change.ts
+++ b/packages/core/src/rules/review_change.ts
@@ -138,26 +138,32 @@
 }
 
 function findLostSessions(before: RuleSet, after: RuleSet): readonly Finding[] {
+  const {kinds} = getRuleIndex(before);
+  return listScopes(before)
+    .filter(({kind}) => kinds.get(kind)?.issuesSession === true)
+    .flatMap(scope => findLostSession(before, after, scope));
+}
+
+/** One warning for a scope, however many versions it loses. */
+function findLostSession(
+  before: RuleSet,
+  after: RuleSet,
+  scope: WorkScope,
+): readonly Finding[] {
+  const {organisation, kind} = scope;
   const {kinds, versionsByName} = getRuleIndex(after);
-  const lost = new Map<string, Finding>();
-  for (const scope of listScopes(before)) {
-    const kind = resolveKind(before, scope.organisation, scope.kind);
-    if (kind === undefined || !kind.issuesSession) continue;
-    for (const option of resolveOptions(before, scope)) {
-      const name = formatModelVersion(option);
-      const version = versionsByName.get(name);
-      const isIntended =
-        version === undefined || version.withdrawal !== undefined;
-      if (isIntended || isDispatchAllowed(after, {...scope, ...option})) {
-        continue;
-      }
-      const reason = kinds.has(scope.kind) ? 'allow' : 'kind';
-      const key = [scope.organisation, scope.kind, reason].join('|');
-      if (lost.has(key)) continue;
-      lost.set(key, createLostWarning(scope, name, reason));
-    }
+  for (const {model, version} of resolveOptions(before, scope)) {
+    const name = formatModelVersion({model, version});
+    const indexed = versionsByName.get(name);
+    const isIntended =
+      indexed === undefined || indexed.withdrawal !== undefined;
+    if (isIntended) continue;
+    if (isDispatchAllowed(after, {organisation, kind, model, version}))
+      continue;
+    const verb = kinds.has(kind) ? 'allow' : 'kind';
+    return [createLostWarning(scope, name, verb)];
   }
-  return [...lost.values()];
+  return [];
 }
 
 function createLostWarning(
--- a/packages/core/src/rules/suggest.ts
+++ b/packages/core/src/rules/suggest.ts
@@ -18,14 +18,12 @@
   if (word.length > MAX_WORD_LENGTH) return undefined;
   let best: string | undefined;
   let bestDistance = MAX_DISTANCE + 1;
+  const lowerWord = word.toLowerCase();
   let seen = 0;
   for (const candidate of candidates) {
     if (seen >= MAX_CANDIDATES) break;
     seen += 1;
-    const distance = measureDistance(
-      word.toLowerCase(),
-      candidate.toLowerCase(),
-    );
+    const distance = measureDistance(lowerWord, candidate.toLowerCase());
     if (distance >= bestDistance || distance >= candidate.length) continue;
     best = candidate;
     bestDistance = distance;
@@ -33,13 +31,21 @@
   return best === undefined ? undefined : `did you mean "${best}"?`;
 }
 
-/** Levenshtein distance; a number above the maximum stands for any larger. */
+/**
+ * Levenshtein distance; a number above the maximum stands for any larger.
+ * Only cells near the diagonal can hold a distance within the maximum.
+ */
 function measureDistance(a: string, b: string): number {
-  if (Math.abs(a.length - b.length) > MAX_DISTANCE) return MAX_DISTANCE + 1;
-  let previous = Array.from({length: b.length + 1}, (_, index) => index);
+  const tooFar = MAX_DISTANCE + 1;
+  if (Math.abs(a.length - b.length) > MAX_DISTANCE) return tooFar;
+  const width = b.length + 1;
+  let previous = Array.from({length: width}, (_, column) => column);
   for (let row = 1; row <= a.length; row++) {
-    const current = [row];
-    for (let column = 1; column <= b.length; column++) {
+    const current = new Array<number>(width).fill(tooFar);
+    current[0] = row;
+    const first = Math.max(1, row - MAX_DISTANCE);
+    const last = Math.min(b.length, row + MAX_DISTANCE);
+    for (let column = first; column <= last; column++) {
       const substitution = a[row - 1] === b[column - 1] ? 0 : 1;
       current[column] = Math.min(
         previous[column] + 1,
--- a/packages/core/test/rules/parse_rules.test.ts
+++ b/packages/core/test/rules/parse_rules.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {formatFinding, parseRules} from '../../src/index.js';
+import {formatFinding, MAX_FINDINGS, parseRules} from '../../src/index.js';
 
 const BASE = [
   'model name=quick version=v1 cost-per-mtok=0.2 quality=0.7 # Kim: base',
@@ -200,6 +200,25 @@
   );
 });
 
+test('bounds the findings of a file and says that there are more', () => {
+  const {rules, findings} = parseRules('x\n'.repeat(MAX_FINDINGS * 10));
+  assert.equal(rules, undefined);
+  assert.equal(findings.length, MAX_FINDINGS + 1);
+  assert.equal(findings.at(-1)?.code, 'too_many_findings');
+});
+
+test('too many warnings do not refuse a file', () => {
+  const versions = Array.from({length: MAX_FINDINGS + 1}, (_, i) => `w${i}`);
+  const lines = versions.flatMap(version => [
+    `model name=m version=${version} cost-per-mtok=1 quality=1 # a: b`,
+    `withdraw model=m version=${version} # a: b`,
+    `drain model=m version=${version} # a: b`,
+  ]);
+  const {rules, findings} = parseRules(lines.join('\n'));
+  assert.notEqual(rules, undefined);
+  assert.equal(findings.at(-1)?.severity, 'warning');
+});
+
 test('never throws, and names an existing line for each finding', () => {
   const piece = fc.oneof(
     fc.string({unit: 'binary'}),
