Refuse a slash in names of rules

Cause: names become parts of object keys and of joined map keys. With a slash allowed, organisation 'a/b' with kind 'c' and organisation 'a' with kind 'b/c' gave the same joined key.

Change: a name may not hold '/'.

Ruled out: escaping at each place that joins names, which a new place could forget.

--- a/packages/core/src/rules/field_reader.ts
+++ b/packages/core/src/rules/field_reader.ts
@@ -14,7 +14,7 @@
 export const ANY = '*';
 
 const MAX_NAME_LENGTH = 64;
-const NAME = /^[\p{L}\p{N}][\p{L}\p{M}\p{N} ._:/+-]*$/u;
+const NAME = /^[\p{L}\p{N}][\p{L}\p{M}\p{N} ._:+-]*$/u;
 const DECIMAL = /^\d{1,12}(\.\d{1,9})?$/;
 const PERCENT = /^(\d{1,3}(?:\.\d{1,6})?)%$/;
 const FLAGS: ReadonlyMap<string, boolean> = new Map([
@@ -218,7 +218,7 @@
     return `must have at most ${MAX_NAME_LENGTH} characters`;
   }
   if (!NAME.test(value) || value !== value.trim()) {
-    return 'must be letters, digits, spaces and ._:/+- and begin with a letter or digit';
+    return 'must be letters, digits, spaces and ._:+- and begin with a letter or digit';
   }
   return value === value.normalize('NFC')
     ? undefined
--- a/packages/core/test/rules/parse_rules.test.ts
+++ b/packages/core/test/rules/parse_rules.test.ts
@@ -137,9 +137,13 @@
     'kind name=x quality=1 deadline-ms=1 priority=hihg # a: b',
     '8:46: error: priority must be low or normal or high, not "hihg" (did you mean "high"?)',
   ],
+  [
+    'allow organisation=a/b model=* version=* kind=* # a: b',
+    '8:20: error: organisation must be letters, digits, spaces and ._:+- and begin with a letter or digit, got "a/b"',
+  ],
   [
     'model name=a@b version=v1 cost-per-mtok=1 quality=1 # a: b',
-    '8:12: error: name must be letters, digits, spaces and ._:/+- and begin with a letter or digit, got "a@b"',
+    '8:12: error: name must be letters, digits, spaces and ._:+- and begin with a letter or digit, got "a@b"',
   ],
   [
     BASE[0],
