--- a/packages/core/src/rollouts/evidence_ledger.ts
+++ b/packages/core/src/rollouts/evidence_ledger.ts
@@ -34,6 +34,9 @@
   readonly revision: number;
 }
 
+/** Whose rows a delta holds. */
+export type DeltaScope = 'own' | 'all';
+
 /** Key of a member in rows. */
 export function formatMember(member: MemberId): string {
   return `${member.host}/${member.incarnation}`;
@@ -78,11 +81,17 @@
     return this.totals.get(formatModelVersion(version)) ?? NO_COUNTERS;
   }
 
-  /** Rows that changed after a revision of this ledger; 0 for all. */
-  createDelta(afterRevision: number): EvidenceDelta {
+  /**
+   * Rows that changed after a revision of this ledger; 0 for all.
+   *
+   * @param scope `own` among members that all hear each other; `all` for a
+   *     member that is new or hears only some.
+   */
+  createDelta(afterRevision: number, scope: DeltaScope = 'all'): EvidenceDelta {
     const rows = [...this.rows.values()]
       .filter(state => state.revision > afterRevision)
-      .map(state => state.row);
+      .map(state => state.row)
+      .filter(row => scope === 'all' || row.member === this.self);
     return {rows, revision: this.revision};
   }
 
--- a/packages/core/test/faults/rollout_evidence.test.ts
+++ b/packages/core/test/faults/rollout_evidence.test.ts
@@ -56,6 +56,17 @@
   assert.equal(reader.createDelta(0).rows.length, 2);
 });
 
+test('[stop] rows of an entry reach a third one through a second', () => {
+  const [delta] = collectDeltas([1]);
+  const second = EvidenceLedger.create({host: 'b', incarnation: '1'});
+  const third = EvidenceLedger.create({host: 'c', incarnation: '1'});
+  second.merge(delta);
+  third.merge(second.createDelta(0, 'own'));
+  assert.equal(third.pool(VERSION).requests, 0);
+  third.merge(second.createDelta(0, 'all'));
+  assert.equal(third.pool(VERSION).requests, 1);
+});
+
 test('[stop] an entry ignores rows that claim to be its own', () => {
   const [delta] = collectDeltas([1]);
   const ledger = EvidenceLedger.create(MEMBERS[0]);
