Drop excluded versions before the roll-out share is applied

Cause: a key in the share of a stopped version lost the whole model, as the share was applied before the exclusion. Change: exclusions first.

--- a/packages/core/src/routing/model_chooser.ts
+++ b/packages/core/src/routing/model_chooser.ts
@@ -162,16 +162,15 @@
     this.learnt?.observeOutcome(outcome);
   }
 
+  // Excluded versions go first, so that a key whose roll-out version is out
+  // gets another version of the same model.
   private listCandidates(request: ChooseRequest): readonly ModelOption[] {
     const {options, excluded = [], key} = request;
-    const selected = selectByShare(options, key);
-    if (excluded.length === 0) return selected;
-    const isLeft = (option: ModelOption) =>
-      !excluded.some(version => isSameModelVersion(version, option));
-    const left = selected.filter(isLeft);
-    if (left.length > 0) return left;
-    // A request whose roll-out version is out falls back to the others.
-    return options.filter(option => option.share >= 1 && isLeft(option));
+    if (excluded.length === 0) return selectByShare(options, key);
+    const left = options.filter(
+      option => !excluded.some(version => isSameModelVersion(version, option)),
+    );
+    return selectByShare(left, key);
   }
 
   private findExplored(
--- a/packages/core/test/routing/model_chooser.test.ts
+++ b/packages/core/test/routing/model_chooser.test.ts
@@ -146,3 +146,34 @@
     if (version === 'v2') assert.equal(large[i], 'v2');
   }
 });
+
+test('a key whose roll-out version is excluded gets the other version of that model', () => {
+  const chooser = ModelChooser.create({policy: 'always-cheapest'});
+  const rollout = {...QUICK, version: 'v2', share: 0.5};
+  const request = {...REQUEST, options: [QUICK, rollout, DEEP]};
+  for (let i = 0; i < 50; i++) {
+    const plan = chooser.choose({
+      ...request,
+      key: `k-${i}`,
+      excluded: [rollout],
+    });
+    assert.equal(plan?.steps[0].model, 'quick');
+    assert.equal(plan?.steps[0].version, 'v1');
+  }
+});
+
+test('a roll-out never gets more than its share, also when nothing else is left', () => {
+  const chooser = ModelChooser.create();
+  const rollout = {...QUICK, version: 'v2', share: 0.1};
+  let count = 0;
+  for (let i = 0; i < 1000; i++) {
+    const plan = chooser.choose({
+      ...REQUEST,
+      key: `k-${i}`,
+      options: [QUICK, rollout],
+      excluded: [QUICK],
+    });
+    if (plan !== undefined) count += 1;
+  }
+  assert.ok(count > 60 && count < 150, `${count}`);
+});
