--- a/packages/experiments/src/registry.ts
+++ b/packages/experiments/src/registry.ts
@@ -4,6 +4,7 @@
 import {LIMITS} from './limits/limits.js';
 import {MODEL_CHOICE} from './model_choice/model_choice.js';
 import {BACKEND_CHOICE} from './service/backend_choice.js';
+import {HEDGING} from './service/hedging.js';
 import {OVERLOAD} from './service/overload.js';
 import {RECOVERY} from './service/recovery.js';
 
@@ -15,5 +16,6 @@
   OVERLOAD,
   LIMITS,
   RECOVERY,
+  HEDGING,
   DECISION_COST,
 ];
--- /dev/null
+++ b/packages/experiments/src/service/hedging.ts
@@ -0,0 +1,160 @@
+import {
+  HedgeTimer,
+  RetryBudget,
+  createRandom,
+  readQuantile,
+  sampleExponential,
+  type BudgetPolicyName,
+} from '@anvilrudder/core';
+import {
+  toMetrics,
+  type Experiment,
+  type GoalResult,
+  type Sample,
+  type SpreadReader,
+} from '../harness/experiment.js';
+import {EventQueue} from './event_queue.js';
+
+interface HedgeWay {
+  readonly name: string;
+  readonly quantile: number;
+  readonly budget: BudgetPolicyName;
+}
+
+interface PlainServer {
+  running: number;
+  readonly queue: Task[];
+}
+
+interface Task {
+  isCancelled: boolean;
+  readonly onDone: () => void;
+}
+
+const SERVER_COUNT = 3;
+const SLOTS = 8;
+const MEAN_ANSWER_MS = 30;
+const STALL_SHARE = 0.02;
+const STALL_MS = 800;
+const DURATION_MS = 60_000;
+const LOADS = [0.3, 0.6, 0.95];
+const PRODUCT = 'p95 within the budget';
+const NONE = 'no hedge';
+const WAYS: readonly HedgeWay[] = [
+  {name: NONE, quantile: 0.95, budget: 'none'},
+  {name: 'p50 without a budget', quantile: 0.5, budget: 'unlimited'},
+  {name: PRODUCT, quantile: 0.95, budget: 'budget'},
+];
+
+function runHedging(way: HedgeWay, load: number, seed: number) {
+  const events = EventQueue.create();
+  const random = createRandom(seed);
+  const timer = HedgeTimer.create({quantile: way.quantile});
+  const budget = RetryBudget.create({policy: way.budget, ratio: 0.05});
+  const servers: PlainServer[] = Array.from({length: SERVER_COUNT}, () => ({
+    running: 0,
+    queue: [],
+  }));
+  const latencies: number[] = [];
+  const counts = {calls: 0, attempts: 0};
+  const meanMs = MEAN_ANSWER_MS + STALL_SHARE * STALL_MS;
+  const gapMs = meanMs / (load * SERVER_COUNT * SLOTS);
+
+  const start = (server: PlainServer, task: Task) => {
+    server.running += 1;
+    const isStalled = random() < STALL_SHARE;
+    const answerMs =
+      sampleExponential(random, MEAN_ANSWER_MS) + (isStalled ? STALL_MS : 0);
+    events.after(answerMs, () => {
+      server.running -= 1;
+      task.onDone();
+      while (server.queue.length > 0) {
+        const next = server.queue.shift() as Task;
+        if (next.isCancelled) continue;
+        return start(server, next);
+      }
+    });
+  };
+  const submit = (index: number, task: Task) => {
+    const server = servers[index];
+    counts.attempts += 1;
+    if (server.running < SLOTS) start(server, task);
+    else server.queue.push(task);
+  };
+  const call = () => {
+    const startedMs = events.nowMs;
+    counts.calls += 1;
+    budget.recordFirstAttempt(startedMs);
+    let isDone = false;
+    const tasks: Task[] = [];
+    const attempt = (index: number) => {
+      const task: Task = {
+        isCancelled: false,
+        onDone: () => {
+          if (isDone) return;
+          isDone = true;
+          for (const other of tasks) other.isCancelled = true;
+          latencies.push(events.nowMs - startedMs);
+          timer.observe(events.nowMs - startedMs);
+        },
+      };
+      tasks.push(task);
+      submit(index, task);
+    };
+    const first = Math.floor(random() * SERVER_COUNT);
+    attempt(first);
+    const delayMs = timer.resolveDelayMs(true);
+    if (delayMs === undefined) return;
+    events.after(delayMs, () => {
+      if (isDone || !budget.tryTake(events.nowMs)) return;
+      attempt((first + 1) % SERVER_COUNT);
+    });
+  };
+  const arrive = () => {
+    events.after(sampleExponential(random, gapMs), () => {
+      if (events.nowMs >= DURATION_MS) return;
+      call();
+      arrive();
+    });
+  };
+  arrive();
+  events.runUntil(DURATION_MS);
+  latencies.sort((a, b) => a - b);
+  return {
+    latencyP50Ms: readQuantile(latencies, 0.5),
+    latencyP95Ms: readQuantile(latencies, 0.95),
+    latencyP99Ms: readQuantile(latencies, 0.99),
+    addedLoadShare: counts.attempts / counts.calls - 1,
+  };
+}
+
+function run(seed: number): readonly Sample[] {
+  return LOADS.flatMap(load =>
+    WAYS.map(way => ({
+      scenario: `load ${load}`,
+      policy: way.name,
+      metrics: toMetrics(runHedging(way, load, seed)),
+    })),
+  );
+}
+
+function checkGoals(read: SpreadReader): readonly GoalResult[] {
+  return LOADS.map(load => {
+    const plain = read(`load ${load}`, NONE, 'latencyP99Ms').mean;
+    const hedged = read(`load ${load}`, PRODUCT, 'latencyP99Ms').mean;
+    return {
+      goal: `load ${load}: hedging does not raise the p99`,
+      measured: `${hedged.toFixed(0)} against ${plain.toFixed(0)} ms`,
+      isMet: hedged <= plain,
+    };
+  });
+}
+
+/** Latency of an idempotent plain service with second attempts. */
+export const HEDGING: Experiment = {
+  name: 'hedging',
+  description: 'latency and added load of second attempts, by policy',
+  defaultSeedCount: 10,
+  run,
+  checkGoals,
+};
