--- a/packages/experiments/src/service/backend_choice.ts
+++ b/packages/experiments/src/service/backend_choice.ts
@@ -6,12 +6,9 @@
   type Sample,
   type SpreadReader,
 } from '../harness/experiment.js';
-import {
-  PLAIN_SETTING,
-  runService,
-  summarizeFirstTokens,
-  type Fault,
-} from './service_run.js';
+import {summarizeFirstTokens} from './service_result.js';
+import {runService} from './service_run.js';
+import {PLAIN_SETTING, type Fault} from './service_setting.js';
 import {PRODUCT_WAY} from './service_ways.js';
 
 interface ChoiceScenario {
--- a/packages/experiments/src/service/entry_model.ts
+++ b/packages/experiments/src/service/entry_model.ts
@@ -4,51 +4,18 @@
   RetryBudget,
   findRetryRefusal,
   formatModelVersion,
-  type AdmissionPolicyName,
-  type BudgetPolicyName,
   type ModelVersion,
-  type Priority,
   type Random,
-  type ServerPolicyName,
 } from '@anvilrudder/core';
 import type {EngineModel} from './engine_model.js';
 import type {EventQueue} from './event_queue.js';
+import type {ServiceCall, ServiceWay} from './service_call.js';
 
 const MAX_ATTEMPTS = 3;
 const CROSSING_MS = 0.5;
 const LOCAL_MS = 0.1;
 const LAST_RESORT_RETRY_MS = 1000;
 
-/** Policies that one way of serving uses. */
-export interface ServiceWay {
-  readonly name: string;
-  readonly servers: ServerPolicyName;
-  readonly admission: AdmissionPolicyName;
-  readonly retries: BudgetPolicyName;
-  /** True when engines are told of callers that left. */
-  readonly cancels: boolean;
-  /** True when another allowed version stands in for one without servers. */
-  readonly fallsBack: boolean;
-  /** True when servers that fail or lag are taken out. */
-  readonly ejects: boolean;
-}
-
-/** A request as it reaches an entry. */
-export interface ServiceCall {
-  readonly id: string;
-  readonly versions: readonly ModelVersion[];
-  readonly priority: Priority;
-  readonly prefixKey: string;
-  readonly promptTokens: number;
-  readonly answerTokens: number;
-  readonly arrivedMs: number;
-  readonly deadlineMs: number;
-  readonly onFirstToken: () => void;
-  readonly onDone: () => void;
-  /** Ends the call without an answer. */
-  readonly onFailed: (retryAfterMs: number | undefined) => void;
-}
-
 interface ActiveCall {
   readonly call: ServiceCall;
   readonly version: ModelVersion;
--- a/packages/experiments/src/service/overload.ts
+++ b/packages/experiments/src/service/overload.ts
@@ -5,12 +5,9 @@
   type Sample,
   type SpreadReader,
 } from '../harness/experiment.js';
-import {
-  PLAIN_SETTING,
-  readGoodput,
-  runService,
-  summarizeFirstTokens,
-} from './service_run.js';
+import {readGoodput, summarizeFirstTokens} from './service_result.js';
+import {runService} from './service_run.js';
+import {PLAIN_SETTING} from './service_setting.js';
 import {PRODUCT_WAY, SERVICE_WAYS} from './service_ways.js';
 
 const FACTORS = [0.5, 0.75, 1, 1.25, 1.5, 2];
--- a/packages/experiments/src/service/recovery.ts
+++ b/packages/experiments/src/service/recovery.ts
@@ -5,15 +5,14 @@
   type Sample,
   type SpreadReader,
 } from '../harness/experiment.js';
+import {readGoodput, type ServiceResult} from './service_result.js';
+import {runService} from './service_run.js';
 import {
   PLAIN_SETTING,
-  readGoodput,
-  runService,
   type Fault,
-  type ServiceResult,
   type ServiceSetting,
   type ServiceWorld,
-} from './service_run.js';
+} from './service_setting.js';
 import {PRODUCT_WAY, SERVICE_WAYS} from './service_ways.js';
 
 const FAULT_MS = 30_000;
--- a/packages/experiments/src/service/service_ways.ts
+++ b/packages/experiments/src/service/service_ways.ts
@@ -1,4 +1,4 @@
-import type {ServiceWay} from './entry_model.js';
+import type {ServiceWay} from './service_call.js';
 
 /** The product's own policies. */
 export const PRODUCT_WAY: ServiceWay = {
