--- a/packages/experiments/src/bad_version/rollout_run.ts
+++ b/packages/experiments/src/bad_version/rollout_run.ts
@@ -13,6 +13,7 @@
   type ModelVersion,
   type Random,
   type RampPolicyName,
+  type RatingShares,
   type RolloutSettings,
   type StopPolicyName,
 } from '@anvilrudder/core';
@@ -53,7 +54,7 @@
   /** Time from the turn, or from the start, to the last entry's stop. */
   readonly stopDelayMs: number;
   readonly fullShareMs: number;
-  /** Seconds from the first entry's stop until the last. */
+  /** Time from the first entry's stop until the last. */
   readonly spreadMs: number;
   readonly bytesPerMemberPerS: number;
 }
@@ -106,128 +107,155 @@
   };
 }
 
-function exchange(
-  entries: readonly Entry[],
-  lossShare: number,
-  random: Random,
-  nowMs: number,
-): number {
-  let byteCount = 0;
-  for (const [from, sender] of entries.entries()) {
-    for (const [to, receiver] of entries.entries()) {
-      if (from === to) continue;
-      const delta = sender.ledger.createDelta(
-        sender.sentRevisions.get(to) ?? 0,
-      );
-      const text = encodeEvidence(delta);
-      byteCount += text.length;
-      if (random() < lossShare) continue;
-      sender.sentRevisions.set(to, delta.revision);
-      receiver.ledger.merge(decodeEvidence(text));
-      for (const ruling of sender.rulings.list())
-        receiver.rulings.merge(ruling);
-      receiver.monitor.adoptStep(
-        sender.monitor.stepIndex,
-        receiver.ledger,
-        nowMs,
-      );
+/** Four entries that serve, rate and exchange evidence each second. */
+class RolloutRun {
+  private readonly random: Random;
+  private readonly entries: Entry[];
+  private readonly pending = new Map<number, PendingRating[]>();
+  private readonly stopTimes = new Map<number, number>();
+  private exposedRequests = 0;
+  private byteCount = 0;
+  private requestIndex = 0;
+  private fullShareMs: number;
+
+  private constructor(
+    private readonly way: RolloutWay,
+    private readonly scenario: RolloutScenario,
+    private readonly seed: number,
+  ) {
+    this.random = createRandom(seed);
+    this.fullShareMs = scenario.durationMs;
+    this.entries = Array.from({length: ENTRY_COUNT}, (_, index) =>
+      createEntry(index, 1, way, 0),
+    );
+  }
+
+  static create(
+    way: RolloutWay,
+    scenario: RolloutScenario,
+    seed: number,
+  ): RolloutRun {
+    return new RolloutRun(way, scenario, seed);
+  }
+
+  run(): RolloutResult {
+    const {durationMs} = this.scenario;
+    for (let nowMs = 0; nowMs < durationMs; nowMs += TICK_MS) {
+      if (nowMs === RESTART_AT_MS) this.restartFirst(nowMs);
+      const {share} = this.entries[1].monitor;
+      const ratingShares = resolveRatingShares(this.way, share);
+      for (let i = 0; i < REQUESTS_PER_S; i++) this.serve(nowMs, ratingShares);
+      this.deliverRatings(nowMs);
+      this.exchange(nowMs);
+      this.decide(nowMs);
+      if (this.stopTimes.size === ENTRY_COUNT) break;
     }
+    return this.summarize();
   }
-  return byteCount;
-}
 
-/** Runs one roll-out over four entries that exchange evidence each second. */
-export function runRollout(
-  way: RolloutWay,
-  scenario: RolloutScenario,
-  seed: number,
-): RolloutResult {
-  const random = createRandom(seed);
-  const entries = Array.from({length: ENTRY_COUNT}, (_, index) =>
-    createEntry(index, 1, way, 0),
-  );
-  const pending = new Map<number, PendingRating[]>();
-  const stopTimes = new Map<number, number>();
-  let exposedRequests = 0;
-  let byteCount = 0;
-  let fullShareMs = scenario.durationMs;
-  let requestIndex = 0;
-  const tickCount = scenario.durationMs / TICK_MS;
-  for (let tick = 0; tick < tickCount; tick++) {
-    const nowMs = tick * TICK_MS;
+  private restartFirst(nowMs: number): void {
+    this.entries[0] = createEntry(0, 2, this.way, nowMs);
+    for (const {sentRevisions} of this.entries) sentRevisions.delete(0);
+  }
+
+  private serve(nowMs: number, ratingShares: RatingShares): void {
+    const {random, scenario} = this;
     const isBad = nowMs >= scenario.badFromMs;
-    if (nowMs === RESTART_AT_MS) {
-      entries[0] = createEntry(0, 2, way, nowMs);
-      for (const entry of entries) entry.sentRevisions.delete(0);
+    this.requestIndex += 1;
+    const entryIndex = Math.floor(random() * ENTRY_COUNT);
+    const {ledger, monitor, rulings} = this.entries[entryIndex];
+    const unit = hashToUnit(`r-${this.seed}-${this.requestIndex}`);
+    const isCandidate = !rulings.isStopped(CANDIDATE) && unit < monitor.share;
+    const version = isCandidate ? CANDIDATE : BASELINE;
+    const behaviour = isCandidate && isBad ? scenario.bad : GOOD;
+    if (isCandidate && isBad) this.exposedRequests += 1;
+    const noise = ANSWER_DEVIATION * sampleNormal(random);
+    const quality = clamp(behaviour.quality + noise, 0, 1);
+    if (random() < behaviour.errorRate) {
+      return ledger.record(version, {requests: 1, errors: 1});
     }
-    const share = entries[1].monitor.share;
-    const ratingShares = resolveRatingShares(way, share);
-    for (let i = 0; i < REQUESTS_PER_S; i++) {
-      requestIndex += 1;
-      const entryIndex = Math.floor(random() * ENTRY_COUNT);
-      const {ledger, monitor, rulings} = entries[entryIndex];
-      const isStopped = rulings.isStopped(CANDIDATE);
-      const unit = hashToUnit(`r-${seed}-${requestIndex}`);
-      const isCandidate = !isStopped && unit < monitor.share;
-      const version = isCandidate ? CANDIDATE : BASELINE;
-      const behaviour = isCandidate && isBad ? scenario.bad : GOOD;
-      if (isCandidate && isBad) exposedRequests += 1;
-      const noise = ANSWER_DEVIATION * sampleNormal(random);
-      const quality = clamp(behaviour.quality + noise, 0, 1);
-      const isError = random() < behaviour.errorRate;
-      if (isError) {
-        ledger.record(version, {requests: 1, errors: 1});
-        continue;
-      }
-      const bias = behaviour.checkBias ?? 0;
-      const check = quality + bias + CHECK_NOISE * sampleNormal(random);
-      ledger.record(version, {requests: 1, checkScore: clamp(check, 0, 1)});
-      const ratingShare = isCandidate
-        ? ratingShares.candidate
-        : ratingShares.other;
-      if (random() >= ratingShare || random() < RATING_LOSS_SHARE) continue;
-      const score = clamp(quality + RATING_NOISE * sampleNormal(random), 0, 1);
-      const delayS = sampleExponential(random, RATING_DELAY_MEAN_S);
-      const due = tick + 1 + Math.floor(delayS);
-      const list = pending.get(due) ?? [];
-      list.push({entryIndex, version, score});
-      pending.set(due, list);
+    const bias = behaviour.checkBias ?? 0;
+    const check = quality + bias + CHECK_NOISE * sampleNormal(random);
+    ledger.record(version, {requests: 1, checkScore: clamp(check, 0, 1)});
+    const ratingShare = isCandidate
+      ? ratingShares.candidate
+      : ratingShares.other;
+    if (random() >= ratingShare || random() < RATING_LOSS_SHARE) return;
+    const score = clamp(quality + RATING_NOISE * sampleNormal(random), 0, 1);
+    this.scheduleRating({entryIndex, version, score}, nowMs);
+  }
+
+  private scheduleRating(rating: PendingRating, nowMs: number): void {
+    const delayS = sampleExponential(this.random, RATING_DELAY_MEAN_S);
+    const dueMs = nowMs + TICK_MS * (1 + Math.floor(delayS));
+    const list = this.pending.get(dueMs) ?? [];
+    list.push(rating);
+    this.pending.set(dueMs, list);
+  }
+
+  private deliverRatings(nowMs: number): void {
+    const due = this.pending.get(nowMs) ?? [];
+    for (const {entryIndex, version, score} of due) {
+      this.entries[entryIndex].ledger.record(version, {score});
     }
-    for (const {entryIndex, version, score} of pending.get(tick) ?? []) {
-      entries[entryIndex].ledger.record(version, {score});
+    this.pending.delete(nowMs);
+  }
+
+  private exchange(nowMs: number): void {
+    for (const from of this.entries.keys()) {
+      for (const to of this.entries.keys()) {
+        if (from !== to) this.send(from, to, nowMs);
+      }
     }
-    pending.delete(tick);
-    byteCount += exchange(entries, scenario.lossShare, random, nowMs);
-    for (const [index, {ledger, monitor, rulings}] of entries.entries()) {
+  }
+
+  private send(from: number, to: number, nowMs: number): void {
+    const sender = this.entries[from];
+    const receiver = this.entries[to];
+    const delta = sender.ledger.createDelta(sender.sentRevisions.get(to) ?? 0);
+    const text = encodeEvidence(delta);
+    this.byteCount += text.length;
+    if (this.random() < this.scenario.lossShare) return;
+    sender.sentRevisions.set(to, delta.revision);
+    receiver.ledger.merge(decodeEvidence(text));
+    for (const ruling of sender.rulings.list()) receiver.rulings.merge(ruling);
+    const {stepIndex} = sender.monitor;
+    receiver.monitor.adoptStep(stepIndex, receiver.ledger, nowMs);
+  }
+
+  private decide(nowMs: number): void {
+    for (const [index, {ledger, monitor, rulings}] of this.entries.entries()) {
       const decision = monitor.decide(ledger, nowMs);
       if (decision.action === 'stop') {
         rulings.stop(CANDIDATE, `entry-${index}`, decision.reason);
       }
-      if (rulings.isStopped(CANDIDATE) && !stopTimes.has(index)) {
-        stopTimes.set(index, nowMs);
+      if (rulings.isStopped(CANDIDATE) && !this.stopTimes.has(index)) {
+        this.stopTimes.set(index, nowMs);
       }
     }
-    if (fullShareMs === scenario.durationMs && entries[1].monitor.share === 1) {
-      fullShareMs = nowMs;
-    }
-    if (stopTimes.size === ENTRY_COUNT) break;
+    const isFull = this.entries[1].monitor.share === 1;
+    if (isFull) this.fullShareMs = Math.min(this.fullShareMs, nowMs);
+  }
+
+  private summarize(): RolloutResult {
+    const {durationMs, badFromMs} = this.scenario;
+    const times = [...this.stopTimes.values()];
+    const isStopped = times.length === ENTRY_COUNT;
+    const lastMs = isStopped ? Math.max(...times) : durationMs;
+    const firstMs = isStopped ? Math.min(...times) : durationMs;
+    const lastedS = Math.max(1, lastMs / TICK_MS);
+    return {
+      exposedRequests: this.exposedRequests,
+      isStopped,
+      stopDelayMs: lastMs - Math.min(badFromMs, lastMs),
+      fullShareMs: this.fullShareMs,
+      spreadMs: lastMs - firstMs,
+      bytesPerMemberPerS: this.byteCount / ENTRY_COUNT / lastedS,
+    };
   }
-  const times = [...stopTimes.values()];
-  const isStopped = times.length === ENTRY_COUNT;
-  const lastMs = isStopped ? Math.max(...times) : scenario.durationMs;
-  const firstMs = isStopped ? Math.min(...times) : scenario.durationMs;
-  const badFromMs = Math.min(scenario.badFromMs, lastMs);
-  return {
-    exposedRequests,
-    isStopped,
-    stopDelayMs: lastMs - badFromMs,
-    fullShareMs,
-    spreadMs: lastMs - firstMs,
-    bytesPerMemberPerS: byteCount / ENTRY_COUNT / Math.max(1, lastMs / TICK_MS),
-  };
 }
 
-function resolveRatingShares(way: RolloutWay, share: number) {
+function resolveRatingShares(way: RolloutWay, share: number): RatingShares {
   const even = RATING_BUDGET_PER_S / REQUESTS_PER_S;
   if (!way.focusesRatings) return {candidate: even, other: even};
   return planRatingShares({
@@ -236,3 +264,12 @@
     otherRequestsPerS: (1 - share) * REQUESTS_PER_S,
   });
 }
+
+/** Runs one roll-out over four entries that exchange evidence each second. */
+export function runRollout(
+  way: RolloutWay,
+  scenario: RolloutScenario,
+  seed: number,
+): RolloutResult {
+  return RolloutRun.create(way, scenario, seed).run();
+}
--- a/packages/experiments/src/model_choice/choice_run.ts
+++ b/packages/experiments/src/model_choice/choice_run.ts
@@ -7,8 +7,9 @@
   type CheckedAnswer,
   type ModelChooserOptions,
   type ModelOption,
-  type QualityModel,
+  type Random,
   type RatingObservation,
+  type RoutePlan,
 } from '@anvilrudder/core';
 import {
   sampleAnswer,
@@ -44,6 +45,7 @@
 export const REQUEST_COUNT = 40_000;
 const REQUEST_GAP_MS = 50;
 const OUTAGE_PERIOD = 2000;
+const OPTION_SEED_FACTOR = 7919;
 const RATING_NOISE = 0.08;
 
 interface PendingRating {
@@ -70,7 +72,7 @@
   truth: TrueQuality,
   seed: number,
 ): ReadonlyMap<string, readonly ModelOption[]> {
-  const random = createRandom(seed * 7919);
+  const random = createRandom(seed * OPTION_SEED_FACTOR);
   const entries = deployment.kinds.map(({kind}) => {
     const options = deployment.versions.map((version, index) => {
       const {mean} = truth.estimate(kind, version);
@@ -83,99 +85,148 @@
   return new Map(entries);
 }
 
-/** Runs one policy over one stream of requests. */
-export function runChoice(
-  deployment: Deployment,
-  scenario: Scenario,
-  chooserOptions: ModelChooserOptions,
-  seed: number,
-  truths: readonly TrueQuality[],
-  qualityByPhase?: readonly QualityModel[],
-): readonly Segment[] {
-  const random = createRandom(seed);
-  const optionsByKind = createOptionsByKind(
-    deployment,
-    scenario,
-    truths[0],
-    seed,
-  );
-  const cascadeModels = deployment.versions.map(({model}) => model);
-  const dearest = deployment.versions[deployment.versions.length - 1];
-  let chooser = ModelChooser.create({
-    ...chooserOptions,
-    quality: qualityByPhase?.[0],
-  });
-  const versionsByPhase = [0, 1].map(phase =>
-    listVersions(deployment, scenario, phase),
-  );
-  let pending: PendingRating[] = [];
-  const segments: Segment[] = [0, 1].flatMap(phase =>
-    deployment.kinds.map(kind => ({
-      kind,
-      phase,
-      requestCount: 0,
-      cost: 0,
-      quality: 0,
-    })),
-  );
-  for (let i = 0; i < REQUEST_COUNT; i++) {
-    const nowMs = i * REQUEST_GAP_MS;
-    const phase = i < REQUEST_COUNT / 2 ? 0 : 1;
-    if (qualityByPhase && i === REQUEST_COUNT / 2) {
-      chooser = ModelChooser.create({
-        ...chooserOptions,
-        quality: qualityByPhase[1],
-      });
-    }
-    if (i % 20 === 0) {
-      const due = pending.filter(({dueMs}) => dueMs <= nowMs);
-      pending = pending.filter(({dueMs}) => dueMs > nowMs);
-      for (const {rating} of due) chooser.observeRating(rating);
+/** What a run is made of. */
+export interface ChoiceInputs {
+  readonly deployment: Deployment;
+  readonly scenario: Scenario;
+  readonly chooserOptions: ModelChooserOptions;
+  readonly seed: number;
+  /** True distributions before and after the drift. */
+  readonly truths: readonly TrueQuality[];
+  /** True for the oracle, which knows the true distributions. */
+  readonly isOracle: boolean;
+}
+
+/** One stream of requests and ratings through one chooser. */
+class ChoiceRun {
+  private readonly random: Random;
+  private readonly optionsByKind: ReadonlyMap<string, readonly ModelOption[]>;
+  private readonly versionsByPhase: readonly (readonly VersionProfile[])[];
+  private readonly cascadeModels: readonly string[];
+  private readonly segments: readonly Segment[];
+  private chooser: ModelChooser;
+  private pending: PendingRating[] = [];
+
+  private constructor(private readonly inputs: ChoiceInputs) {
+    const {deployment, scenario, truths, seed} = inputs;
+    this.random = createRandom(seed);
+    this.optionsByKind = createOptionsByKind(
+      deployment,
+      scenario,
+      truths[0],
+      seed,
+    );
+    this.versionsByPhase = [0, 1].map(phase =>
+      listVersions(deployment, scenario, phase),
+    );
+    this.cascadeModels = deployment.versions.map(({model}) => model);
+    this.segments = [0, 1].flatMap(phase =>
+      deployment.kinds.map(kind => createSegment(kind, phase)),
+    );
+    this.chooser = this.createChooser(0);
+  }
+
+  static create(inputs: ChoiceInputs): ChoiceRun {
+    return new ChoiceRun(inputs);
+  }
+
+  run(): readonly Segment[] {
+    for (let index = 0; index < REQUEST_COUNT; index++) {
+      const isTurn = index === REQUEST_COUNT / 2;
+      if (isTurn && this.inputs.isOracle) this.chooser = this.createChooser(1);
+      if (index % 20 === 0) this.deliverRatings(index * REQUEST_GAP_MS);
+      this.serve(index);
     }
-    const kindIndex = pickKindIndex(deployment.kinds, random());
-    const kind = deployment.kinds[kindIndex];
+    return this.segments;
+  }
+
+  private createChooser(phase: number): ModelChooser {
+    const {chooserOptions, truths, isOracle} = this.inputs;
+    const quality = isOracle ? truths[phase] : undefined;
+    return ModelChooser.create({...chooserOptions, quality});
+  }
+
+  private deliverRatings(nowMs: number): void {
+    const due = this.pending.filter(({dueMs}) => dueMs <= nowMs);
+    this.pending = this.pending.filter(({dueMs}) => dueMs > nowMs);
+    for (const {rating} of due) this.chooser.observeRating(rating);
+  }
+
+  private serve(index: number): void {
+    const {deployment, scenario, seed} = this.inputs;
+    const {kinds, organisations} = deployment;
+    const phase = index < REQUEST_COUNT / 2 ? 0 : 1;
+    const kindIndex = pickKindIndex(kinds, this.random());
+    const kind = kinds[kindIndex];
     const organisation =
-      deployment.organisations[
-        Math.floor(random() * deployment.organisations.length)
-      ];
-    const difficulty = sampleDifficulty(kind, random);
-    const isOut = (i % OUTAGE_PERIOD) / OUTAGE_PERIOD < scenario.outageShare;
-    const plan = chooser.choose({
+      organisations[Math.floor(this.random() * organisations.length)];
+    const difficulty = sampleDifficulty(kind, this.random);
+    const isOut =
+      (index % OUTAGE_PERIOD) / OUTAGE_PERIOD < scenario.outageShare;
+    const plan = this.chooser.choose({
       organisation,
       kind: kind.kind,
-      key: `r-${seed}-${i}`,
+      key: `r-${seed}-${index}`,
       qualityTarget: kind.qualityTarget,
-      options: optionsByKind.get(kind.kind) ?? [],
-      cascadeModels,
-      excluded: isOut ? [dearest] : [],
+      options: this.optionsByKind.get(kind.kind) ?? [],
+      cascadeModels: this.cascadeModels,
+      excluded: isOut ? deployment.versions.slice(-1) : [],
     });
-    const versions = versionsByPhase[phase];
-    const segment = segments[phase * deployment.kinds.length + kindIndex];
+    const segment = this.segments[phase * kinds.length + kindIndex];
     segment.requestCount += 1;
+    if (plan === undefined) return;
+    this.answer(plan, segment, difficulty, index * REQUEST_GAP_MS);
+  }
+
+  private answer(
+    plan: RoutePlan,
+    segment: Segment,
+    difficulty: number,
+    nowMs: number,
+  ): void {
+    const {kind} = segment.kind;
     let previous: CheckedAnswer | undefined;
-    for (const [index, step] of plan?.steps.entries() ?? []) {
-      const version = versions.find(({model}) => model === step.model);
-      const answer = sampleAnswer(version?.skill ?? 0, difficulty, random);
+    for (const [index, step] of plan.steps.entries()) {
+      const version = this.versionsByPhase[segment.phase].find(
+        ({model}) => model === step.model,
+      );
+      const skill = version?.skill ?? 0;
+      const answer = sampleAnswer(skill, difficulty, this.random);
       const {checkScore} = answer;
-      const observed = {kind: kind.kind, ...step, checkScore};
-      chooser.observeOutcome({...observed, isEscalated: index > 0});
+      const observed = {kind, ...step, checkScore};
+      this.chooser.observeOutcome({...observed, isEscalated: index > 0});
       segment.cost += step.costPerMtok;
-      const isRated = random() < scenario.ratingShare;
-      if (isRated && random() >= scenario.ratingLossShare) {
-        const score = answer.quality + RATING_NOISE * sampleNormal(random);
-        pending.push({
-          dueMs: nowMs + sampleExponential(random, scenario.ratingDelayMeanMs),
-          rating: {...observed, score: clamp(score, 0, 1), previous},
-        });
-      }
+      this.rate(answer.quality, {...observed, previous}, nowMs);
       previous = {...step, checkScore};
-      const threshold = plan?.checkThresholds[index];
+      const threshold = plan.checkThresholds[index];
       if (threshold !== undefined && checkScore < threshold) continue;
       segment.quality += answer.quality;
       break;
     }
   }
-  return segments;
+
+  private rate(
+    quality: number,
+    rating: Omit<RatingObservation, 'score'>,
+    nowMs: number,
+  ): void {
+    const {ratingShare, ratingLossShare, ratingDelayMeanMs} =
+      this.inputs.scenario;
+    if (this.random() >= ratingShare) return;
+    if (this.random() < ratingLossShare) return;
+    const score = quality + RATING_NOISE * sampleNormal(this.random);
+    const dueMs = nowMs + sampleExponential(this.random, ratingDelayMeanMs);
+    this.pending.push({dueMs, rating: {...rating, score: clamp(score, 0, 1)}});
+  }
+}
+
+function createSegment(kind: KindProfile, phase: number): Segment {
+  return {kind, phase, requestCount: 0, cost: 0, quality: 0};
+}
+
+/** Runs one policy over one stream of requests. */
+export function runChoice(inputs: ChoiceInputs): readonly Segment[] {
+  return ChoiceRun.create(inputs).run();
 }
 
 function pickKindIndex(kinds: readonly KindProfile[], unit: number): number {
--- a/packages/experiments/src/model_choice/model_choice.ts
+++ b/packages/experiments/src/model_choice/model_choice.ts
@@ -1,6 +1,7 @@
 import {
   MODEL_POLICIES,
   createPlanTable,
+  type ModelChooserOptions,
   type ModelPolicyName,
   type RatedPlan,
 } from '@anvilrudder/core';
@@ -30,7 +31,7 @@
   outageShare: 0,
 };
 
-export const SCENARIOS: readonly Scenario[] = [
+const SCENARIOS: readonly Scenario[] = [
   PLAIN,
   {...PLAIN, name: 'drift', driftSkill: -0.8},
   {
@@ -43,6 +44,10 @@
   {...PLAIN, name: 'outage', outageShare: 0.05},
 ];
 
+const ORACLE_OPTIONS: ModelChooserOptions = {
+  maxCaution: 0,
+  explorationShare: 0,
+};
 const COST_GOAL_RATIO = 1.1;
 const SHORTFALL_GOAL = 0.01;
 const POLICIES = Object.keys(MODEL_POLICIES) as ModelPolicyName[];
@@ -90,7 +95,7 @@
   });
 }
 
-export function measureSegments(
+function measureSegments(
   deployment: Deployment,
   truths: readonly TrueQuality[],
   segments: readonly Segment[],
@@ -124,7 +129,7 @@
 
 const truthCache = new Map<string, readonly TrueQuality[]>();
 
-export function resolveTruths(deployment: Deployment, scenario: Scenario) {
+function resolveTruths(deployment: Deployment, scenario: Scenario) {
   const key = `${deployment.name}/${scenario.driftSkill}`;
   const cached = truthCache.get(key);
   if (cached) return cached;
@@ -144,31 +149,25 @@
       const truths = resolveTruths(deployment, scenario);
       const {weights} = deployment;
       const name = `${deployment.name} ${scenario.name}`;
-      const samples = POLICIES.map(policy => ({
+      const inputs = {deployment, scenario, seed, truths};
+      const createSample = (
+        policy: string,
+        chooserOptions: ModelChooserOptions,
+        isOracle: boolean,
+      ) => ({
         scenario: name,
-        policy: policy as string,
+        policy,
         metrics: measureSegments(
           deployment,
           truths,
-          runChoice(deployment, scenario, {policy, weights}, seed, truths),
+          runChoice({...inputs, chooserOptions, isOracle}),
         ),
-      }));
-      const oracle = {maxCaution: 0, explorationShare: 0};
-      const segments = runChoice(
-        deployment,
-        scenario,
-        oracle,
-        seed,
-        truths,
-        truths,
-      );
+      });
       return [
-        ...samples,
-        {
-          scenario: name,
-          policy: 'oracle',
-          metrics: measureSegments(deployment, truths, segments),
-        },
+        ...POLICIES.map(policy =>
+          createSample(policy, {policy, weights}, false),
+        ),
+        createSample('oracle', ORACLE_OPTIONS, true),
       ];
     }),
   );
