--- a/packages/core/test/audit/audit_exploration.test.ts
+++ b/packages/core/test/audit/audit_exploration.test.ts
@@ -16,16 +16,14 @@
   exploreStates,
   listLateWrites,
   listStoreBranches,
+  mutateProcess,
+  type ProtocolVariant,
   type Exploration,
   type StoreModel,
 } from '../support/protocol_explorer.js';
 
-interface Variant {
-  readonly rewriteStep?: (step: StoreStep) => StoreStep;
-  readonly rewriteReply?: (step: StoreStep, reply: StoreReply) => StoreReply;
-}
-
 type Process = Generator<StoreStep, unknown, StoreReply>;
+type Variant = ProtocolVariant<StoreStep, StoreReply>;
 
 const EMPTY_TAIL: AuditTail = {nextSequence: 1, sequenceById: new Map()};
 
@@ -60,17 +58,6 @@
   return acknowledged;
 }
 
-function* mutate(process: Process, variant: Variant): Process {
-  const rewriteStep = variant.rewriteStep ?? (step => step);
-  const rewriteReply = variant.rewriteReply ?? ((_, reply) => reply);
-  let state = process.next();
-  while (!state.done) {
-    const reply: StoreReply = yield rewriteStep(state.value);
-    state = process.next(rewriteReply(state.value, reply));
-  }
-  return state.value;
-}
-
 function checkTrail(store: StoreModel, results: readonly unknown[]): void {
   const entries = store.objects.flatMap(o => parseAuditObject(o.key, o.value));
   const ids = entries.map(entry => entry.id);
@@ -95,7 +82,7 @@
     world: EMPTY_STORE,
     actors: writers.map((batches, i) => ({
       name: `writer ${i}`,
-      start: () => mutate(runWriter(batches), variant),
+      start: () => mutateProcess(runWriter(batches), variant),
     })),
     maxFaults,
     listBranches: listStoreBranches,
--- a/packages/core/test/billing/billing_exploration.test.ts
+++ b/packages/core/test/billing/billing_exploration.test.ts
@@ -28,6 +28,8 @@
   type Exploration,
   listLateWrites,
   listStoreBranches,
+  mutateProcess,
+  type ProtocolVariant,
   type Branch,
   type StoreModel,
 } from '../support/protocol_explorer.js';
@@ -58,9 +60,7 @@
 type Process = Generator<Step, unknown, Reply>;
 
 /** A deliberate fault of the protocol that the exploration must find. */
-interface Variant {
-  readonly rewriteStep?: (step: Step, actor: string) => Step;
-  readonly rewriteReply?: (step: Step, reply: Reply) => Reply;
+interface Variant extends ProtocolVariant<Step, Reply> {
   readonly answersFirst?: boolean;
 }
 
@@ -142,17 +142,6 @@
   return yield* protocol as Generator<Step, T, Reply>;
 }
 
-function* mutate(process: Process, actor: string, variant: Variant): Process {
-  const rewriteStep = variant.rewriteStep ?? (step => step);
-  const rewriteReply = variant.rewriteReply ?? ((_, reply) => reply);
-  let state = process.next();
-  while (!state.done) {
-    const reply: Reply = yield rewriteStep(state.value, actor);
-    state = process.next(rewriteReply(state.value, reply));
-  }
-  return state.value;
-}
-
 function listBranches(
   world: World,
   step: Step,
@@ -284,19 +273,19 @@
   const {peerCount, compactorCount, roundCount, maxFaults} = scenario;
   const entry = {
     name: 'entry',
-    start: () => mutate(runEntry(scenario, variant), 'entry', variant),
+    start: () => mutateProcess(runEntry(scenario, variant), variant, 'entry'),
   };
   const peers = Array.from({length: peerCount}, (_, i) => ({
     name: `peer ${i}`,
-    start: () => mutate(runPeer(i), 'peer', variant),
+    start: () => mutateProcess(runPeer(i), variant, 'peer'),
   }));
   const compactors = Array.from({length: compactorCount}, (_, i) => ({
     name: `compactor ${i}`,
     start: () =>
-      mutate(
+      mutateProcess(
         asProcess(compact(`compactor ${i}`, roundCount)),
-        'compactor',
         variant,
+        'compactor',
       ),
   }));
   return {
--- a/packages/core/test/claims/claim_exploration.test.ts
+++ b/packages/core/test/claims/claim_exploration.test.ts
@@ -12,6 +12,8 @@
   exploreStates,
   listLateWrites,
   listStoreBranches,
+  mutateProcess,
+  type ProtocolVariant,
   type Branch,
   type StoreModel,
 } from '../support/protocol_explorer.js';
@@ -35,9 +37,7 @@
 }
 
 /** A deliberate fault of the protocol that the exploration must find. */
-interface Variant {
-  readonly rewriteStep?: (step: Step) => Step;
-  readonly rewriteReply?: (step: Step, reply: Reply) => Reply;
+interface Variant extends ProtocolVariant<Step, Reply> {
   readonly takesOverGone?: boolean;
   readonly saysNotRunWhenUnknown?: boolean;
 }
@@ -81,20 +81,6 @@
   return yield* protocol as Generator<Step, T, Reply>;
 }
 
-function* mutate(
-  generator: Generator<Step, Told, Reply>,
-  variant: Variant,
-): Generator<Step, Told, Reply> {
-  const rewriteStep = variant.rewriteStep ?? (step => step);
-  const rewriteReply = variant.rewriteReply ?? ((_, reply) => reply);
-  let state = generator.next();
-  while (!state.done) {
-    const reply: Reply = yield rewriteStep(state.value);
-    state = generator.next(rewriteReply(state.value, reply));
-  }
-  return state.value;
-}
-
 function listCallBranches(
   world: World,
   step: CallStep,
@@ -153,7 +139,7 @@
     world: {store: EMPTY_STORE, executedBy: []},
     actors: names.map(name => ({
       name,
-      start: () => mutate(runClaimed(name, variant), variant),
+      start: () => mutateProcess(runClaimed(name, variant), variant),
     })),
     maxFaults,
     listBranches,
--- a/packages/core/test/leases/lease_exploration.test.ts
+++ b/packages/core/test/leases/lease_exploration.test.ts
@@ -14,6 +14,8 @@
   exploreStates,
   listLateWrites,
   listStoreBranches,
+  mutateProcess,
+  type ProtocolVariant,
   walkStates,
   type Branch,
   type Exploration,
@@ -49,10 +51,8 @@
 
 type Reply = LeaseReply | {readonly kind: 'ok' | 'expired'};
 
-interface Variant {
+interface Variant extends ProtocolVariant<Step, Reply> {
   readonly settings?: Partial<LeaseSettings>;
-  readonly rewriteStep?: (step: Step) => Step;
-  readonly rewriteReply?: (step: Step, reply: Reply) => Reply;
 }
 
 const SETTINGS: LeaseSettings = {leaseMs: 2, marginMs: 0};
@@ -87,20 +87,6 @@
   return undefined;
 }
 
-function* mutate(
-  process: Generator<Step, unknown, Reply>,
-  variant: Variant,
-): Generator<Step, unknown, Reply> {
-  const rewriteStep = variant.rewriteStep ?? (step => step);
-  const rewriteReply = variant.rewriteReply ?? ((_, reply) => reply);
-  let state = process.next();
-  while (!state.done) {
-    const reply: Reply = yield rewriteStep(state.value);
-    state = process.next(rewriteReply(state.value, reply));
-  }
-  return state.value;
-}
-
 function listBranches(
   world: World,
   step: Step,
@@ -177,7 +163,8 @@
     },
     actors: rounds.map((roundCount, i) => ({
       name: `h${i}`,
-      start: () => mutate(runHolder(`h${i}`, roundCount, settings), variant),
+      start: () =>
+        mutateProcess(runHolder(`h${i}`, roundCount, settings), variant),
     })),
     maxFaults,
     listBranches,
--- a/packages/core/test/support/protocol_explorer.ts
+++ b/packages/core/test/support/protocol_explorer.ts
@@ -22,6 +22,28 @@
   readonly start: () => Generator<Step, unknown, Reply>;
 }
 
+/** A deliberate fault of a protocol that its exploration must find. */
+export interface ProtocolVariant<Step, Reply> {
+  readonly rewriteStep?: (step: Step, actor: string) => Step;
+  readonly rewriteReply?: (step: Step, reply: Reply) => Reply;
+}
+
+/** Runs a process with the faults of a variant. */
+export function* mutateProcess<Step, T, Reply>(
+  process: Generator<Step, T, Reply>,
+  variant: ProtocolVariant<Step, Reply>,
+  actor = '',
+): Generator<Step, T, Reply> {
+  const rewriteStep = variant.rewriteStep ?? (step => step);
+  const rewriteReply = variant.rewriteReply ?? ((_, reply) => reply);
+  let state = process.next();
+  while (!state.done) {
+    const reply: Reply = yield rewriteStep(state.value, actor);
+    state = process.next(rewriteReply(state.value, reply));
+  }
+  return state.value;
+}
+
 /** One way in which a step can go on. */
 export interface Branch<World, Reply> {
   readonly label: string;
