Bound what a slow store or cut-off peers add to a call; run duties

Cause: a claim waited for a slow object API without a bound of its own, and a commit asked every peer in turn while all were cut off. Change: a call is refused as not run after a bound and a late claim is released; two peers are asked for one copy, then group commit takes over; duties run at the holder of their lease.

--- a/packages/entry/src/control/billing/peer_copier.ts
+++ b/packages/entry/src/control/billing/peer_copier.ts
@@ -23,6 +23,9 @@
   readonly exclusionMs: number;
 }
 
+/** Peers asked for one copy before the records count as unprotected. */
+const MAX_PEERS_PER_COPY = 2;
+
 /**
  * Keeps a copy of each record that is not durable at one peer. Records of one
  * turn travel together. When a peer fails, the next one gets all of them.
@@ -32,6 +35,8 @@
   /** Records of each batch that the peer has confirmed, by sequence. */
   private held = new Map<number, number>();
   private readonly excludedUntilMs = new Map<string, number>();
+  /** Until then no peer is asked. */
+  private pausedUntilMs = -Infinity;
   private sending: Promise<boolean> | undefined;
   private queued: Promise<boolean> | undefined;
 
@@ -62,12 +67,16 @@
   }
 
   private async copyToSomePeer(): Promise<boolean> {
-    for (;;) {
+    if (this.options.nowMs() < this.pausedUntilMs) return false;
+    for (let attempt = 0; attempt < MAX_PEERS_PER_COPY; attempt++) {
       this.peer ??= this.options.choosePeer(this.listExcluded());
       if (this.peer === undefined) return false;
       if (await this.copyTo(this.peer)) return true;
       this.exclude(this.peer);
     }
+    // No answer's end waits for further peers that may be cut off as well.
+    this.pausedUntilMs = this.options.nowMs() + this.options.exclusionMs;
+    return false;
   }
 
   private async copyTo(peer: BillingPeer): Promise<boolean> {
--- a/packages/entry/src/control/claims/claim_keeper.ts
+++ b/packages/entry/src/control/claims/claim_keeper.ts
@@ -24,6 +24,8 @@
   readonly random?: () => number;
   /** True when a process no longer runs; nobody is known gone by default. */
   readonly isMemberGone?: (member: MemberId) => boolean;
+  /** How long a call waits for its claim before it is refused as not run. */
+  readonly acquireWaitMs?: number;
   /** How long an answer waits for its record to be written. */
   readonly finishWaitMs?: number;
   /** When a caller refused for want of the object API may come back. */
@@ -81,6 +83,7 @@
 }
 
 const DEFAULTS = {
+  acquireWaitMs: 2000,
   finishWaitMs: 250,
   retryAfterMs: 1000,
   inProgressRetryAfterMs: 500,
@@ -126,7 +129,7 @@
   }
 
   async runOnce(call: ClaimedCall): Promise<ClaimOutcome> {
-    const acquired = await this.acquire(call);
+    const acquired = await this.acquireInTime(call);
     if (acquired.status === 'recorded') {
       return {answer: acquired.answer, isReplay: true};
     }
@@ -152,6 +155,25 @@
     this.retries.stop();
   }
 
+  /** Gives up on a slow object API; a claim that comes late is released. */
+  private async acquireInTime(call: ClaimedCall): Promise<AcquireOutcome> {
+    const {nowMs, acquireWaitMs} = this.options;
+    const acquiring = this.acquire(call);
+    const leftMs = Math.max(0, call.deadlineMs - nowMs());
+    const isInTime = await waitAtMost(
+      acquiring,
+      Math.min(acquireWaitMs, leftMs),
+    );
+    if (isInTime) return await acquiring;
+    void acquiring.then(acquired => {
+      if (acquired.status === 'acquired') {
+        return this.finish(acquired.held, NOT_RUN);
+      }
+      return undefined;
+    });
+    return {status: 'unavailable', inDoubt: undefined};
+  }
+
   private async acquire(call: ClaimedCall): Promise<AcquireOutcome> {
     const {store, member, isMemberGone} = this.options;
     this.claimCount += 1;
@@ -250,14 +272,16 @@
   });
 }
 
+/** True if the work ended within the timeout. */
 async function waitAtMost(
-  work: Promise<void>,
+  work: Promise<unknown>,
   timeoutMs: number,
-): Promise<void> {
+): Promise<boolean> {
   let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<void>(resolve => {
-    timer = setTimeout(resolve, timeoutMs);
+  const timeout = new Promise<boolean>(resolve => {
+    timer = setTimeout(() => resolve(false), timeoutMs);
   });
-  await Promise.race([work, timeout]);
+  const isInTime = await Promise.race([work.then(() => true), timeout]);
   clearTimeout(timer);
+  return isInTime;
 }
--- a/packages/entry/test/faults/billing_table.test.ts
+++ b/packages/entry/test/faults/billing_table.test.ts
@@ -221,6 +221,28 @@
   assert.equal(await countBilled(bench.store), 90);
 });
 
+test('[billing] with every peer cut off an answer waits for two peers at most', async () => {
+  const store = MemoryObjectStore.create();
+  const asked: string[] = [];
+  const journal = createBillingJournal({
+    store,
+    incarnation: 'entry-1-1',
+    choosePeer: excluded => ({
+      host: `entry-${2 + excluded.size}`,
+      hold() {
+        asked.push(`entry-${2 + excluded.size}`);
+        return new Promise(() => {});
+      },
+    }),
+    copyTimeoutMs: 5,
+    groupCommitMs: 1,
+  });
+  assert.equal(await journal.commit(createRecord('r1')), 'durable');
+  assert.equal(await journal.commit(createRecord('r2')), 'durable');
+  assert.deepEqual(asked, ['entry-2', 'entry-3']);
+  journal.stop();
+});
+
 test('[billing] a copy that arrives during a hand-off is handed off too', async () => {
   const bench = createBench({peerCount: 1});
   let goOn = () => {};
--- a/packages/entry/test/faults/claims_table.test.ts
+++ b/packages/entry/test/faults/claims_table.test.ts
@@ -281,6 +281,31 @@
   assert.equal(bench.store.peek(key), settled);
 });
 
+test('[not-run] a slow store refuses the call in time and frees a late claim', async () => {
+  const store = MemoryObjectStore.create();
+  const service = new CountingService([]);
+  let answer = () => {};
+  const slow = new Promise<void>(resolve => (answer = resolve));
+  store.script({method: 'put', holdBefore: slow});
+  const keeper = createClaimKeeper({
+    store,
+    member: {host: 'entry-1', incarnation: 'entry-1-1'},
+    acquireWaitMs: 5,
+  });
+  const refused = await confirm(keeper, service);
+  assert.deepEqual(refused, {
+    told: 'platform_unavailable',
+    execution: 'notRun',
+  });
+  answer();
+  await waitUntil(() => {
+    const key = store.keys('claims/')[0];
+    return key !== undefined && store.peek(key)!.includes('released');
+  });
+  assert.equal(service.executionCount, 0);
+  assert.equal((await confirm(keeper, service)).told, 'answer');
+});
+
 test('[not-run] a claim in doubt is freed once the store answers again', async () => {
   const bench = createBench(
     [1, 2, 3].map(() => ({method: 'put', fault: 'answerLost'})),
--- /dev/null
+++ b/packages/entry/test/faults/leases_duty.test.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createDutyRunner} from '../../src/control/leases/duty_runner.js';
+import {createLeaseKeeper} from '../../src/control/leases/lease_keeper.js';
+import {MemoryObjectStore} from '../support/memory_object_store.js';
+
+test('[orders] a duty runs at one entry and goes on at the next after a stop', async () => {
+  const store = MemoryObjectStore.create();
+  const runs: string[] = [];
+  const createDuty = (host: string) =>
+    createDutyRunner({
+      lease: createLeaseKeeper({
+        store,
+        member: {host, incarnation: `${host}-1`},
+        duty: 'billing-0',
+        leaseMs: 60,
+        marginMs: 10,
+      }),
+      intervalMs: 2,
+      run: grant => {
+        runs.push(`${host} ${grant.fencing}`);
+        return runs.length % 2 === 0
+          ? Promise.reject(new Error('a failed run'))
+          : Promise.resolve();
+      },
+    });
+  const first = createDuty('entry-1');
+  const second = createDuty('entry-2');
+  first.start();
+  await waitUntil(() => runs.length >= 3);
+  second.start();
+  await first.stop();
+  const isSecond = (run: string) => run.startsWith('entry-2');
+  await waitUntil(() => runs.some(isSecond));
+  await second.stop();
+  const firstOfSecond = runs.findIndex(isSecond);
+  assert.ok(runs.slice(0, firstOfSecond).every(run => run === 'entry-1 1'));
+  assert.ok(runs.slice(firstOfSecond).every(run => run === 'entry-2 2'));
+});
+
+async function waitUntil(isDone: () => boolean): Promise<void> {
+  while (!isDone()) await new Promise(resolve => setTimeout(resolve, 2));
+}
