Renew the copies of a lost peer at once; read the bill of all shards

Cause: with the store out and no traffic, an entry did not notice that the peer with its copies was lost.

--- a/packages/core/src/billing/billing_totals.ts
+++ b/packages/core/src/billing/billing_totals.ts
@@ -158,6 +158,30 @@
   return {...totals, progress: Object.fromEntries(kept)};
 }
 
+/**
+ * Adds the usage of all shards, by `period/organisation`.
+ *
+ * @example
+ * ```ts
+ * sumUsage([totalsOfShard0, totalsOfShard1])['2026-12/hanbit'].requestCount;
+ * ```
+ */
+export function sumUsage(
+  shards: readonly BillingTotals[],
+): Readonly<Record<string, UsageTotals>> {
+  const sum: Record<string, UsageTotals> = {};
+  for (const [key, usage] of shards.flatMap(s => Object.entries(s.usage))) {
+    const earlier = sum[key] ?? NO_USAGE;
+    sum[key] = {
+      requestCount: earlier.requestCount + usage.requestCount,
+      promptTokens: earlier.promptTokens + usage.promptTokens,
+      outputTokens: earlier.outputTokens + usage.outputTokens,
+      costMicros: earlier.costMicros + usage.costMicros,
+    };
+  }
+  return sum;
+}
+
 /** Parses totals; text that is not JSON throws, since money depends on it. */
 export function parseTotals(text: string): BillingTotals {
   return JSON.parse(text) as BillingTotals;
--- a/packages/entry/src/control/billing/billing_journal.ts
+++ b/packages/entry/src/control/billing/billing_journal.ts
@@ -69,6 +69,11 @@
 export interface BillingJournal {
   /** Keeps a record; to be awaited before the end of the answer is sent. */
   commit(record: BillingRecord): Promise<RecordProtection>;
+  /**
+   * To be called when a host is known to be lost: copies that it held are
+   * made anew at another peer, also while no request ends.
+   */
+  handleHostLost(host: string): Promise<void>;
   status(): JournalStatus;
   /** Writes everything now; true once nothing is pending. */
   flush(): Promise<boolean>;
@@ -160,6 +165,10 @@
     return 'unprotected';
   }
 
+  async handleHostLost(host: string): Promise<void> {
+    await this.copier.replacePeer(host);
+  }
+
   status(): JournalStatus {
     const {maxPendingRecords} = this.options;
     const pendingRecords = countPendingRecords(this.state);
--- a/packages/entry/src/control/billing/peer_copier.ts
+++ b/packages/entry/src/control/billing/peer_copier.ts
@@ -57,6 +57,13 @@
     return await this.queued;
   }
 
+  /** Copies everything to another peer if this one held the copies. */
+  async replacePeer(host: string): Promise<void> {
+    if (this.peer?.host !== host) return;
+    this.exclude(this.peer);
+    await this.copy();
+  }
+
   private async start(): Promise<boolean> {
     this.sending = this.copyToSomePeer();
     try {
@@ -71,8 +78,9 @@
     for (let attempt = 0; attempt < MAX_PEERS_PER_COPY; attempt++) {
       this.peer ??= this.options.choosePeer(this.listExcluded());
       if (this.peer === undefined) return false;
-      if (await this.copyTo(this.peer)) return true;
-      this.exclude(this.peer);
+      const {peer} = this;
+      if (await this.copyTo(peer)) return true;
+      if (this.peer === peer) this.exclude(peer);
     }
     // No answer's end waits for further peers that may be cut off as well.
     this.pausedUntilMs = this.options.nowMs() + this.options.exclusionMs;
@@ -91,7 +99,7 @@
         durableThrough: durableThrough(),
       };
       const isHeld = await confirmWithin(peer.hold(request), timeoutMs);
-      if (!isHeld) return false;
+      if (!isHeld || this.peer !== peer) return false;
       this.held.set(batch.sequence, heldCount + records.length);
     }
     for (const sequence of this.held.keys()) {
--- /dev/null
+++ b/packages/entry/src/control/billing/usage_report.ts
@@ -0,0 +1,30 @@
+import {
+  EMPTY_TOTALS,
+  parseTotals,
+  resolveTotalsKey,
+  sumUsage,
+  type ObjectStore,
+  type UsageTotals,
+} from '@anvilrudder/core';
+
+/**
+ * Reads the usage that compaction has added up, by `period/organisation`. It
+ * lags the answers by the age of a batch and the interval of compactions.
+ *
+ * @throws the error of the object API when a shard can't be read.
+ * @example
+ * ```ts
+ * const usage = await readUsage(store, shardCount);
+ * usage['2026-12/hanbit']?.costMicros;
+ * ```
+ */
+export async function readUsage(
+  store: ObjectStore,
+  shardCount: number,
+): Promise<Readonly<Record<string, UsageTotals>>> {
+  const shards = Array.from({length: shardCount}, async (_, shard) => {
+    const object = await store.get(resolveTotalsKey(shard));
+    return object === undefined ? EMPTY_TOTALS : parseTotals(object.value);
+  });
+  return sumUsage(await Promise.all(shards));
+}
--- a/packages/entry/test/faults/billing_table.test.ts
+++ b/packages/entry/test/faults/billing_table.test.ts
@@ -16,6 +16,7 @@
   createHeldRecords,
   type HeldRecords,
 } from '../../src/control/billing/held_records.js';
+import {readUsage} from '../../src/control/billing/usage_report.js';
 import {
   MemoryObjectStore,
   type ScriptedFault,
@@ -243,6 +244,45 @@
   journal.stop();
 });
 
+test('[billing] the copies of a lost peer are made anew while the store is out', async () => {
+  const bench = createBench({});
+  bench.store.isDown = true;
+  await bench.journal.commit(createRecord('r1'));
+  await bench.journal.handleHostLost('entry-3');
+  assert.equal(bench.held[1].recordCount, 0);
+  await bench.journal.handleHostLost('entry-2');
+  assert.equal(bench.held[1].recordCount, 1);
+  bench.journal.stop();
+  bench.store.isDown = false;
+  await bench.held[1].handOff('entry-1-1');
+  assert.equal(await countBilled(bench.store), 1);
+});
+
+test('[billing] entries of several shards add up to one bill', async () => {
+  const store = MemoryObjectStore.create();
+  const shardCount = 4;
+  for (let entry = 0; entry < 8; entry++) {
+    const journal = createBillingJournal({
+      store,
+      incarnation: `entry-${entry}`,
+      shardCount,
+      groupCommitMs: 0,
+    });
+    await journal.commit(createRecord(`r${entry}`));
+    journal.stop();
+  }
+  for (let shard = 0; shard < shardCount; shard++) {
+    const member = {host: 'entry-0', incarnation: 'entry-0'};
+    await createBillingCompactor({store, member, shard}).compact();
+  }
+  const usage = await readUsage(store, shardCount);
+  assert.equal(usage['2026-12/hanbit'].requestCount, 8);
+  const shards = new Set(
+    store.keys('billing/batches/').map(key => key.split('/')[2]),
+  );
+  assert.ok(shards.size > 1);
+});
+
 test('[billing] a copy that arrives during a hand-off is handed off too', async () => {
   const bench = createBench({peerCount: 1});
   let goOn = () => {};
