--- a/packages/core/src/billing/billing_batch.ts
+++ b/packages/core/src/billing/billing_batch.ts
@@ -35,7 +35,7 @@
  *
  * @example
  * ```ts
- * readRecords(packBatch(batch)); // equals batch.records
+ * readBatchRecords(packBatch(batch)); // equals batch.records
  * ```
  */
 export function packBatch(batch: BillingBatch): PackedBatch {
@@ -50,12 +50,12 @@
 }
 
 /** Counts the records of a batch, packed or not. */
-export function countRecords(batch: BillingBatch | PackedBatch): number {
+export function countBatchRecords(batch: BillingBatch | PackedBatch): number {
   return 'records' in batch ? batch.records.length : batch.recordCount;
 }
 
 /** Reads the records of a batch, packed or not, in order. */
-export function readRecords(
+export function readBatchRecords(
   batch: BillingBatch | PackedBatch,
 ): readonly BillingRecord[] {
   return 'records' in batch
@@ -130,7 +130,7 @@
   batch: BillingBatch | PackedBatch,
   writer: LinkWriter,
 ): StoreProtocol<'durable' | 'failed'> {
-  let records = readRecords(batch);
+  let records = readBatchRecords(batch);
   for (let link = 0; link < MAX_LINKS; link++) {
     if (records.length === 0) return 'durable';
     const write: ConfirmedWrite = yield* writeObject({
--- a/packages/core/src/billing/held_copies.ts
+++ b/packages/core/src/billing/held_copies.ts
@@ -1,7 +1,7 @@
 import {
-  countRecords,
+  countBatchRecords,
   packBatch,
-  readRecords,
+  readBatchRecords,
   type BatchName,
   type BillingBatch,
   type PackedBatch,
@@ -46,7 +46,7 @@
   const kept = dropDurableCopies(copies, batch.incarnation, durableThrough);
   const batchId = resolveBatchId(batch);
   const held = kept.batches.get(batchId);
-  const earlier = held === undefined ? [] : readRecords(held);
+  const earlier = held === undefined ? [] : readBatchRecords(held);
   const records = mergeRecords(earlier, batch.records);
   const recordCount = kept.recordCount + records.length - earlier.length;
   if (recordCount > maxRecords) return undefined;
@@ -86,7 +86,10 @@
     ([, batch]) =>
       batch.incarnation !== incarnation || batch.sequence > durableThrough,
   );
-  const recordCount = kept.reduce((n, [, batch]) => n + countRecords(batch), 0);
+  const recordCount = kept.reduce(
+    (n, [, batch]) => n + countBatchRecords(batch),
+    0,
+  );
   return {batches: new Map(kept), recordCount};
 }
 
@@ -97,12 +100,15 @@
 ): HeldCopies {
   const batchId = resolveBatchId(batch);
   const held = copies.batches.get(batchId);
-  if (held === undefined || countRecords(held) > countRecords(batch)) {
+  if (
+    held === undefined ||
+    countBatchRecords(held) > countBatchRecords(batch)
+  ) {
     return copies;
   }
   const batches = new Map(copies.batches);
   batches.delete(batchId);
-  return {batches, recordCount: copies.recordCount - countRecords(held)};
+  return {batches, recordCount: copies.recordCount - countBatchRecords(held)};
 }
 
 /** Lists the copies of one run of an entry, oldest first. */
--- a/packages/core/src/billing/journal_state.ts
+++ b/packages/core/src/billing/journal_state.ts
@@ -1,5 +1,5 @@
 import {
-  countRecords,
+  countBatchRecords,
   MAX_BATCH_RECORDS,
   packBatch,
   type BillingBatch,
@@ -63,7 +63,7 @@
 /** Counts the records that are not durable yet. */
 export function countPendingRecords(state: JournalState): number {
   return state.closed.reduce(
-    (sum, batch) => sum + countRecords(batch),
+    (sum, batch) => sum + countBatchRecords(batch),
     state.open.records.length,
   );
 }
--- a/packages/core/src/orders/order.ts
+++ b/packages/core/src/orders/order.ts
@@ -43,7 +43,7 @@
 }
 
 /** Parses a step; text that is not JSON throws. */
-export function parseStep(text: string): RolloutStep {
+export function parseRolloutStep(text: string): RolloutStep {
   return JSON.parse(text) as RolloutStep;
 }
 
@@ -64,10 +64,10 @@
  *
  * @example
  * ```ts
- * selectSteps(steps, enginesInProgress, 4);
+ * selectRolloutSteps(steps, enginesInProgress, 4);
  * ```
  */
-export function selectSteps(
+export function selectRolloutSteps(
   steps: readonly RolloutStep[],
   enginesInProgress: ReadonlySet<string>,
   maxConcurrentLoads: number,
--- a/packages/core/src/orders/order_protocol.ts
+++ b/packages/core/src/orders/order_protocol.ts
@@ -8,7 +8,7 @@
 } from '../steps/store_step.js';
 import type {WriteCondition} from '../types/object_store.js';
 import {
-  parseStep,
+  parseRolloutStep,
   resolveRolloutPrefix,
   resolveStepKey,
   type RolloutStep,
@@ -58,7 +58,7 @@
 }
 
 /** Reads every step of a roll-out; undefined when the object API was out. */
-export function* listSteps(
+export function* listRolloutSteps(
   rolloutId: string,
 ): StoreProtocol<readonly RolloutStep[] | undefined> {
   const steps: RolloutStep[] = [];
@@ -67,21 +67,24 @@
     const prefix = resolveRolloutPrefix(rolloutId);
     const list: ListOutcome = yield* listObjects(prefix, after);
     if (list.status === 'failed') return undefined;
-    steps.push(...list.page.objects.map(o => parseStep(o.value)));
+    steps.push(...list.page.objects.map(o => parseRolloutStep(o.value)));
     after = list.page.nextAfter;
   } while (after !== undefined);
   return steps;
 }
 
 /** Reads one step anew, right before its order. */
-export function* readStep(
+export function* readRolloutStep(
   rolloutId: string,
   index: number,
 ): StoreProtocol<StoredStep | undefined> {
   const key = resolveStepKey(rolloutId, index);
   const read: ReadOutcome = yield* readObject(key);
   if (read.status === 'failed' || read.object === undefined) return undefined;
-  return {step: parseStep(read.object.value), version: read.object.version};
+  return {
+    step: parseRolloutStep(read.object.value),
+    version: read.object.version,
+  };
 }
 
 /**
@@ -89,7 +92,7 @@
  *
  * @returns false when the step was changed or the object API was out.
  */
-export function* recordStep(
+export function* recordRolloutStep(
   stored: StoredStep,
   state: StepState,
   fencing: number,
--- a/packages/core/test/billing/billing_exploration.test.ts
+++ b/packages/core/test/billing/billing_exploration.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {
   writeBatch,
-  readRecords,
+  readBatchRecords,
   type BillingBatch,
   type PackedBatch,
 } from '../../src/billing/billing_batch.js';
@@ -80,7 +80,7 @@
 
 function unpackBatch(batch: BillingBatch | PackedBatch): BillingBatch {
   const {shard, incarnation, sequence} = batch;
-  return {shard, incarnation, sequence, records: readRecords(batch)};
+  return {shard, incarnation, sequence, records: readBatchRecords(batch)};
 }
 
 /** An entry that answers its requests in batches and then writes these. */
--- a/packages/entry/src/control/billing/peer_copier.ts
+++ b/packages/entry/src/control/billing/peer_copier.ts
@@ -1,6 +1,6 @@
 import {
-  countRecords,
-  readRecords,
+  countBatchRecords,
+  readBatchRecords,
   type BillingBatch,
   type PackedBatch,
 } from '@anvilrudder/core';
@@ -91,9 +91,9 @@
     const {listPending, durableThrough, timeoutMs} = this.options;
     for (const batch of listPending()) {
       const heldCount = this.held.get(batch.sequence) ?? 0;
-      if (countRecords(batch) <= heldCount) continue;
+      if (countBatchRecords(batch) <= heldCount) continue;
       const {shard, incarnation, sequence} = batch;
-      const records = readRecords(batch).slice(heldCount);
+      const records = readBatchRecords(batch).slice(heldCount);
       const request = {
         batch: {shard, incarnation, sequence, records},
         durableThrough: durableThrough(),
--- a/packages/entry/src/control/orders/rollout_runner.ts
+++ b/packages/entry/src/control/orders/rollout_runner.ts
@@ -1,12 +1,12 @@
 import {
   isStateReached,
   listLastApplied,
-  listSteps,
+  listRolloutSteps,
   planRollout,
-  readStep,
-  recordStep,
+  readRolloutStep,
+  recordRolloutStep,
   resolveOrderId,
-  selectSteps,
+  selectRolloutSteps,
   type ModelVersion,
   type ObjectStore,
   type PlannedStep,
@@ -122,16 +122,22 @@
 
   async cancel(rolloutId: string): Promise<boolean> {
     const {store} = this.options;
-    const steps = await runStoreProtocol(store, listSteps(rolloutId));
+    const steps = await runStoreProtocol(store, listRolloutSteps(rolloutId));
     if (steps === undefined) return false;
     let isDone = true;
     for (const {index, state} of steps) {
       if (state !== 'planned') continue;
-      const stored = await runStoreProtocol(store, readStep(rolloutId, index));
+      const stored = await runStoreProtocol(
+        store,
+        readRolloutStep(rolloutId, index),
+      );
       if (stored?.step.state === 'applied') continue;
       const isCancelled =
         stored !== undefined &&
-        (await runStoreProtocol(store, recordStep(stored, 'cancelled', 0)));
+        (await runStoreProtocol(
+          store,
+          recordRolloutStep(stored, 'cancelled', 0),
+        ));
       isDone = isDone && isCancelled;
     }
     return isDone;
@@ -139,9 +145,13 @@
 
   async advance(rolloutId: string): Promise<RolloutProgress | undefined> {
     const {store, maxConcurrentLoads} = this.options;
-    const steps = await runStoreProtocol(store, listSteps(rolloutId));
+    const steps = await runStoreProtocol(store, listRolloutSteps(rolloutId));
     if (steps === undefined) return undefined;
-    const selected = selectSteps(steps, this.inProgress, maxConcurrentLoads);
+    const selected = selectRolloutSteps(
+      steps,
+      this.inProgress,
+      maxConcurrentLoads,
+    );
     const isApplied = await Promise.all(selected.map(s => this.runStep(s)));
     const appliedNow = isApplied.filter(Boolean).length;
     const count = (state: string) =>
@@ -155,7 +165,7 @@
 
   async repair(rolloutId: string): Promise<number> {
     const {store, engines} = this.options;
-    const steps = await runStoreProtocol(store, listSteps(rolloutId));
+    const steps = await runStoreProtocol(store, listRolloutSteps(rolloutId));
     let repairedCount = 0;
     for (const step of listLastApplied(steps ?? [])) {
       const loaded = await engines.loaded(step.engine).catch(() => undefined);
@@ -176,7 +186,7 @@
       this.report(step, attempt);
       const {outcome, fencing, stored} = attempt;
       if (outcome !== 'applied' || stored === undefined) return false;
-      const protocol = recordStep(stored, 'applied', fencing);
+      const protocol = recordRolloutStep(stored, 'applied', fencing);
       return await runStoreProtocol(this.options.store, protocol);
     } finally {
       this.inProgress.delete(step.engine);
@@ -192,7 +202,10 @@
     expectedState: StepState,
   ): Promise<OrderAttempt> {
     const {store, lease, engines} = this.options;
-    const stored = await runStoreProtocol(store, readStep(rolloutId, index));
+    const stored = await runStoreProtocol(
+      store,
+      readRolloutStep(rolloutId, index),
+    );
     if (stored === undefined) return createAttempt('failed');
     if (stored.step.state !== expectedState) return createAttempt('changed');
     const grant = lease.current();
