--- a/packages/entry/src/control/billing/peer_copier.ts
+++ b/packages/entry/src/control/billing/peer_copier.ts
@@ -1,6 +1,6 @@
 import {
-  countRecords,
-  readRecords,
+  countBatchRecords,
+  readBatchRecords,
   type BillingBatch,
   type PackedBatch,
 } from '@anvilrudder/core';
@@ -23,6 +23,9 @@
   readonly exclusionMs: number;
 }
 
+/** Peers asked for one copy before the records count as unprotected. */
+const MAX_PEERS_PER_COPY = 2;
+
 /**
  * Keeps a copy of each record that is not durable at one peer. Records of one
  * turn travel together. When a peer fails, the next one gets all of them.
@@ -32,6 +35,8 @@
   /** Records of each batch that the peer has confirmed, by sequence. */
   private held = new Map<number, number>();
   private readonly excludedUntilMs = new Map<string, number>();
+  /** Until then no peer is asked. */
+  private pausedUntilMs = -Infinity;
   private sending: Promise<boolean> | undefined;
   private queued: Promise<boolean> | undefined;
 
@@ -52,6 +57,13 @@
     return await this.queued;
   }
 
+  /** Copies everything to another peer if this one held the copies. */
+  async replacePeer(host: string): Promise<void> {
+    if (this.peer?.host !== host) return;
+    this.exclude(this.peer);
+    await this.copy();
+  }
+
   private async start(): Promise<boolean> {
     this.sending = this.copyToSomePeer();
     try {
@@ -62,27 +74,32 @@
   }
 
   private async copyToSomePeer(): Promise<boolean> {
-    for (;;) {
+    if (this.options.nowMs() < this.pausedUntilMs) return false;
+    for (let attempt = 0; attempt < MAX_PEERS_PER_COPY; attempt++) {
       this.peer ??= this.options.choosePeer(this.listExcluded());
       if (this.peer === undefined) return false;
-      if (await this.copyTo(this.peer)) return true;
-      this.exclude(this.peer);
+      const {peer} = this;
+      if (await this.copyTo(peer)) return true;
+      if (this.peer === peer) this.exclude(peer);
     }
+    // No answer's end waits for further peers that may be cut off as well.
+    this.pausedUntilMs = this.options.nowMs() + this.options.exclusionMs;
+    return false;
   }
 
   private async copyTo(peer: BillingPeer): Promise<boolean> {
     const {listPending, durableThrough, timeoutMs} = this.options;
     for (const batch of listPending()) {
       const heldCount = this.held.get(batch.sequence) ?? 0;
-      if (countRecords(batch) <= heldCount) continue;
+      if (countBatchRecords(batch) <= heldCount) continue;
       const {shard, incarnation, sequence} = batch;
-      const records = readRecords(batch).slice(heldCount);
+      const records = readBatchRecords(batch).slice(heldCount);
       const request = {
         batch: {shard, incarnation, sequence, records},
         durableThrough: durableThrough(),
       };
       const isHeld = await confirmWithin(peer.hold(request), timeoutMs);
-      if (!isHeld) return false;
+      if (!isHeld || this.peer !== peer) return false;
       this.held.set(batch.sequence, heldCount + records.length);
     }
     for (const sequence of this.held.keys()) {
