--- a/packages/core/src/acceptance/entry_state.ts
+++ b/packages/core/src/acceptance/entry_state.ts
@@ -1,4 +1,9 @@
-import {createRoster, digestRoster, type Member} from '../membership/member.js';
+import {
+  createRoster,
+  digestRoster,
+  formatMemberKey,
+  type Member,
+} from '../membership/member.js';
 import type {RulesHead} from './head.js';
 
 /** Time bounds of the protocol; each entry of a deployment has the same. */
@@ -116,15 +121,40 @@
  * ```
  */
 export function resolveRosterDigest(head: RulesHead | undefined): string {
-  if (head === undefined) return '';
-  const cached = rosterDigests.get(head);
-  if (cached !== undefined) return cached;
-  const digest = digestRoster(resolveRoster(head));
-  rosterDigests.set(head, digest);
-  return digest;
+  return head === undefined ? '' : resolveRosterFacts(head).digest;
 }
 
-const rosterDigests = new WeakMap<RulesHead, string>();
+/**
+ * Lists the keys of the roster of a head, in its order.
+ *
+ * @example
+ * ```ts
+ * resolveRosterKeys(head)[0]; // 'h1/a'
+ * ```
+ */
+export function resolveRosterKeys(head: RulesHead): readonly string[] {
+  return resolveRosterFacts(head).keys;
+}
+
+interface RosterFacts {
+  readonly keys: readonly string[];
+  readonly digest: string;
+}
+
+// Heads are immutable, and every report needs the facts of the same one.
+const rosterFacts = new WeakMap<RulesHead, RosterFacts>();
+
+function resolveRosterFacts(head: RulesHead): RosterFacts {
+  const cached = rosterFacts.get(head);
+  if (cached !== undefined) return cached;
+  const roster = resolveRoster(head);
+  const facts = {
+    keys: roster.map(formatMemberKey),
+    digest: digestRoster(roster),
+  };
+  rosterFacts.set(head, facts);
+  return facts;
+}
 
 /** Sets a time in a map unless a later one is there. */
 export function withLatest(
--- a/packages/core/src/acceptance/peer_report.ts
+++ b/packages/core/src/acceptance/peer_report.ts
@@ -1,7 +1,7 @@
 import {formatMemberKey, hasMember, type Member} from '../membership/member.js';
 import {
-  resolveRoster,
   resolveRosterDigest,
+  resolveRosterKeys,
   withLatest,
   withLatestAll,
   type EntryState,
@@ -62,7 +62,7 @@
   options: ReportOptions,
 ): PeerReport {
   const {active, known, self, confirmedAtMs} = state;
-  const keys = active === undefined ? [] : listRosterKeys(active);
+  const keys = active === undefined ? [] : resolveRosterKeys(active);
   const isCurrent = active !== undefined && active.sequence === known?.sequence;
   return {
     sender: self,
@@ -154,7 +154,7 @@
   const senderKey = formatMemberKey(report.sender);
   const heardAtMs = new Map(withLatest(state.heardAtMs, senderKey, sentAtMs));
   if (report.rosterDigest === resolveRosterDigest(active)) {
-    mergeAges(heardAtMs, listRosterKeys(active), report, sentAtMs);
+    mergeAges(heardAtMs, resolveRosterKeys(active), report, sentAtMs);
   }
   const grantedAtMs = report.isGuestGrant
     ? withLatest(state.grantedAtMs, senderKey, sentAtMs)
@@ -187,12 +187,14 @@
   if (known === undefined || report.activeSequence !== known.sequence) {
     return state;
   }
-  const keys = listRosterKeys(known).filter((_, index) => report.acked[index]);
+  const keys = resolveRosterKeys(known).filter(
+    (_, index) => report.acked[index],
+  );
   const acked = [formatMemberKey(report.sender), ...keys];
+  const added = acked.filter(key => !state.ackedAtMs.has(key));
+  if (added.length === 0 && report.ackGrants.length === 0) return state;
   const ackedAtMs = new Map(state.ackedAtMs);
-  for (const key of acked) {
-    if (!ackedAtMs.has(key)) ackedAtMs.set(key, nowMs);
-  }
+  for (const key of added) ackedAtMs.set(key, nowMs);
   const ends = report.ackGrants.map(
     ({guestKey, remainingMs}) => [guestKey, nowMs + remainingMs] as const,
   );
@@ -236,7 +238,3 @@
     .filter(([key, untilMs]) => untilMs > nowMs && !state.ackedAtMs.has(key))
     .map(([guestKey, untilMs]) => ({guestKey, remainingMs: untilMs - nowMs}));
 }
-
-function listRosterKeys(head: RulesHead): readonly string[] {
-  return resolveRoster(head).map(formatMemberKey);
-}
--- a/packages/entry/src/control/acceptance/peer_exchange.ts
+++ b/packages/entry/src/control/acceptance/peer_exchange.ts
@@ -75,19 +75,23 @@
   async pushToAll(): Promise<void> {
     const addresses = new Set(this.listAddresses());
     await Promise.all(
-      [...addresses].map(address => this.exchangeWith(address)),
+      [...addresses].map(address => this.exchangeWith(address, true)),
     );
   }
 
   /**
    * Asks one peer. A failure is not reported, as the next period asks again.
+   * A push brings the known head unless the peer is known to have it.
    *
    * @returns the entry that answered, undefined when none did.
    */
-  async exchangeWith(address: string): Promise<Member | undefined> {
+  async exchangeWith(
+    address: string,
+    isPush = false,
+  ): Promise<Member | undefined> {
     const {node} = this;
     const sentAtMs = node.nowMs();
-    const request = this.createRequest(address);
+    const request = this.createRequest(address, isPush);
     this.inFlight.add(address);
     try {
       const response = await this.client.exchange(
@@ -97,7 +101,6 @@
       );
       return this.takeAnswer(address, response, sentAtMs);
     } catch {
-      this.knowledge.delete(address);
       return undefined;
     } finally {
       this.inFlight.delete(address);
@@ -176,12 +179,13 @@
     });
   }
 
-  private createRequest(address: string): ExchangeRequest {
+  // A peer that is behind and got no head asks back for it.
+  private createRequest(address: string, isPush: boolean): ExchangeRequest {
     const {node} = this;
     const peer = this.knowledge.get(address);
     const known = node.state.known?.sequence ?? 0;
     const report = createReport(node.state, node.nowMs(), {
-      hasHead: peer === undefined || peer.sequence < known,
+      hasHead: peer === undefined ? isPush : peer.sequence < known,
       isGuestGrant: false,
     });
     return create(ExchangeRequestSchema, {
