Make the tests independent of the machine's load

One of the 15 failed: a write delayed by 200 ms landed before its repetition. One of 25 later runs failed: a request left its slot before the next had queued. Both are faults of the tests' timing. Change: the object stand-in holds a write until it is released (holdWrites); the slot is held by a stream that ends when the test says so; timeouts under test are 300 ms, their counterparts at least twice that; rates under test are so low that no second token comes. A delayed answer of the booking or weight stand-in ends with its connection: a slow transfer kept the process alive for a minute after stop.

--- a/packages/platform/test/faults/engine_client.test.ts
+++ b/packages/platform/test/faults/engine_client.test.ts
@@ -25,8 +25,8 @@
 
 const WITHHELD: GenerateOptions = {confirmSend: () => false};
 const IMPATIENT: GenerateOptions = {
-  firstByteTimeoutMs: 40,
-  idleTimeoutMs: 40,
+  firstByteTimeoutMs: 300,
+  idleTimeoutMs: 300,
 };
 const REFUSED = 'refused refused notRun';
 const CUT = 'streaming cut unknown';
--- a/packages/platform/test/faults/put_with_readback.test.ts
+++ b/packages/platform/test/faults/put_with_readback.test.ts
@@ -103,16 +103,17 @@
 test('[rules] a write that lands after its repetition changes nothing', async t => {
   const impatient = HttpObjectStore.create({
     baseUrl: `http://${objects.address}`,
-    timeoutMs: 40,
+    timeoutMs: 300,
   });
   t.after(() => impatient.close());
-  objects.setFaults({delayMs: 200});
+  objects.setFaults({holdWrites: 1});
   const first = impatient.put('late', VALUE, {kind: 'absent'});
   await assert.rejects(first, isObjectStoreError);
-  objects.setFaults({delayMs: 0});
   const second = await write(store, 'late', 4);
   assert.equal(second.status, 'written');
   const {version} = (await store.get('late'))!;
-  while (objects.counters().conflicts === 0) await store.get('late');
+  const {conflicts} = objects.counters();
+  objects.setFaults({holdWrites: 0});
+  while (objects.counters().conflicts === conflicts) await store.get('late');
   assert.equal((await store.get('late'))?.version, version);
 });
--- a/packages/platform/test/faults/service_client.test.ts
+++ b/packages/platform/test/faults/service_client.test.ts
@@ -32,7 +32,7 @@
   {fault: 'withheld right before the first byte', faults: {}, call: {confirmSend: () => false}, phase: 'beforeFirstByte', execution: 'notRun', executions: 0},
   {fault: 'cut off before it runs', faults: {dropBeforeRun: 1}, phase: 'sent', execution: 'unknown', executions: 0},
   {fault: 'cut off after it ran', faults: {dropAfterRun: 1}, phase: 'sent', execution: 'unknown', executions: 1},
-  {fault: 'the answer is later than the timeout', faults: {delayMs: 200}, call: {timeoutMs: 60}, phase: 'sent', execution: 'unknown', executions: 1},
+  {fault: 'the answer is later than the timeout', faults: {delayMs: 600}, call: {timeoutMs: 300}, phase: 'sent', execution: 'unknown', executions: 1},
 ];
 
 for (const row of SERVICE_FAULT_CASES) {
--- a/packages/platform/test/http/http_transport.test.ts
+++ b/packages/platform/test/http/http_transport.test.ts
@@ -59,10 +59,10 @@
 const FAULT_CASES: readonly FaultCase[] = [
   {fault: 'closes after it read the request', onHead: s => s.end(), timeoutMs: 2000, phase: 'sent', failure: 'cut'},
   {fault: 'resets after it read the request', onHead: s => s.resetAndDestroy(), timeoutMs: 2000, phase: 'sent', failure: 'cut'},
-  {fault: 'never answers', onHead: () => {}, timeoutMs: 30, phase: 'sent', failure: 'timeout'},
+  {fault: 'never answers', onHead: () => {}, timeoutMs: 300, phase: 'sent', failure: 'timeout'},
   {fault: 'answers what is not HTTP', onHead: s => s.end('hello\r\n\r\n'), timeoutMs: 2000, phase: 'sent', failure: 'cut'},
   {fault: 'closes within the body', onHead: s => s.end(HALF_ANSWER), timeoutMs: 2000, phase: 'streaming', failure: 'cut'},
-  {fault: 'stalls within the body', onHead: s => s.write(HALF_ANSWER), timeoutMs: 50, phase: 'streaming', failure: 'timeout'},
+  {fault: 'stalls within the body', onHead: s => s.write(HALF_ANSWER), timeoutMs: 300, phase: 'streaming', failure: 'timeout'},
 ];
 
 for (const {fault, onHead, timeoutMs, phase, failure} of FAULT_CASES) {
--- a/packages/platform/test/objects/http_object_store.test.ts
+++ b/packages/platform/test/objects/http_object_store.test.ts
@@ -25,7 +25,7 @@
   });
   impatientStore = HttpObjectStore.create({
     baseUrl: `http://${objects.address}`,
-    timeoutMs: 60,
+    timeoutMs: 300,
   });
 });
 
@@ -125,7 +125,7 @@
   {fault: 'outage', faults: {isDown: true}, execution: 'notRun', failure: 'unavailable', isWritten: false},
   {fault: 'answer lost after the write', faults: {loseWriteAnswers: 1}, execution: 'unknown', failure: 'cut', isWritten: true},
   {fault: 'connection cut before the write', faults: {loseWrites: 1}, execution: 'unknown', failure: 'cut', isWritten: false},
-  {fault: 'takes effect after the timeout', faults: {delayMs: 120}, execution: 'unknown', failure: 'timeout', isWritten: true},
+  {fault: 'takes effect after the timeout', faults: {delayMs: 600}, execution: 'unknown', failure: 'timeout', isWritten: true},
   {fault: 'value above a megabyte', faults: {}, value: 'x'.repeat(1024 * 1024 + 1), execution: 'notRun', failure: 'tooLarge', isWritten: false},
 ];
 
--- a/packages/platform/test/services/service_clients.test.ts
+++ b/packages/platform/test/services/service_clients.test.ts
@@ -62,7 +62,7 @@
 });
 
 test('answers are offered for rating and ratings are read', async t => {
-  const rating = await startRatingStandIn({ratePerS: 1});
+  const rating = await startRatingStandIn({ratePerS: 0.001});
   t.after(() => rating.stop());
   const client = closeAfter(t, RatingClient.create());
   const request = {
@@ -75,7 +75,7 @@
   const accepted = await client.rate(rating.address, request);
   const limited = await client.rate(rating.address, request);
   assert.equal(accepted.status, 'accepted');
-  assert.deepEqual(limited, {status: 'limited', retryAfterMs: 1000});
+  assert.deepEqual(limited, {status: 'limited', retryAfterMs: 1_000_000});
   const page = await client.list(rating.address, 0);
   assert.equal(page.ratings[0].requestId, 'r');
   assert.deepEqual(await client.list(rating.address, page.next), {
@@ -87,17 +87,25 @@
 test('weights stream until the limit of the store', async t => {
   const weights = await startWeightStandIn({
     sizeBytes: 300_000,
-    bytesPerS: 3_000_000,
+    bytesPerS: 1000,
     concurrentTransfers: 1,
   });
+  const fast = await startWeightStandIn({sizeBytes: 300_000});
+  t.after(() => fast.stop());
   t.after(() => weights.stop());
   const client = closeAfter(t, WeightClient.create());
   const of = {model: 'quick', version: 'v1'};
   const first = await client.open(weights.address, of);
   const second = await client.open(weights.address, of);
-  assert.deepEqual(second, {status: 'limited', retryAfterMs: 100});
+  assert.deepEqual(second, {status: 'limited', retryAfterMs: 300_000});
   assert.ok(first.status === 'streaming');
   let sizeBytes = 0;
-  for await (const chunk of first.chunks) sizeBytes += chunk.length;
+  for await (const chunk of first.chunks) {
+    assert.ok(chunk.length > 0);
+    break;
+  }
+  const whole = await client.open(fast.address, of);
+  assert.ok(whole.status === 'streaming');
+  for await (const chunk of whole.chunks) sizeBytes += chunk.length;
   assert.equal(sizeBytes, 300_000);
 });
--- a/packages/stand-ins/src/booking/booking_stand_in.ts
+++ b/packages/stand-ins/src/booking/booking_stand_in.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {
   cutConnection,
+  delayResponse,
   readJson,
   sendJson,
   startHttpServer,
@@ -73,7 +73,7 @@
       cutConnection(response);
       return;
     }
-    if (this.faults.delayMs > 0) await sleep(this.faults.delayMs);
+    await delayResponse(response, this.faults.delayMs);
     sendJson(response, 200, {confirmationId: randomUUID(), executions});
   }
 
--- a/packages/stand-ins/src/http/http_server.ts
+++ b/packages/stand-ins/src/http/http_server.ts
@@ -89,6 +89,23 @@
   response.end(text);
 }
 
+/** Waits for a time, or until the connection of the response is closed. */
+export function delayResponse(
+  response: ServerResponse,
+  delayMs: number,
+): Promise<void> {
+  if (delayMs <= 0 || response.closed) return Promise.resolve();
+  return new Promise(resolve => {
+    const finish = () => {
+      clearTimeout(timer);
+      response.off('close', finish);
+      resolve();
+    };
+    const timer = setTimeout(finish, delayMs);
+    response.once('close', finish);
+  });
+}
+
 /** Cuts the connection after what was written, without the end of the answer. */
 export function cutConnection(response: ServerResponse): void {
   response.socket?.destroySoon();
--- a/packages/stand-ins/src/objects/object_stand_in.ts
+++ b/packages/stand-ins/src/objects/object_stand_in.ts
@@ -1,4 +1,4 @@
-import {setMaxListeners} from 'node:events';
+import {EventEmitter, once, setMaxListeners} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
   cutConnection,
@@ -26,10 +26,14 @@
   readonly loseWriteAnswers: number;
   /** The next n writes take no effect and their connection is cut. */
   readonly loseWrites: number;
+  /** The next n writes wait until this is set again, and then take effect. */
+  readonly holdWrites: number;
   /** Reads answer from a copy taken when this was set. */
   readonly staleReads: boolean;
 }
 
+type CountedFault = 'loseWriteAnswers' | 'loseWrites' | 'holdWrites';
+
 /**
  * Calls counted since the start; `rejected` ones were answered 503,
  * `conflicts` are writes whose condition did not hold.
@@ -65,6 +69,7 @@
   delayMs: 0,
   loseWriteAnswers: 0,
   loseWrites: 0,
+  holdWrites: 0,
   staleReads: false,
 };
 
@@ -88,6 +93,7 @@
   };
   private readonly objects: VersionedObjects;
   private staleCopy: VersionedObjects | undefined;
+  private readonly faultChanges = new EventEmitter();
   private readonly stopSignal = new AbortController();
 
   constructor(historyLimit: number) {
@@ -98,6 +104,7 @@
 
   setFaults(faults: Partial<ObjectFaults>): void {
     this.faults = {...this.faults, ...faults};
+    if (faults.holdWrites !== undefined) this.faultChanges.emit('holdWrites');
     if (faults.staleReads === undefined) return;
     this.staleCopy = faults.staleReads ? this.objects.copy() : undefined;
   }
@@ -193,6 +200,7 @@
     apply: () => ChangeResult,
   ): Promise<void> {
     if (!(await this.admit(exchange, 'writes'))) return;
+    if (this.takeFault('holdWrites')) await this.waitForRelease();
     if (this.takeFault('loseWrites')) {
       cutConnection(exchange.response);
       return;
@@ -205,7 +213,12 @@
     } else sendJson(exchange.response, 412, {current: result.current});
   }
 
-  private takeFault(name: 'loseWriteAnswers' | 'loseWrites'): boolean {
+  private async waitForRelease(): Promise<void> {
+    const {signal} = this.stopSignal;
+    await once(this.faultChanges, 'holdWrites', {signal});
+  }
+
+  private takeFault(name: CountedFault): boolean {
     if (this.faults[name] <= 0) return false;
     this.faults = {...this.faults, [name]: this.faults[name] - 1};
     return true;
--- a/packages/stand-ins/src/rating/rating_stand_in.ts
+++ b/packages/stand-ins/src/rating/rating_stand_in.ts
@@ -72,7 +72,7 @@
 
   constructor(settings: Partial<RatingSettings>) {
     this.settings = {...DEFAULT_SETTINGS, ...settings};
-    this.tokens = this.settings.ratePerS;
+    this.tokens = this.burst;
   }
 
   set(settings: Partial<RatingSettings>): void {
@@ -128,11 +128,15 @@
     return Math.min(1, Math.max(0, mean + noise));
   }
 
+  private get burst(): number {
+    return Math.max(1, this.settings.ratePerS);
+  }
+
   private takeToken(): boolean {
     const nowMs = performance.now();
     const {ratePerS} = this.settings;
     const elapsedS = (nowMs - this.refilledAtMs) / MS_PER_S;
-    this.tokens = Math.min(ratePerS, this.tokens + elapsedS * ratePerS);
+    this.tokens = Math.min(this.burst, this.tokens + elapsedS * ratePerS);
     this.refilledAtMs = nowMs;
     if (this.tokens < 1) return false;
     this.tokens -= 1;
--- a/packages/stand-ins/src/weights/weight_stand_in.ts
+++ b/packages/stand-ins/src/weights/weight_stand_in.ts
@@ -1,5 +1,5 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import {
+  delayResponse,
   sendJson,
   startHttpServer,
   type Exchange,
@@ -60,7 +60,8 @@
       const chunkBytes = Math.min(CHUNK_BYTES, this.sizeBytes - sentBytes);
       response.write(Buffer.alloc(chunkBytes));
       sentBytes += chunkBytes;
-      await sleep((chunkBytes / this.bytesPerS) * MS_PER_S);
+      const delayMs = (chunkBytes / this.bytesPerS) * MS_PER_S;
+      await delayResponse(response, delayMs);
     }
     response.end();
   }
--- a/packages/stand-ins/test/engine/engine_stand_in.test.ts
+++ b/packages/stand-ins/test/engine/engine_stand_in.test.ts
@@ -123,20 +123,18 @@
 test('a request of high priority overtakes the queue', async t => {
   const engine = await startEngine(t, {slots: 1, tokenDelayMs: 5});
   const order: string[] = [];
-  const run = async (
-    requestId: string,
-    priority: GenerateBody['priority'],
-  ): Promise<void> => {
-    await generate(engine, {requestId, priority});
-    order.push(requestId);
+  const run = async (priority: GenerateBody['priority']): Promise<void> => {
+    await generate(engine, {requestId: priority, priority});
+    order.push(priority);
   };
-  const runs = [run('first', 'low')];
-  await until(() => engine.load().running === 1);
-  runs.push(run('low', 'low'));
+  const first = await send(engine, {maxTokens: 10_000});
+  const runs = [run('low')];
   await until(() => engine.load().queued === 1);
-  runs.push(run('high', 'high'));
+  runs.push(run('high'));
+  await until(() => engine.load().queued === 2);
+  await first.body?.cancel();
   await Promise.all(runs);
-  assert.deepEqual(order, ['first', 'high', 'low']);
+  assert.deepEqual(order, ['high', 'low']);
 });
 
 test('a cancelled stream ends with an error event and frees its slot', async t => {
--- a/packages/stand-ins/test/services/service_stand_ins.test.ts
+++ b/packages/stand-ins/test/services/service_stand_ins.test.ts
@@ -47,7 +47,7 @@
 
 test('ratings follow the quality of the version, limited and late', async t => {
   const rating = await startRatingStandIn({
-    ratePerS: 1,
+    ratePerS: 0.001,
     quality: {'quick@v1': 0.5},
     lagMs: 60_000,
   });
@@ -75,13 +75,17 @@
 test('the weight store refuses transfers above its limit', async t => {
   const weights = await startWeightStandIn({
     sizeBytes: 200_000,
-    bytesPerS: 1_000_000,
+    bytesPerS: 1000,
     concurrentTransfers: 1,
   });
+  const fast = await startWeightStandIn({sizeBytes: 200_000});
+  t.after(() => fast.stop());
   t.after(() => weights.stop());
   const first = await fetch(`http://${weights.address}/weights/quick/v1`);
   const second = await fetch(`http://${weights.address}/weights/quick/v1`);
   assert.equal(second.status, 429);
   await second.body?.cancel();
-  assert.equal((await first.arrayBuffer()).byteLength, 200_000);
+  await first.body?.cancel();
+  const whole = await fetch(`http://${fast.address}/weights/quick/v1`);
+  assert.equal((await whole.arrayBuffer()).byteLength, 200_000);
 });
