Take the request id from the entry in the load tool

Cause: in a trial with the merged entry each generation was refused as invalid_request: the entry gives the request its id and takes none from the caller's body, unlike what the tool was told. Ruled out: asking the entry to take an id (callers could repeat one, and the id is that of the bill). Change: the tool sends no id and judges an answer by the id of its start event; foreign answers show by their prompt, which occurs once.

--- a/packages/load/src/targets/entry_answer.ts
+++ b/packages/load/src/targets/entry_answer.ts
@@ -40,6 +40,8 @@
   session: OpenSession | undefined;
   private readonly texts: string[] = [];
   private isInOrder = true;
+  /** The id that the entry gave the request. */
+  private requestId: string | undefined;
 
   private constructor(
     private readonly request: PlannedGeneration,
@@ -61,6 +63,7 @@
   }
 
   accept(event: ServerSentEvent): void {
+    if (event.name === 'start') this.acceptStart(event.data);
     if (event.name === 'token') this.acceptToken(event.data);
     if (event.name === 'done') this.acceptDone(event.data);
     if (event.name !== 'error') return;
@@ -71,6 +74,11 @@
     );
   }
 
+  private acceptStart(data: string): void {
+    const body = parseJsonObject(data) ?? {};
+    this.requestId = readString(body, 'requestId');
+  }
+
   private acceptToken(data: string): void {
     this.observer.onToken();
     const body = parseJsonObject(data) ?? {};
@@ -98,7 +106,9 @@
     model: string,
     version: string,
   ): Outcome['verdict'] {
-    const {requestId, prompt, maxTokens} = this.request;
+    const {prompt, maxTokens} = this.request;
+    const {requestId} = this;
+    if (requestId === undefined) return 'foreign';
     if (readString(body, 'requestId') !== requestId) return 'foreign';
     const engineRequestId = readString(body, 'engineRequestId') ?? requestId;
     if (!engineRequestId.startsWith(requestId)) return 'foreign';
--- a/packages/load/src/targets/entry_target.ts
+++ b/packages/load/src/targets/entry_target.ts
@@ -104,8 +104,8 @@
     session: OpenSession | undefined,
     answer: EntryAnswer,
   ): Promise<Outcome> {
-    const {kind, prompt, maxTokens, requestId, apiKey} = request;
-    const body = {kind, prompt, maxTokens, requestId, session: session?.token};
+    const {kind, prompt, maxTokens, apiKey} = request;
+    const body = {kind, prompt, maxTokens, session: session?.token};
     try {
       const stream = await this.transport.open({
         ...this.createRequest('/v1/generate', apiKey, body),
--- a/packages/load/src/workload/workload.ts
+++ b/packages/load/src/workload/workload.ts
@@ -4,9 +4,11 @@
 /** A generation to send. */
 export interface PlannedGeneration {
   readonly type: 'generation';
+  /** Names the request in reports, and at engines when they are called directly. */
   readonly requestId: string;
   readonly kind: string;
   readonly apiKey: string;
+  /** Differs from that of any other request. */
   readonly prompt: string;
   readonly maxTokens: number;
   /** True when the request goes on with an open session of its API key. */
--- a/packages/load/test/support/fake_entry.ts
+++ b/packages/load/test/support/fake_entry.ts
@@ -8,7 +8,6 @@
   readonly kind: string;
   readonly prompt: string;
   readonly maxTokens: number;
-  readonly requestId: string;
   readonly session?: string;
 }
 
@@ -30,16 +29,21 @@
   return `event: ${name}\ndata: ${JSON.stringify(data)}\n\n`;
 }
 
-/** Formats the tokens and the end of an answer, as changed by a test. */
+/** The id that the fake entry gives each request. */
+export const ENTRY_REQUEST_ID = 'q-1';
+
+/** Formats a whole answer, its tokens and end as changed by a test. */
 export function formatAnswer(
   body: EntryBody,
   version: string,
   change: (texts: readonly string[]) => readonly string[] = texts => texts,
   done: Readonly<Record<string, unknown>> = {},
 ): string {
-  const {requestId, prompt, maxTokens} = body;
+  const {prompt, maxTokens} = body;
+  const requestId = ENTRY_REQUEST_ID;
   const source = {requestId, prompt, model: 'quick', version};
   const texts = change(expectedTokens(source, maxTokens));
+  const start = formatEvent('start', {requestId, model: 'quick', version});
   const tokens = texts.map((text, index) =>
     formatEvent('token', {index, text}),
   );
@@ -51,7 +55,7 @@
     tokenCount: texts.length,
     ...done,
   });
-  return tokens.join('') + end;
+  return [start, ...tokens, end].join('');
 }
 
 /** Starts an entry that answers as the handlers say. */
--- a/packages/load/test/targets/entry_target.test.ts
+++ b/packages/load/test/targets/entry_target.test.ts
@@ -71,8 +71,7 @@
 const REFUSAL = JSON.stringify({
   error: {code: 'overloaded', message: 'x', execution: 'notRun'},
 });
-const OTHER = 'load-2';
-const OWN_IDS = {requestId: 'load-1', engineRequestId: 'load-1'};
+const OTHER = 'q-2';
 
 // prettier-ignore
 const ANSWER_CASES: readonly AnswerCase[] = [
@@ -80,8 +79,10 @@
   {answer: 'without its last token', write: (b, r) => r.end(formatAnswer(b, 'v1', t => t.slice(0, -1))), code: 'ok', execution: 'ran', verdict: 'incomplete'},
   {answer: 'of another length', write: (b, r) => r.end(formatAnswer(b, 'v1', t => t, {tokenCount: 9})), code: 'ok', execution: 'ran', verdict: 'incomplete'},
   {answer: 'with tokens swapped', write: (b, r) => r.end(formatAnswer(b, 'v1', t => [...t].reverse())), code: 'ok', execution: 'ran', verdict: 'foreign'},
-  {answer: 'with tokens of another request', write: (b, r) => r.end(formatAnswer({...b, requestId: OTHER}, 'v1', t => t, OWN_IDS)), code: 'ok', execution: 'ran', verdict: 'foreign'},
-  {answer: 'with the id of another request', write: (b, r) => r.end(formatAnswer({...b, requestId: OTHER}, 'v1')), code: 'ok', execution: 'ran', verdict: 'foreign'},
+  {answer: 'with tokens of another request', write: (b, r) => r.end(formatAnswer({...b, prompt: 'other'}, 'v1')), code: 'ok', execution: 'ran', verdict: 'foreign'},
+  {answer: 'with the id of another request', write: (b, r) => r.end(formatAnswer(b, 'v1', t => t, {requestId: OTHER})), code: 'ok', execution: 'ran', verdict: 'foreign'},
+  {answer: 'with the engine id of another request', write: (b, r) => r.end(formatAnswer(b, 'v1', t => t, {engineRequestId: OTHER})), code: 'ok', execution: 'ran', verdict: 'foreign'},
+  {answer: 'without a start', write: (b, r) => r.end(formatAnswer(b, 'v1').replace('event: start', 'event: other')), code: 'ok', execution: 'ran', verdict: 'foreign'},
   {answer: 'with an error event', write: (_, r) => r.end(formatEvent('error', STREAM_ERROR)), code: 'stream_broken', execution: 'unknown'},
   {answer: 'refused', write: (_, r) => r.writeHead(503).end(REFUSAL), code: 'overloaded', execution: 'notRun'},
   {answer: 'of a bare status', write: (_, r) => r.writeHead(500).end(), code: 'status_500', execution: 'unknown'},
