Judge a returned server by fresh answers only

Cause: p99 of the first token is 8250 ms with one engine at a quarter of its speed; the engine needs ten answers before it is ejected, again after each return, and answers from before an ejection count after it. Change: five answers decide, two after a return; answers that end during an ejection are not counted. The new test was red before. Ruled out: keeping the old pace as one answer, which ejected a mended server again.

--- a/packages/core/src/balancing/backend_balancer.ts
+++ b/packages/core/src/balancing/backend_balancer.ts
@@ -142,7 +142,8 @@
     if (state === undefined) return;
     state.inFlight = Math.max(0, state.inFlight - 1);
     countFailures(state, outcome);
-    if (outcome.paceMs !== undefined) {
+    // Answers that began before an ejection say nothing about the return.
+    if (outcome.paceMs !== undefined && nowMs >= state.ejectedUntilMs) {
       applyPace(state, outcome.paceMs);
     }
     const pools = this.listPools(state);
--- a/packages/core/src/balancing/ejection.ts
+++ b/packages/core/src/balancing/ejection.ts
@@ -25,7 +25,7 @@
   consecutiveFailures: 3,
   consecutiveUnreachable: 2,
   paceFactor: 3,
-  minPaceCount: 10,
+  minPaceCount: 5,
   baseMs: 2000,
   maxMs: 60_000,
   maxEjectedShare: 0.5,
@@ -33,6 +33,7 @@
 };
 
 const JITTER_SHARE = 0.2;
+const RETURNED_PACE_COUNT = 2;
 
 /** Takes a server out when its failures or pace call for it. */
 export function ejectIfFailing(
@@ -72,7 +73,9 @@
   nowMs: number,
 ): boolean {
   if (state.consecutiveFailures >= settings.consecutiveFailures) return true;
-  if (state.paceCount < settings.minPaceCount) return false;
+  const isReturned = state.ejectionCount > 0;
+  const minCount = isReturned ? RETURNED_PACE_COUNT : settings.minPaceCount;
+  if (state.paceCount < minCount) return false;
   return pools.some(pool => {
     const {medianPaceMs} = pool.readStatistics(nowMs);
     const limit = settings.paceFactor * medianPaceMs;
--- a/packages/core/test/balancing/backend_balancer.test.ts
+++ b/packages/core/test/balancing/backend_balancer.test.ts
@@ -122,6 +122,25 @@
   assert.ok(!pickMany(balancer, 50).includes('s3'));
 });
 
+test('a slow server that returns is taken out again after few answers, a mended one is not', () => {
+  for (const [paceMs, left] of [
+    [200, 3],
+    [20, 4],
+  ]) {
+    const balancer = createBalancer(4);
+    const finish = (id: string, pace: number, nowMs: number) =>
+      balancer.finish(id, {isFailure: false, paceMs: pace}, nowMs);
+    for (let i = 0; i < 20; i++) {
+      for (const id of ['s0', 's1', 's2']) finish(id, 20, i * 200);
+      finish('s3', 200, i * 200);
+    }
+    const backMs = 60_000;
+    assert.equal(balancer.countAvailable(VERSION, backMs), 4);
+    for (let i = 0; i < 3; i++) finish('s3', paceMs, backMs + i);
+    assert.equal(balancer.countAvailable(VERSION, backMs + 10), left);
+  }
+});
+
 test('at most half of a pool is taken out, and never the last server', () => {
   for (const [count, left] of [
     [1, 1],
