--- a/packages/experiments/src/limits/limits.ts
+++ b/packages/experiments/src/limits/limits.ts
@@ -6,7 +6,12 @@
   type Sample,
   type SpreadReader,
 } from '../harness/experiment.js';
-import {runLimits, type LimitScenario, type LimitWay} from './limits_run.js';
+import {
+  ORGANISATION,
+  runLimits,
+  type LimitScenario,
+  type LimitWay,
+} from './limits_run.js';
 
 const BASE: LimitScenario = {
   name: 'one entry gets 70%, moving every 30 s',
@@ -16,7 +21,7 @@
   hasCut: false,
   answerMs: 100,
   limit: {
-    organisation: 'school',
+    organisation: ORGANISATION,
     requestsPerS: 50,
     burst: 25,
     concurrent: 1_000_000,
--- a/packages/experiments/src/limits/limits_run.ts
+++ b/packages/experiments/src/limits/limits_run.ts
@@ -52,6 +52,8 @@
   readonly admitted: number[];
 }
 
+/** The organisation whose limit is held. */
+export const ORGANISATION = 'school';
 const ENTRY_COUNT = 4;
 const DURATION_MS = 180_000;
 const BEAT_MS = 500;
@@ -65,114 +67,166 @@
 const CUT_FROM_MS = 80_000;
 const CUT_TO_MS = 110_000;
 
-/** Runs one organisation that asks for `demand` times its limit. */
-export function runLimits(
-  way: LimitWay,
-  scenario: LimitScenario,
-  demand: number,
-  seed: number,
-): LimitResult {
-  const events = EventQueue.create();
-  const random = createRandom(seed);
-  const {limit, hasChurn, hasCut} = scenario;
-  const central = createLimiter('central', 'equal-share', limit, random, 0, 1);
-  const members: Member[] = Array.from({length: ENTRY_COUNT}, (_, index) => ({
-    limiter: createMember(index, 1, way, limit, random, 0),
-    isUp: true,
-    incarnation: 1,
-  }));
-  let listedCount = ENTRY_COUNT;
-  let inFlight = 0;
-  let maxInFlight = 0;
-  const windows: Window[] = Array.from(
-    {length: DURATION_MS / WINDOW_MS},
-    () => ({
+/** Entries that hold one organisation, asking too much, to its limit. */
+class LimitsRun {
+  private readonly events = EventQueue.create();
+  private readonly random: Random;
+  private readonly central: OrganisationLimiter;
+  private readonly members: readonly Member[];
+  private readonly windows: readonly Window[];
+  private listedCount = ENTRY_COUNT;
+  private inFlight = 0;
+  private maxInFlight = 0;
+
+  private constructor(
+    private readonly way: LimitWay,
+    private readonly scenario: LimitScenario,
+    private readonly demand: number,
+    seed: number,
+  ) {
+    const {limit} = scenario;
+    this.random = createRandom(seed);
+    this.central = createLimiter(
+      'central',
+      'equal-share',
+      limit,
+      this.random,
+      0,
+      1,
+    );
+    this.members = Array.from({length: ENTRY_COUNT}, (_, index) => ({
+      limiter: createMember(index, 1, way, limit, this.random, 0),
+      isUp: true,
+      incarnation: 1,
+    }));
+    this.windows = Array.from({length: DURATION_MS / WINDOW_MS}, () => ({
       asked: new Array<number>(ENTRY_COUNT).fill(0),
       admitted: new Array<number>(ENTRY_COUNT).fill(0),
-    }),
-  );
+    }));
+  }
 
-  const isCut = (index: number) =>
-    hasCut &&
-    index === 0 &&
-    events.nowMs >= CUT_FROM_MS &&
-    events.nowMs < CUT_TO_MS;
-  const deliver = (from: number, heartbeat: LimitHeartbeat) => {
-    for (const [to, member] of members.entries()) {
-      if (to === from || !member.isUp) continue;
-      if (isCut(from) || isCut(to) || random() < BEAT_LOSS_SHARE) continue;
-      events.after(BEAT_DELAY_MS, () =>
-        member.limiter.mergeHeartbeat(heartbeat, events.nowMs),
-      );
+  static create(
+    way: LimitWay,
+    scenario: LimitScenario,
+    demand: number,
+    seed: number,
+  ): LimitsRun {
+    return new LimitsRun(way, scenario, demand, seed);
+  }
+
+  run(): LimitResult {
+    const {events, scenario} = this;
+    for (const index of this.members.keys()) {
+      events.at((index * BEAT_MS) / ENTRY_COUNT, () => this.beat(index));
     }
-  };
-  const beat = (index: number) => {
-    const {isUp, limiter} = members[index];
-    if (isUp) deliver(index, limiter.beat(listedCount, events.nowMs));
-    if (events.nowMs < DURATION_MS) events.after(BEAT_MS, () => beat(index));
-  };
-  const start = (index: number) => {
-    const member = members[index];
+    if (scenario.hasChurn) this.scheduleChurn();
+    this.arrive();
+    events.runUntil(DURATION_MS);
+    return summarize(this.windows, scenario, this.maxInFlight);
+  }
+
+  private scheduleChurn(): void {
+    const {events} = this;
+    events.at(RESTART_MS, () => this.start(1));
+    events.at(LEAVE_MS, () => {
+      this.members[2].isUp = false;
+    });
+    events.at(LEAVE_MS + LIST_LAG_MS, () => {
+      this.listedCount -= 1;
+    });
+    events.at(JOIN_MS, () => this.start(2));
+    events.at(JOIN_MS + LIST_LAG_MS, () => {
+      this.listedCount += 1;
+    });
+  }
+
+  private start(index: number): void {
+    const member = this.members[index];
     member.incarnation += 1;
     member.isUp = true;
     member.limiter = createMember(
       index,
       member.incarnation,
-      way,
-      limit,
-      random,
-      events.nowMs,
+      this.way,
+      this.scenario.limit,
+      this.random,
+      this.events.nowMs,
     );
-  };
-  const pickEntry = () => {
-    const favourite = Math.floor(events.nowMs / scenario.shiftMs) % ENTRY_COUNT;
-    const isFavourite = random() < scenario.skewShare;
-    if (isFavourite && members[favourite].isUp) return favourite;
-    const up = members.flatMap(({isUp}, index) => (isUp ? [index] : []));
-    return up[Math.floor(random() * up.length)];
-  };
-  const arrive = () => {
-    const meanGapMs = 1000 / (limit.requestsPerS * demand);
-    events.after(sampleExponential(random, meanGapMs), () => {
+  }
+
+  private beat(index: number): void {
+    const {events} = this;
+    const {isUp, limiter} = this.members[index];
+    if (isUp) {
+      this.deliver(index, limiter.beat(this.listedCount, events.nowMs));
+    }
+    if (events.nowMs < DURATION_MS) {
+      events.after(BEAT_MS, () => this.beat(index));
+    }
+  }
+
+  private deliver(from: number, heartbeat: LimitHeartbeat): void {
+    const {events} = this;
+    for (const [to, member] of this.members.entries()) {
+      if (to === from || !member.isUp) continue;
+      if (this.isCut(from) || this.isCut(to)) continue;
+      if (this.random() < BEAT_LOSS_SHARE) continue;
+      events.after(BEAT_DELAY_MS, () =>
+        member.limiter.mergeHeartbeat(heartbeat, events.nowMs),
+      );
+    }
+  }
+
+  private isCut(index: number): boolean {
+    const {nowMs} = this.events;
+    const isTime = nowMs >= CUT_FROM_MS && nowMs < CUT_TO_MS;
+    return this.scenario.hasCut && index === 0 && isTime;
+  }
+
+  private arrive(): void {
+    const {events, scenario} = this;
+    const meanGapMs = 1000 / (scenario.limit.requestsPerS * this.demand);
+    events.after(sampleExponential(this.random, meanGapMs), () => {
       if (events.nowMs >= DURATION_MS) return;
-      const index = pickEntry();
-      const member = members[index];
-      const limiter = way === 'central' ? central : member.limiter;
-      const window = windows[Math.floor(events.nowMs / WINDOW_MS)];
-      window.asked[index] += 1;
-      const {isAllowed} = limiter.tryAcquire('school', events.nowMs);
-      if (isAllowed) {
-        window.admitted[index] += 1;
-        inFlight += 1;
-        maxInFlight = Math.max(maxInFlight, inFlight);
-        events.after(scenario.answerMs, () => {
-          inFlight -= 1;
-          limiter.release('school');
-        });
-      }
-      arrive();
+      this.ask(this.pickEntry());
+      this.arrive();
     });
-  };
+  }
 
-  for (const index of members.keys()) {
-    events.at((index * BEAT_MS) / ENTRY_COUNT, () => beat(index));
+  private pickEntry(): number {
+    const {skewShare, shiftMs} = this.scenario;
+    const favourite = Math.floor(this.events.nowMs / shiftMs) % ENTRY_COUNT;
+    const isFavourite = this.random() < skewShare;
+    if (isFavourite && this.members[favourite].isUp) return favourite;
+    const up = this.members.flatMap(({isUp}, index) => (isUp ? [index] : []));
+    return up[Math.floor(this.random() * up.length)];
   }
-  if (hasChurn) {
-    events.at(RESTART_MS, () => start(1));
-    events.at(LEAVE_MS, () => {
-      members[2].isUp = false;
-    });
-    events.at(LEAVE_MS + LIST_LAG_MS, () => {
-      listedCount -= 1;
-    });
-    events.at(JOIN_MS, () => start(2));
-    events.at(JOIN_MS + LIST_LAG_MS, () => {
-      listedCount += 1;
+
+  private ask(index: number): void {
+    const {events, way, central} = this;
+    const limiter = way === 'central' ? central : this.members[index].limiter;
+    const window = this.windows[Math.floor(events.nowMs / WINDOW_MS)];
+    window.asked[index] += 1;
+    const {isAllowed} = limiter.tryAcquire(ORGANISATION, events.nowMs);
+    if (!isAllowed) return;
+    window.admitted[index] += 1;
+    this.inFlight += 1;
+    this.maxInFlight = Math.max(this.maxInFlight, this.inFlight);
+    events.after(this.scenario.answerMs, () => {
+      this.inFlight -= 1;
+      limiter.release(ORGANISATION);
     });
   }
-  arrive();
-  events.runUntil(DURATION_MS);
-  return summarize(windows, limit, maxInFlight, scenario);
+}
+
+/** Runs one organisation that asks for `demand` times its limit. */
+export function runLimits(
+  way: LimitWay,
+  scenario: LimitScenario,
+  demand: number,
+  seed: number,
+): LimitResult {
+  return LimitsRun.create(way, scenario, demand, seed).run();
 }
 
 function createLimiter(
@@ -208,10 +262,10 @@
 
 function summarize(
   windows: readonly Window[],
-  limit: OrganisationLimit,
-  maxInFlight: number,
   scenario: LimitScenario,
+  maxInFlight: number,
 ): LimitResult {
+  const {limit} = scenario;
   const perWindow = (limit.requestsPerS * WINDOW_MS) / 1000;
   const byConcurrency = (limit.concurrent * WINDOW_MS) / scenario.answerMs;
   const allowed = Math.min(perWindow, byConcurrency);
