Let peers ask back for a head that they lack

Cause: at 32 members at rest each spent 7180 bytes a second, 27 bytes a member and call, where the report grows by about 2: requests carried the head, with the whole member list, to each peer last met before the newest change. Ruled out: sending members to peers whose list was not known; the receiver that lacks it asks back, naming the list that it has. Change: only pushes carry the head, with the members left out; a receiver that is behind asks back before it answers; old addresses are forgotten. A measurement of the waits of changes. Conclusion: the costs are measured again.

--- a/packages/entry/src/control/acceptance/peer_exchange.ts
+++ b/packages/entry/src/control/acceptance/peer_exchange.ts
@@ -35,14 +35,9 @@
 const JITTER_START = 0.8;
 const JITTER_WIDTH = 0.4;
 
-interface PeerKnowledge {
-  readonly sequence: number;
-  readonly membersDigest: string;
-}
-
 /** Exchanges reports with peers, and answers theirs. */
 export class PeerExchange implements PeerHandler {
-  private readonly knowledge = new Map<string, PeerKnowledge>();
+  private readonly knownSequences = new Map<string, number>();
   private readonly inFlight = new Set<string>();
 
   private constructor(
@@ -63,6 +58,7 @@
   async runLoop(): Promise<void> {
     const {options, stopSignal} = this.node;
     while (!stopSignal.aborted) {
+      this.forgetOldAddresses();
       for (const address of this.selectAddresses()) {
         if (!this.inFlight.has(address)) void this.exchangeWith(address);
       }
@@ -119,7 +115,10 @@
     }
     node.dispatch({kind: 'peerAsked', report});
     if (report.knownSequence > (node.state.known?.sequence ?? 0)) {
-      void this.exchangeWith(report.sender.peerAddress);
+      await Promise.race([
+        this.exchangeWith(report.sender.peerAddress),
+        pause(node.options.loadWaitMs, node.stopSignal),
+      ]);
     }
     await node.waitFor(
       () => listMissingDigests(node.state).length === 0,
@@ -142,6 +141,14 @@
     return create(FetchContentResponseSchema, {content});
   }
 
+  private forgetOldAddresses(): void {
+    const addresses = new Set(this.listAddresses());
+    this.client.retainAddresses(addresses);
+    for (const address of this.knownSequences.keys()) {
+      if (!addresses.has(address)) this.knownSequences.delete(address);
+    }
+  }
+
   private takeAnswer(
     address: string,
     response: ExchangeResponse,
@@ -149,13 +156,8 @@
   ): Member | undefined {
     const {node} = this;
     const report = this.decode(response.report);
-    if (report === undefined || response.report === undefined) {
-      return undefined;
-    }
-    this.knowledge.set(address, {
-      sequence: report.knownSequence,
-      membersDigest: readMembersDigest(response.report),
-    });
+    if (report === undefined) return undefined;
+    this.knownSequences.set(address, report.knownSequence);
     if (report.head !== undefined) this.loader.noteSource(address);
     node.dispatch({kind: 'peerAnswered', report, sentAtMs});
     this.confirmLater(address, report, sentAtMs);
@@ -179,31 +181,34 @@
     });
   }
 
-  // A peer that is behind and got no head asks back for it.
+  // A peer that is behind, or lacks the members left out, asks back.
   private createRequest(address: string, isPush: boolean): ExchangeRequest {
     const {node} = this;
-    const peer = this.knowledge.get(address);
+    const peerSequence = this.knownSequences.get(address) ?? 0;
     const known = node.state.known?.sequence ?? 0;
     const report = createReport(node.state, node.nowMs(), {
-      hasHead: peer === undefined ? isPush : peer.sequence < known,
+      hasHead: isPush && peerSequence < known,
       isGuestGrant: false,
     });
     return create(ExchangeRequestSchema, {
-      report: this.encode(report, peer?.membersDigest ?? ''),
+      report: this.encode(report, this.resolveOwnMembersDigest()),
     });
   }
 
   private encode(report: PeerReport, receiverMembersDigest: string) {
-    const {known} = this.node.state;
     const {freshnessMs} = this.node.options.acceptance;
     return encodeReport(report, {
       receiverMembersDigest,
-      membersDigest:
-        known === undefined ? '' : resolveMembersDigest(known.members),
+      membersDigest: this.resolveOwnMembersDigest(),
       ageUnitMs: Math.max(1, Math.ceil(freshnessMs / AGE_UNITS_PER_FRESHNESS)),
     });
   }
 
+  private resolveOwnMembersDigest(): string {
+    const {known} = this.node.state;
+    return known === undefined ? '' : resolveMembersDigest(known.members);
+  }
+
   private decode(message: ExchangeRequest['report']): PeerReport | undefined {
     if (message === undefined) return undefined;
     return decodeReport(message, digest => this.findMembers(digest));
@@ -211,7 +216,7 @@
 
   private findMembers(digest: string): readonly Member[] | undefined {
     const {known, active} = this.node.state;
-    const lists = [known?.members, active?.members];
+    const lists = [known?.members, known?.pending?.members, active?.members];
     return lists.find(
       list => list !== undefined && resolveMembersDigest(list) === digest,
     );
--- /dev/null
+++ b/packages/entry/test/control/measure_change_waits.ts
@@ -0,0 +1,47 @@
+// Measures how long a change of the rules waits with the default bounds.
+//
+// Usage: node packages/entry/dist/test/control/measure_change_waits.js
+import {KeeperCluster, applyText, waitUntil} from './keeper_cluster.js';
+
+interface WaitCase {
+  readonly name: string;
+  readonly cutHosts: readonly string[];
+  readonly withoutHosts: readonly string[];
+}
+
+const CASES: readonly WaitCase[] = [
+  {name: 'all four members answer', cutHosts: [], withoutHosts: []},
+  {name: 'one of four is silent', cutHosts: ['h4'], withoutHosts: []},
+  {name: 'two of four are silent', cutHosts: ['h3', 'h4'], withoutHosts: []},
+  {
+    name: 'two of four are silent and left out',
+    cutHosts: ['h3', 'h4'],
+    withoutHosts: ['h3', 'h4'],
+  },
+];
+const SILENCE_MS = 7_000;
+
+for (const {name, cutHosts, withoutHosts} of CASES) {
+  const cluster = KeeperCluster.create();
+  const entries = await cluster.startMembers(4, {
+    acceptance: {},
+    exchangePeriodMs: 1_000,
+    confirmPeriodMs: 1_000,
+    peerTimeoutMs: 1_000,
+    applyTimeoutMs: 30_000,
+  });
+  for (const {member, setConnected} of entries) {
+    if (cutHosts.includes(member.host)) setConnected(false);
+  }
+  await waitUntil(() =>
+    entries[0].keeper
+      .status()
+      .members.filter(m => withoutHosts.includes(m.host))
+      .every(m => (m.heardAgeMs ?? Infinity) > SILENCE_MS),
+  );
+  const startedAtMs = performance.now();
+  const outcome = await applyText(entries[0], 'second', {withoutHosts});
+  const waitedMs = Math.round(performance.now() - startedAtMs);
+  console.log(`${name}: ${outcome.state} after ${waitedMs} ms`);
+  await cluster.stop();
+}
--- a/packages/entry/test/control/measure_control_cost.ts
+++ b/packages/entry/test/control/measure_control_cost.ts
@@ -3,10 +3,16 @@
 // Usage: node packages/entry/dist/test/control/measure_control_cost.js [s] [n…]
 import {pathToFileURL} from 'node:url';
 import type {AcceptanceKeeper} from '../../src/control/acceptance/index.js';
-import {KeeperCluster, applyText, waitUntil} from './keeper_cluster.js';
+import {
+  KeeperCluster,
+  applyText,
+  waitUntil,
+  type ClusterEntry,
+} from './keeper_cluster.js';
 
 const MS_PER_S = 1_000;
 const US_PER_S = 1_000_000;
+const SETTLE_MS = 8_000;
 const CHANGE_COUNT = 5;
 const RULE_LINE_COUNT = 200;
 const DEFAULT_SECONDS = 10;
@@ -39,12 +45,7 @@
   durationMs: number,
 ): Promise<ControlCost> {
   const cluster = KeeperCluster.create();
-  const entries = await cluster.startMembers(members, {
-    acceptance: {freshnessMs: 6_000, marginMs: 500, lostAfterMs: 60_000},
-    exchangePeriodMs: 1_000,
-    confirmPeriodMs: 1_000,
-    initialRules: createRules(0),
-  });
+  const entries = await startOneByOne(cluster, members);
   const keepers = entries.map(entry => entry.keeper);
   const rest = await measureRest(keepers, durationMs);
   const before = sumTotals(keepers);
@@ -82,10 +83,29 @@
   };
 }
 
+// Entries that all start at once wait for each other's grants as guests.
+async function startOneByOne(
+  cluster: KeeperCluster,
+  members: number,
+): Promise<readonly ClusterEntry[]> {
+  for (let index = 1; index <= members; index++) {
+    const {keeper} = await cluster.start(`h${index}`, {
+      acceptance: {lostAfterMs: 60_000},
+      exchangePeriodMs: 1_000,
+      confirmPeriodMs: 1_000,
+      initialRules: createRules(0),
+    });
+    await waitUntil(() => keeper.status().servesBy === 'store');
+  }
+  return cluster.entries;
+}
+
 async function measureRest(
   keepers: readonly AcceptanceKeeper[],
   durationMs: number,
 ) {
+  // Grants to the entries that joined last travel until they end.
+  await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
   const before = sumTotals(keepers);
   const cpuBefore = process.cpuUsage();
   await new Promise(resolve => setTimeout(resolve, durationMs));
@@ -134,7 +154,9 @@
   const counts = sizes.length === 0 ? DEFAULT_SIZES : sizes.map(Number);
   const rows: ControlCost[] = [];
   for (const count of counts) {
-    rows.push(await measureControlCost(count, Number(seconds) * MS_PER_S));
+    const row = await measureControlCost(count, Number(seconds) * MS_PER_S);
+    console.log(JSON.stringify(roundValues(row)));
+    rows.push(row);
   }
   console.table(rows.map(row => roundValues(row)));
 }
