--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,4 +1,9 @@
-import {CHOSEN, explainOptions, formatModelVersion} from '@anvilrudder/core';
+import {
+  CHOSEN,
+  explainOptions,
+  formatModelVersion,
+  formatPercent,
+} from '@anvilrudder/core';
 import {CliError} from '../cli_error.js';
 import type {CliIo} from '../cli_io.js';
 import {callFirst, type EntryClient} from '../entry_client.js';
@@ -37,7 +42,6 @@
 }
 
 const HEADER = ['version', 'cost/Mtok', 'quality', 'share', 'verdict'];
-const MAX_SHOWN_DECIMALS = 4;
 
 /** Explains the rules in force at a running entry. */
 export async function runExplain(
@@ -90,7 +94,7 @@
     formatModelVersion(option),
     String(option.costPerMtok),
     String(option.quality),
-    formatShare(option.share),
+    formatPercent(option.share),
     option.verdict,
   ]);
   const rules = options.flatMap(option => [
@@ -104,10 +108,6 @@
   return `${replaceControls(`  line ${line}: ${text} # ${who}: ${why}`)}\n`;
 }
 
-function formatShare(share: number): string {
-  return `${Number((share * 100).toFixed(MAX_SHOWN_DECIMALS))}%`;
-}
-
 function formatJson({revision, options}: ExplanationView): string {
   const json = {
     revision: revision ?? null,
--- a/packages/cli/src/commands/rules_status.ts
+++ b/packages/cli/src/commands/rules_status.ts
@@ -99,7 +99,26 @@
   ]);
 }
 
-function toJson(status: GetStatusResponse): object {
+interface MemberJson {
+  readonly host: string;
+  readonly incarnation: string;
+  readonly failureDomain: string;
+  readonly heardAgeMs: number | null;
+  readonly revision: number | null;
+}
+
+interface StatusJson {
+  readonly host: string;
+  readonly revision: number;
+  readonly digest: string;
+  readonly pendingChangeId: string | null;
+  readonly isServing: boolean;
+  readonly servesBy: string;
+  readonly confirmedAgeMs: number;
+  readonly members: readonly MemberJson[];
+}
+
+function toJson(status: GetStatusResponse): StatusJson {
   const {host, digest, isServing, servesBy, confirmedAgeMs} = status;
   return {
     host,
--- a/packages/core/src/rules/index.ts
+++ b/packages/core/src/rules/index.ts
@@ -15,3 +15,4 @@
   type RuleIndex,
   type IndexedVersion,
 } from './rule_index.js';
+export {formatPercent} from './format_percent.js';
