Show answers by model version over time in the load report

Cause: how long a bad or withdrawn version still serves is one of the users' measures, and the report only gave totals.

--- a/packages/load/src/measure/load_recorder.ts
+++ b/packages/load/src/measure/load_recorder.ts
@@ -6,6 +6,8 @@
   readonly second: number;
   readonly sent: number;
   readonly ok: number;
+  /** Answers by the model version that gave them. */
+  readonly byModelVersion: CountTable;
 }
 
 /** Latencies from the intended send time, but the gaps between tokens. */
@@ -51,6 +53,7 @@
 interface MutablePoint {
   sent: number;
   ok: number;
+  readonly byModelVersion: Map<string, number>;
 }
 
 function increment(counts: Map<string, number>, name: string): void {
@@ -112,6 +115,8 @@
       this.whole.record(times.endMs - times.intendedMs);
     if (outcome.modelVersion !== undefined) {
       increment(this.byModelVersion, outcome.modelVersion);
+      const point = this.pointAt(times.intendedMs);
+      increment(point.byModelVersion, outcome.modelVersion);
     }
     if (outcome.verdict === undefined) return;
     increment(this.byVerdict, outcome.verdict);
@@ -146,7 +151,12 @@
         confirmation: this.confirmation.summarize(),
         sendLag: this.sendLag.summarize(),
       },
-      timeline: this.points.map((point, second) => ({second, ...point})),
+      timeline: this.points.map(({sent, ok, byModelVersion}, second) => ({
+        second,
+        sent,
+        ok,
+        byModelVersion: toTable(byModelVersion),
+      })),
     };
   }
 
@@ -161,7 +171,9 @@
 
   private pointAt(intendedMs: number): MutablePoint {
     const second = Math.floor(intendedMs / MS_PER_S);
-    while (this.points.length <= second) this.points.push({sent: 0, ok: 0});
+    while (this.points.length <= second) {
+      this.points.push({sent: 0, ok: 0, byModelVersion: new Map()});
+    }
     return this.points[second];
   }
 }
--- a/packages/load/src/report/write_report.ts
+++ b/packages/load/src/report/write_report.ts
@@ -75,6 +75,25 @@
   });
 }
 
+function createVersionPlot(reports: readonly NamedReport[]): string {
+  const lines = reports.flatMap(({name, report}) => {
+    const {timeline, byModelVersion} = report.measurement;
+    return Object.keys(byModelVersion).map(version => ({
+      name: `${name} ${version}`,
+      points: timeline.map(point => ({
+        x: point.second,
+        y: point.byModelVersion[version] ?? 0,
+      })),
+    }));
+  });
+  return createSvgPlot({
+    title: 'Answers a second by model version',
+    xLabel: 'second of the intended send time',
+    yLabel: 'answers',
+    lines,
+  });
+}
+
 /**
  * Writes `report.json` and the plots of one or more reports to a folder.
  *
@@ -99,4 +118,6 @@
   }
   const timeline = createTimelinePlot(reports);
   await writeFile(join(folder, 'timeline.svg'), timeline);
+  const versions = createVersionPlot(reports);
+  await writeFile(join(folder, 'versions.svg'), versions);
 }
--- a/packages/load/test/commands/load_command.test.ts
+++ b/packages/load/test/commands/load_command.test.ts
@@ -81,12 +81,15 @@
   };
   assert.equal(direct.measurement.ok, 10);
   assert.equal(rows[0].measure, 'okPerS');
+  const [point] = direct.measurement.timeline;
+  assert.deepEqual(point.byModelVersion, {'quick@v1': 10});
   const files = await readdir(folder);
   assert.deepEqual(files.sort(), [
     'betweenTokens.svg',
     'firstToken.svg',
     'report.json',
     'timeline.svg',
+    'versions.svg',
     'whole.svg',
   ]);
   const plot = await readFile(join(folder, 'whole.svg'), 'utf8');
--- a/packages/platform/src/engine/engine_types.ts
+++ b/packages/platform/src/engine/engine_types.ts
@@ -88,7 +88,8 @@
 export interface EngineClient {
   /**
    * Streams one answer. The iteration throws a BackendError when the answer
-   * is not whole. Leaving the iteration ends the request.
+   * is not whole. Leaving the iteration ends the request; while it waits for
+   * the next event, only the signal does.
    */
   generate(
     address: string,
