Let operators see, stop and allow versions; run duties and hand-offs

Cause: a version stopped by the test could not be overruled by an operator, expired claims were never collected, and a lost host's copies stayed. Change: versions list, stop and allow in the command line; duties for compaction and claim collection; copies are handed off when a host is lost; options of both revisions come from one look-up.

--- a/packages/cli/src/command_table.ts
+++ b/packages/cli/src/command_table.ts
@@ -1,4 +1,6 @@
+import {parseModelVersion} from '@anvilrudder/core';
 import type {ArgsDef} from 'citty';
+import {CliError} from './cli_error.js';
 import type {CliIo} from './cli_io.js';
 import {resolveClientSettings} from './client_settings.js';
 import {
@@ -13,8 +15,9 @@
 import {runRulesDiff} from './commands/rules_diff.js';
 import {runRulesShow} from './commands/rules_show.js';
 import {runRulesStatus} from './commands/rules_status.js';
+import {runVersionsList, runVersionsRule} from './commands/versions.js';
 import {createEntryClients, type EntryClient} from './entry_client.js';
-import type {ExitCode} from './exit_codes.js';
+import {EXIT_CODES, type ExitCode} from './exit_codes.js';
 import type {OptionReader} from './option_reader.js';
 import {createProgress, SILENT_PROGRESS} from './progress.js';
 import {DEFAULT_SUBMIT_OPTIONS} from './submit_change.js';
@@ -171,6 +174,40 @@
   },
 };
 
+const VERSION_ARGS: ArgsDef = {
+  version: {
+    type: 'positional',
+    description: 'Version, written model@version',
+    required: true,
+  },
+  ...ENTRY_ARGS,
+  why: {type: 'string', description: 'Reason, for the audit trail'},
+};
+
+/** Commands below `versions`. */
+export const VERSION_COMMANDS: CommandTable = {
+  list: {
+    description: 'Print the evidence and the ruling on each version',
+    args: ENTRY_ARGS,
+    run: async (options, io) =>
+      runVersionsList(
+        {isJson: options.readFlag('json')},
+        await connect(options, io),
+        io,
+      ),
+  },
+  stop: {
+    description: 'Stop a version at once, without a change of the rules',
+    args: VERSION_ARGS,
+    run: (options, io) => ruleVersion('stopped', options, io),
+  },
+  allow: {
+    description: 'Allow a version that the test or an operator stopped',
+    args: VERSION_ARGS,
+    run: (options, io) => ruleVersion('allowed', options, io),
+  },
+};
+
 /** Commands at the top level. */
 export const TOP_COMMANDS: CommandTable = {
   audit: {
@@ -228,6 +265,21 @@
   },
 };
 
+async function ruleVersion(
+  state: 'stopped' | 'allowed',
+  options: OptionReader,
+  io: CliIo,
+): Promise<ExitCode> {
+  const named = parseModelVersion(options.readRequired('version'));
+  if (named === undefined) {
+    throw CliError.create('write model@version', EXIT_CODES.usage);
+  }
+  const why = options.readRequired('why');
+  const isJson = options.readFlag('json');
+  const entries = await connect(options, io);
+  return runVersionsRule({...named, state, why, isJson}, entries, io);
+}
+
 async function connect(
   options: OptionReader,
   io: CliIo,
--- a/packages/cli/src/run_cli.ts
+++ b/packages/cli/src/run_cli.ts
@@ -11,6 +11,7 @@
 import {
   RULES_COMMANDS,
   TOP_COMMANDS,
+  VERSION_COMMANDS,
   type CommandSpec,
   type CommandTable,
 } from './command_table.js';
@@ -61,9 +62,13 @@
     meta: {name: 'rules', description: 'Work with the rule file'},
     subCommands: createCommands(RULES_COMMANDS, io, finish),
   });
+  const versions = defineCommand({
+    meta: {name: 'versions', description: 'Work with model versions'},
+    subCommands: createCommands(VERSION_COMMANDS, io, finish),
+  });
   return defineCommand({
     meta: {name: PROGRAM, description: 'Operate an anvilrudder deployment'},
-    subCommands: {rules, ...createCommands(TOP_COMMANDS, io, finish)},
+    subCommands: {rules, versions, ...createCommands(TOP_COMMANDS, io, finish)},
   });
 }
 
--- a/packages/entry/src/control/billing/start_billing.ts
+++ b/packages/entry/src/control/billing/start_billing.ts
@@ -10,6 +10,7 @@
   createHoldClient,
   createLedgerHandlers,
 } from '@anvilrudder/peers';
+import {createDutyRunner} from '../leases/duty_runner.js';
 import {createLeaseKeeper} from '../leases/lease_keeper.js';
 import type {PeerDirectory} from '../peering/peer_directory.js';
 import type {Routes} from '../peering/peer_server.js';
@@ -72,24 +73,25 @@
     shardCount: SHARD_COUNT,
   });
   const shard = resolveShard(member.incarnation, SHARD_COUNT);
-  const lease = createLeaseKeeper({store, member, duty: `billing-${shard}`});
   const compactor = createBillingCompactor({store, member, shard});
-  lease.start();
+  const compaction = createDutyRunner({
+    lease: createLeaseKeeper({store, member, duty: `billing-${shard}`}),
+    intervalMs: COMPACT_PERIOD_MS,
+    run: () => compactor.compact(),
+    onError: error =>
+      logger.warn('billing_compaction_failed', {reason: String(error)}),
+  });
+  compaction.start();
   metrics.registerGauge(
     'billing_pending_records',
     () => journal.status().pendingRecords,
   );
   metrics.registerGauge('billing_held_records', () => held.recordCount);
 
-  const compactTimer = setInterval(() => {
-    if (lease.current() === undefined) return;
-    compactor.compact().catch((error: unknown) => {
-      logger.warn('billing_compaction_failed', {reason: String(error)});
-    });
-  }, COMPACT_PERIOD_MS);
-  const lostTimer = watchLostPeers(options, incarnation => {
-    logger.info('billing_hand_off', {incarnation});
-    void held.handOff(incarnation);
+  const lostTimer = watchLostPeers(options, lost => {
+    logger.info('billing_hand_off', {...lost});
+    void held.handOff(lost.incarnation);
+    void journal.handleHostLost(lost.host);
   });
 
   return {
@@ -105,33 +107,36 @@
     },
     isFull: () => journal.status().isFull,
     async stop() {
-      clearInterval(compactTimer);
       clearInterval(lostTimer);
       const isFlushed = await journal.flush();
       if (!isFlushed) logger.warn('billing_flush_failed', {});
       await held.handOffAll();
       journal.stop();
       held.stop();
-      await lease.stop();
+      await compaction.stop();
     },
   };
 }
 
+interface SeenMember extends MemberId {
+  readonly seenAtMs: number;
+}
+
 // Calls back once for each run of a peer that has been silent or was replaced.
 function watchLostPeers(
   options: StartBillingOptions,
-  onLost: (incarnation: string) => void,
+  onLost: (lost: MemberId) => void,
 ): NodeJS.Timeout {
-  const lastSeenAtMs = new Map<string, number>();
+  const lastSeen = new Map<string, SeenMember>();
   return setInterval(() => {
     const nowMs = performance.now();
-    for (const {incarnation} of options.directory.listLive()) {
-      lastSeenAtMs.set(incarnation, nowMs);
+    for (const {host, incarnation} of options.directory.listLive()) {
+      lastSeen.set(incarnation, {host, incarnation, seenAtMs: nowMs});
     }
-    for (const [incarnation, seenAtMs] of lastSeenAtMs) {
+    for (const {host, incarnation, seenAtMs} of lastSeen.values()) {
       if (nowMs - seenAtMs < LOST_AFTER_MS) continue;
-      lastSeenAtMs.delete(incarnation);
-      onLost(incarnation);
+      lastSeen.delete(incarnation);
+      onLost({host, incarnation});
     }
   }, LOST_CHECK_PERIOD_MS);
 }
--- a/packages/entry/src/control/operators/control_routes.ts
+++ b/packages/entry/src/control/operators/control_routes.ts
@@ -19,11 +19,13 @@
   type OperatorToken,
 } from './operator_tokens.js';
 import {createRulesExplainer, type Explainer} from './rules_explainer.js';
+import type {VersionControl, VersionOrder} from './version_control.js';
 import {
   encodeAuditRecord,
   encodeOption,
   encodeOutcome,
   encodeStatus,
+  encodeVersion,
 } from './wire_messages.js';
 
 /** What the operators' service needs of its entry. */
@@ -33,6 +35,8 @@
   readonly keeper: RulesKeeper;
   readonly audit: AuditReader;
   readonly operatorTokens: readonly OperatorToken[];
+  /** Rulings on versions; undefined while the entry starts. */
+  readonly versions?: () => VersionControl | undefined;
   /** Explains by the rules in force alone when it is left out. */
   readonly explain?: Explainer;
 }
@@ -49,6 +53,7 @@
 const DEFAULT_AUDIT_LIMIT = 100;
 const MAX_AUDIT_LIMIT = 1000;
 const CHANGE_ID = /^[\w.:-]+$/;
+const VERSION_NAME = /^[\w.:-]{1,64}$/;
 // eslint-disable-next-line no-control-regex
 const CONTROL_CHARACTER = /[\u0000-\u001f\u007f]/;
 
@@ -125,6 +130,15 @@
       const records = await audit.list(decodeAuditQuery(request));
       return {records: records.map(encodeAuditRecord)};
     },
+    listVersions() {
+      const statuses = resolveVersionControl(options).list();
+      return {versions: statuses.map(encodeVersion)};
+    },
+    async ruleVersion(request, context) {
+      const order = decodeOrder(request, context.values.get(operatorKey));
+      const status = await resolveVersionControl(options).rule(order);
+      return {version: encodeVersion(status)};
+    },
     explain({organisation, kind}) {
       const {revision, options: explained} = explain({organisation, kind});
       return {
@@ -135,6 +149,31 @@
   };
 }
 
+function resolveVersionControl(options: ControlRoutesOptions): VersionControl {
+  const versions = options.versions?.();
+  if (versions !== undefined) return versions;
+  throw createRefusal(
+    'This entry does not decide on versions yet.',
+    Code.Unavailable,
+    'not_ready',
+  );
+}
+
+function decodeOrder(
+  request: wire.RuleVersionRequest,
+  who: string,
+): VersionOrder {
+  const {model, version, state, why} = request;
+  if (state !== 'stopped' && state !== 'allowed') {
+    throw createInvalid('state must be stopped or allowed.');
+  }
+  if (!VERSION_NAME.test(model) || !VERSION_NAME.test(version)) {
+    throw createInvalid('model and version must be names of rules.');
+  }
+  checkText('why', why);
+  return {model, version, state, who, why};
+}
+
 function decodeChange(
   request: wire.ApplyRulesRequest,
   operator: string,
--- a/packages/entry/src/control/operators/wire_messages.ts
+++ b/packages/entry/src/control/operators/wire_messages.ts
@@ -7,6 +7,7 @@
   RulesStatus,
 } from '../rules_keeper.js';
 import type {AuditRecord} from './audit_reader.js';
+import type {VersionStatus} from './version_control.js';
 
 /** Encodes the outcome of a change. */
 export function encodeOutcome(outcome: ChangeOutcome): wire.ChangeOutcome {
@@ -94,3 +95,13 @@
   if (Number.isNaN(durationMs)) return MAX_UINT32;
   return Math.min(MAX_UINT32, Math.max(0, Math.round(durationMs)));
 }
+
+/** Encodes the evidence and the ruling on one version. */
+export function encodeVersion(status: VersionStatus): wire.VersionStatus {
+  return create(wire.VersionStatusSchema, {
+    ...status,
+    requests: BigInt(status.requests),
+    errors: BigInt(status.errors),
+    ratings: BigInt(status.ratings),
+  });
+}
--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -14,8 +14,11 @@
 import {createAuditTrail, type AuditTrail} from './audit/audit_trail.js';
 import {startBilling, type Billing} from './billing/start_billing.js';
 import {createClaimRunner} from './claim_runner.js';
+import {createClaimCollector} from './claims/claim_collector.js';
 import {createClaimKeeper} from './claims/claim_keeper.js';
-import {createControlRoutes} from './operators/index.js';
+import {createDutyRunner, type DutyRunner} from './leases/duty_runner.js';
+import {createLeaseKeeper} from './leases/lease_keeper.js';
+import {createControlRoutes, type VersionControl} from './operators/index.js';
 import {
   createPeerDirectory,
   type PeerDirectory,
@@ -28,6 +31,7 @@
 
 const START_WAIT_MS = 10_000;
 const PEER_TIMEOUT_MS = 1000;
+const CLAIM_COLLECTION_PERIOD_MS = 60_000;
 const STORE_METHODS = ['get', 'put', 'delete', 'list', 'watch'] as const;
 
 /** Options of {@link startControl}. */
@@ -52,6 +56,8 @@
   readonly peerAddress: string;
   /** Adds a service to the server for other entries. */
   mount(routes: Routes): void;
+  /** Lets operators see and decide of model versions. */
+  setVersionControl(versions: VersionControl): void;
   stop(): Promise<void>;
 }
 
@@ -106,7 +112,13 @@
     logger,
     metrics,
   });
-  const claimKeeper = createClaimKeeper({store, member});
+  const claimKeeper = createClaimKeeper({
+    store,
+    member,
+    isMemberGone: holder => isReplaced(keeper, holder),
+  });
+  const claimCollection = startClaimCollection(store, member, logger);
+  let versionControl: VersionControl | undefined;
   const routes: Routes[] = [
     keeper.routes,
     billing.routes,
@@ -116,6 +128,7 @@
       audit: {
         list: query => audit.list({...query}),
       },
+      versions: () => versionControl,
       operatorTokens: settings.operators.map(({name, tokenSha256}) => ({
         name,
         sha256: tokenSha256,
@@ -135,12 +148,16 @@
     directory,
     transports,
     peerAddress,
+    setVersionControl(versions) {
+      versionControl = versions;
+    },
     mount(added) {
       routes.push(added);
       peers.mount(routes);
     },
     async stop() {
       claimKeeper.stop();
+      await claimCollection.stop();
       await billing.stop();
       await keeper.stop();
       audit.stop();
@@ -187,6 +204,33 @@
     : readFileSync(initialFile, 'utf8');
 }
 
+// A host that runs under another incarnation has ended the earlier one.
+function isReplaced(keeper: AcceptanceKeeper, holder: MemberId): boolean {
+  return keeper
+    .status()
+    .members.some(
+      ({host, incarnation}) =>
+        host === holder.host && incarnation !== holder.incarnation,
+    );
+}
+
+function startClaimCollection(
+  store: ObjectStore,
+  member: MemberId,
+  logger: Logger,
+): DutyRunner {
+  const collector = createClaimCollector({store, member});
+  const duty = createDutyRunner({
+    lease: createLeaseKeeper({store, member, duty: 'claims'}),
+    intervalMs: CLAIM_COLLECTION_PERIOD_MS,
+    run: () => collector.collect(),
+    onError: error =>
+      logger.warn('claim_collection_failed', {reason: String(error)}),
+  });
+  duty.start();
+  return duty;
+}
+
 const AUDITED_OUTCOMES: Readonly<Partial<Record<KeeperEvent['kind'], string>>> =
   {
     headCreated: 'created',
--- a/packages/entry/src/decisions/rollout_watch.ts
+++ b/packages/entry/src/decisions/rollout_watch.ts
@@ -55,16 +55,25 @@
     return this.rulings.isStopped(version);
   }
 
-  /** Takes in a ruling of a peer, an operator or the object API. */
+  /** Takes in a ruling of a peer or the object API; true when it is new. */
   mergeRuling(ruling: Ruling): boolean {
     const isNew = this.rulings.merge(ruling);
-    if (isNew && ruling.state === 'allowed') {
-      const monitor = this.monitors.get(formatModelVersion(ruling));
-      monitor?.restart(this.evidence, performance.now());
-    }
+    if (isNew) this.restartAllowed(ruling);
     return isNew;
   }
 
+  /** Rules by an operator, over any ruling known so far. */
+  overrule(
+    version: ModelVersion,
+    state: Ruling['state'],
+    operator: string,
+    reason: string,
+  ): Ruling {
+    const ruling = this.rulings.overrule(version, state, operator, reason);
+    this.restartAllowed(ruling);
+    return ruling;
+  }
+
   /** Decides anew on each roll-out of the rules. */
   tick(rules: RuleSet): void {
     const seen = new Set<string>();
@@ -113,6 +122,13 @@
     );
   }
 
+  // The evidence that stopped a version must not stop it again at once.
+  private restartAllowed(ruling: Ruling): void {
+    if (ruling.state !== 'allowed') return;
+    const monitor = this.monitors.get(formatModelVersion(ruling));
+    monitor?.restart(this.evidence, performance.now());
+  }
+
   private findMonitor(option: ModelVersion): RolloutMonitor | undefined {
     return this.monitors.get(formatModelVersion(option));
   }
--- a/packages/entry/src/decisions/start_decisions.ts
+++ b/packages/entry/src/decisions/start_decisions.ts
@@ -24,6 +24,7 @@
 } from './rating_loop.js';
 import {RolloutWatch} from './rollout_watch.js';
 import {readRulings, writeRuling} from './ruling_store.js';
+import {createVersionControl} from './version_control.js';
 
 const RULING_RETRY_MS = 1000;
 const RETRY_BUDGET = {minPerS: 2, maxSaved: 40, initialSaved: 40};
@@ -99,6 +100,13 @@
     policy: settings.decisions.modelPolicy,
     weights: settings.decisions.weights,
   });
+  control.setVersionControl(
+    createVersionControl({
+      rollouts,
+      readRules: () => keeper.inForce()?.rules,
+      publish: ruling => publishRuling(ruling),
+    }),
+  );
   const ratings = startRatings();
   await adoptRulings();
 
@@ -146,8 +154,8 @@
   }
 
   async function publishRuling(ruling: Ruling): Promise<void> {
-    logRuling(ruling, 'test');
-    void sharing.broadcast();
+    logRuling(ruling, 'here');
+    await sharing.broadcast();
     recordRuling(control, settings.host, ruling);
     try {
       await writeRuling(store, ruling);
--- a/packages/entry/src/entry_context.ts
+++ b/packages/entry/src/entry_context.ts
@@ -11,6 +11,7 @@
 } from '@anvilrudder/platform';
 import type {BackendDirectory} from './backends/backend_directory.js';
 import type {Settings} from './config/settings_schema.js';
+import type {AuditTrail} from './control/audit/audit_trail.js';
 import type {Decisions} from './decisions/start_decisions.js';
 import type {RulesKeeper} from './control/rules_keeper.js';
 import type {OpenRequests} from './server/open_requests.js';
@@ -51,4 +52,5 @@
   readonly isAccepting: () => boolean;
   readonly claims: ClaimRunner;
   readonly billing: BillingSink;
+  readonly audit: AuditTrail;
 }
--- a/packages/entry/src/stages/model_options.ts
+++ b/packages/entry/src/stages/model_options.ts
@@ -6,43 +6,46 @@
   type VersionOption,
   type WorkScope,
 } from '@anvilrudder/core';
+import type {RulesInForce} from '../control/rules_keeper.js';
 
 type OptionsByScope = Map<string, readonly ModelOption[]>;
 
-const OPTIONS_BY_RULES = new WeakMap<RuleSet, OptionsByScope>();
+const OPTIONS_BY_RULES = new WeakMap<RulesInForce, OptionsByScope>();
 
 /**
- * Lists the options of the rules for an organisation and kind. The same rules
- * give the same array, so that what the chooser derives from it is kept.
+ * Lists the options of an organisation and kind; while a change is undecided,
+ * those that both revisions permit. The same rules give the same array, so
+ * that what the chooser derives from it is kept.
  *
  * @example
  * ```ts
- * resolveModelOptions(rules, {organisation: 'school-a', kind: 'icebreaker'});
+ * resolveModelOptions(inForce, {organisation: 'school-a', kind: 'icebreaker'});
  * ```
  */
 export function resolveModelOptions(
-  rules: RuleSet,
+  inForce: RulesInForce,
   scope: WorkScope,
 ): readonly ModelOption[] {
-  let byScope = OPTIONS_BY_RULES.get(rules);
+  let byScope = OPTIONS_BY_RULES.get(inForce);
   if (byScope === undefined) {
     byScope = new Map();
-    OPTIONS_BY_RULES.set(rules, byScope);
+    OPTIONS_BY_RULES.set(inForce, byScope);
   }
   const key = `${scope.organisation}/${scope.kind}`;
   let options = byScope.get(key);
   if (options === undefined) {
-    options = createOptions(rules, scope);
+    options = createOptions(inForce, scope);
     byScope.set(key, options);
   }
   return options;
 }
 
 function createOptions(
-  rules: RuleSet,
+  {rules, pendingRules}: RulesInForce,
   {organisation, kind}: WorkScope,
 ): readonly ModelOption[] {
-  return resolveOptions(rules, {organisation, kind}).map(option => ({
+  const options = resolveOptions(rules, {organisation, kind}, pendingRules);
+  return options.map(option => ({
     model: option.model,
     version: option.version,
     costPerMtok: option.costPerMtok,
--- a/packages/entry/src/stages/route.ts
+++ b/packages/entry/src/stages/route.ts
@@ -13,6 +13,7 @@
   type ResolvedKind,
   type RuleSet,
 } from '@anvilrudder/core';
+import type {RulesInForce} from '../control/rules_keeper.js';
 import type {EntryContext} from '../entry_context.js';
 import type {GenerateRequest} from './caller_request.js';
 import {
@@ -86,12 +87,13 @@
   context: EntryContext,
   request: GenerateRequest,
 ): RoutePlan {
-  const {revision, rules} = resolveInForce(context.keeper);
+  const inForce = resolveInForce(context.keeper);
+  const {revision, rules} = inForce;
   const source = resolvePlanSource(request);
   const plan = PLAN_HANDLERS[source]({
     context,
     request,
-    options: listCommonOptions(context, request),
+    options: listOpenOptions(context, inForce, request),
     cascadeModels: resolveCascade(rules, request.kind)?.models ?? [],
   });
   return {revision, rules, source, ...plan};
@@ -194,22 +196,13 @@
   );
 }
 
-// While a change is undecided, an option must be open under both revisions.
-function listCommonOptions(
+function listOpenOptions(
   context: EntryContext,
+  inForce: RulesInForce,
   request: GenerateRequest,
 ): readonly ModelOption[] {
-  const [current, ...pending] = listRuleSets(resolveInForce(context.keeper));
-  const options = context.decisions.rollouts.limitShares(
-    resolveModelOptions(current, request),
-  );
-  if (pending.length === 0) return options;
-  return options.filter(option =>
-    pending.every(rules =>
-      resolveModelOptions(rules, request).some(other =>
-        isSameModelVersion(other, option),
-      ),
-    ),
+  return context.decisions.rollouts.limitShares(
+    resolveModelOptions(inForce, request),
   );
 }
 
--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -84,6 +84,7 @@
     decisions,
     claims: control.claims,
     billing: control.billing,
+    audit: control.audit,
     backends,
     engines: clients.engines,
     services: clients.services,
