--- a/packages/experiments/src/harness/run_experiment.ts
+++ b/packages/experiments/src/harness/run_experiment.ts
@@ -4,12 +4,16 @@
 import {formatPage, type Report} from './report.js';
 import {createSpreadReader, summarizeSamples} from './spread.js';
 
-/** Runs an experiment with seeds 1 to `seedCount`. */
+/** Runs an experiment with `seedCount` seeds in a row. */
 export function runExperiment(
   experiment: Experiment,
   seedCount: number,
+  firstSeed = 1,
 ): Report {
-  const seeds = Array.from({length: seedCount}, (_, index) => index + 1);
+  const seeds = Array.from(
+    {length: seedCount},
+    (_, index) => firstSeed + index,
+  );
   const samples = seeds.flatMap(seed => experiment.run(seed));
   const spreads = summarizeSamples(samples);
   return {
--- a/packages/experiments/src/main.ts
+++ b/packages/experiments/src/main.ts
@@ -11,12 +11,19 @@
   }
 }
 
+function parseCount(option: string, text: string): number {
+  const count = Number(text);
+  if (Number.isInteger(count) && count >= 1) return count;
+  throw new Error(`${option} takes a whole number from 1, not ${text}`);
+}
+
 const command = defineCommand({
   meta: {name: 'experiment', description: 'Runs a seeded experiment.'},
   args: {
     name: {type: 'positional', required: false, description: 'experiment'},
     list: {type: 'boolean', description: 'lists the experiments'},
-    seeds: {type: 'string', description: 'number of seeds, from seed 1'},
+    seeds: {type: 'string', description: 'number of seeds'},
+    'first-seed': {type: 'string', description: 'first seed; 1'},
     json: {type: 'boolean', description: 'prints JSON in place of tables'},
   },
   run({args}) {
@@ -26,11 +33,12 @@
       printList();
       throw new Error(`no experiment named ${args.name ?? '(none given)'}`);
     }
-    const seedCount = Number(args.seeds ?? experiment.defaultSeedCount);
-    if (!Number.isInteger(seedCount) || seedCount < 1) {
-      throw new Error(`--seeds takes a whole number from 1, not ${args.seeds}`);
-    }
-    const report = runExperiment(experiment, seedCount);
+    const seedCount = parseCount(
+      '--seeds',
+      args.seeds ?? String(experiment.defaultSeedCount),
+    );
+    const firstSeed = parseCount('--first-seed', args['first-seed'] ?? '1');
+    const report = runExperiment(experiment, seedCount, firstSeed);
     writeReport(report, REPORT_FOLDER);
     console.log(args.json ? JSON.stringify(report) : formatTables(report));
   },
