--- a/packages/core/src/acceptance/peer_report.ts
+++ b/packages/core/src/acceptance/peer_report.ts
@@ -45,6 +45,8 @@
 export interface ReportOptions {
   /** Whether the report carries the known head. */
   readonly hasHead: boolean;
+  /** Whether the report carries ages; only those of an answer count. */
+  readonly hasAges: boolean;
   readonly isGuestGrant: boolean;
 }
 
@@ -53,7 +55,11 @@
  *
  * @example
  * ```ts
- * createReport(state, nowMs, {hasHead: false, isGuestGrant: false});
+ * createReport(state, nowMs, {
+ *   hasHead: false,
+ *   hasAges: false,
+ *   isGuestGrant: false,
+ * });
  * ```
  */
 export function createReport(
@@ -72,7 +78,9 @@
     rosterDigest: resolveRosterDigest(active),
     confirmedAgeMs:
       confirmedAtMs === undefined ? undefined : nowMs - confirmedAtMs,
-    memberAgesMs: keys.map(key => resolveAge(state, key, nowMs)),
+    memberAgesMs: options.hasAges
+      ? keys.map(key => resolveAge(state, key, nowMs))
+      : [],
     acked: isCurrent ? keys.map(key => state.ackedAtMs.has(key)) : [],
     ackGrants: isCurrent ? listAckGrants(state, nowMs) : [],
     isGuest: !isFullMember(state),
--- a/packages/core/src/acceptance/step.ts
+++ b/packages/core/src/acceptance/step.ts
@@ -122,6 +122,7 @@
   const known = state.known?.sequence ?? 0;
   return createReport(state, nowMs, {
     hasHead: known > request.knownSequence,
+    hasAges: true,
     isGuestGrant: isGuestOf(state, request),
   });
 }
--- a/packages/core/test/acceptance/protocol_model.ts
+++ b/packages/core/test/acceptance/protocol_model.ts
@@ -238,6 +238,7 @@
     const state = this.entries[index];
     const report = createReport(state, this.nowMs, {
       hasHead: true,
+      hasAges: false,
       isGuestGrant: false,
     });
     return this.variant.changeReport?.(state, report) ?? report;
--- a/packages/core/test/acceptance/spread.test.ts
+++ b/packages/core/test/acceptance/spread.test.ts
@@ -93,6 +93,7 @@
     if (peer === index) return;
     const request = createReport(this.entries[index], nowMs, {
       hasHead: false,
+      hasAges: false,
       isGuestGrant: false,
     });
     const report = createAnswer(this.entries[peer], request, nowMs);
--- a/packages/entry/src/control/acceptance/decision_writer.ts
+++ b/packages/entry/src/control/acceptance/decision_writer.ts
@@ -2,7 +2,6 @@
   applyDecision,
   findRecord,
   isRulesChange,
-  type ChangeRecord,
   type Decision,
   type PendingChange,
   type RulesHead,
@@ -64,13 +63,13 @@
     if (stored === undefined || pending === undefined) return;
     const next = applyDecision(decision, stored.head);
     if (next === undefined) return;
+    await this.archiveEvicted(stored.head, next);
     const sentAtMs = node.nowMs();
     const written = await this.replace(stored, next, pending);
     if (!written) return;
     node.dispatch({kind: 'storeAnswered', head: next, sentAtMs});
     this.emitOutcome(stored.head, next, pending);
     void this.exchange.pushToAll();
-    await this.archive(next, pending);
   }
 
   private async replace(
@@ -107,20 +106,15 @@
     this.node.emit({kind, changeId, revision, who, why, detail});
   }
 
-  private async archive(
+  // An outcome leaves the head only after it has an object of its own.
+  private async archiveEvicted(
     head: RulesHead,
-    pending: PendingChange,
+    next: RulesHead,
   ): Promise<void> {
-    const record = findRecord(head, pending.changeId);
-    if (record !== undefined) await archiveRecord(this.node, record);
+    for (const record of head.recent) {
+      if (findRecord(next, record.changeId) !== undefined) continue;
+      const key = `${CHANGE_PREFIX}/${record.changeId}`;
+      await this.node.heads.putAbsent(key, JSON.stringify(record));
+    }
   }
 }
-
-/** Keeps an outcome beyond the recent ones of the head. */
-export async function archiveRecord(
-  node: KeeperNode,
-  record: ChangeRecord,
-): Promise<void> {
-  const key = `${CHANGE_PREFIX}/${record.changeId}`;
-  await node.heads.putAbsent(key, JSON.stringify(record));
-}
--- a/packages/entry/src/control/acceptance/peer_exchange.ts
+++ b/packages/entry/src/control/acceptance/peer_exchange.ts
@@ -2,6 +2,7 @@
   createAnswer,
   createReport,
   formatMemberKey,
+  isFullMember,
   isGuestOf,
   listMissingDigests,
   resolveRoster,
@@ -188,6 +189,7 @@
     const known = node.state.known?.sequence ?? 0;
     const report = createReport(node.state, node.nowMs(), {
       hasHead: isPush && peerSequence < known,
+      hasAges: false,
       isGuestGrant: false,
     });
     return create(ExchangeRequestSchema, {
@@ -225,7 +227,8 @@
   private selectAddresses(): readonly string[] {
     const {options, state} = this.node;
     const addresses = this.listAddresses();
-    const chosen = selectRandom(addresses, options.fanout, options.random);
+    const fanout = this.resolveFanout();
+    const chosen = selectRandom(addresses, fanout, options.random);
     const {known} = state;
     const isCoordinator =
       known?.pending?.coordinator.host === state.self.host &&
@@ -239,6 +242,19 @@
     );
   }
 
+  // A guest counts direct answers only, so it asks more of the members.
+  private resolveFanout(): number {
+    const {options, state} = this.node;
+    const {known} = state;
+    if (known === undefined || isFullMember(state)) return options.fanout;
+    const {exchangePeriodMs, acceptance} = options;
+    const periodShare = exchangePeriodMs / acceptance.freshnessMs;
+    return Math.max(
+      options.fanout,
+      Math.ceil(known.members.length * periodShare),
+    );
+  }
+
   private listAddresses(): readonly string[] {
     const {options, state} = this.node;
     const addresses = this.node.listPeers().map(member => member.peerAddress);
--- a/packages/entry/test/faults/rules_acceptance.test.ts
+++ b/packages/entry/test/faults/rules_acceptance.test.ts
@@ -1,3 +1,4 @@
+import {RECENT_CHANGE_COUNT} from '@anvilrudder/core';
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
 import {
@@ -169,6 +170,15 @@
   await waitUntil(() => entries[1].keeper.content() === 'second');
 });
 
+test('[rules] an outcome that left the head is found in its own object', async () => {
+  const [entry] = await cluster.startMembers(1);
+  for (let index = 0; index <= RECENT_CHANGE_COUNT; index++) {
+    await applyText(entry, `text ${index}`, {changeId: `c-${index}`});
+  }
+  assert.equal(cluster.readHead()?.recent.length, RECENT_CHANGE_COUNT);
+  assert.equal((await entry.keeper.findChange('c-0'))?.revision, 2);
+});
+
 test('[rules] a store that answers from an older copy reverts no entry', async () => {
   const entries = await cluster.startMembers(3);
   cluster.store.staleCopy = new Map(cluster.store.objects);
