--- a/packages/entry/src/control/acceptance/rules_applier.ts
+++ b/packages/entry/src/control/acceptance/rules_applier.ts
@@ -59,7 +59,7 @@
       await writeContent(node.heads, digest, request.content);
     } catch {
       const reason =
-        'The object API is unavailable; nothing was changed. Repeat the change with its id.';
+        'The object API is unavailable; this call changed nothing. Repeat it with its change id.';
       return refuse(request, reason, findings);
     }
     node.addContent(request.content);
