Serve callers and entries over TLS, and take renewed certificates over

Cause: tls.callers and tls.peers stood in the settings without effect.

Ruled out: a name check by host name alone, since entries call each other by IP number and an address says nothing of the host before it is heard; refusing connections without a certificate on the peer port, since operators have a token and no certificate; fs.watch, which misses files that are replaced through symbolic links.

Change: the server for callers speaks HTTPS, with client certificates where caFile is set. On the peer port every call but those of ControlService needs a certificate that caFile signed and that carries the IP number of the caller; calls to entries check the same of the other side. The files are looked at each second; a renewal counts for new connections at once, older ones close after their next answer, and files that don't fit leave the old ones in force with a warning. PeerClient and PeerTransports share PeerAgent.

Seen red first: an entry with the certificate of another address was heard through its own calls until the server checked the address too.

--- a/packages/entry/src/config/settings_schema.ts
+++ b/packages/entry/src/config/settings_schema.ts
@@ -40,6 +40,9 @@
   caFile: z.string().optional(),
 });
 
+// Entries verify each other, so the authorities are required.
+const PEER_TLS = TLS.required({caFile: true});
+
 /** Settings of one entry process, as written in its YAML file. */
 export const SETTINGS_SCHEMA = z.strictObject({
   /** Name of this host, unique in the deployment. */
@@ -60,7 +63,7 @@
   tls: z
     .strictObject({
       callers: TLS.optional(),
-      peers: TLS.optional(),
+      peers: PEER_TLS.optional(),
     })
     .prefault({}),
   platform: z.strictObject({
--- a/packages/entry/src/control/acceptance/keeper_options.ts
+++ b/packages/entry/src/control/acceptance/keeper_options.ts
@@ -6,7 +6,7 @@
   type ObjectStore,
   type RuleSet,
 } from '@anvilrudder/core';
-import type {AgentOptions} from 'node:https';
+import type {PeerTlsProvider} from '@anvilrudder/peers';
 
 /** Outcome of parsing a rule file; `rules` is unset when it has errors. */
 export interface ParsedRules {
@@ -45,7 +45,7 @@
   /** Hosts that the host list no longer has; removed once they are silent. */
   readonly listGoneHosts?: () => readonly string[];
   /** Certificates for calls to peers; plain HTTP without them. */
-  readonly tls?: AgentOptions;
+  readonly tls?: PeerTlsProvider | undefined;
   /** Local address of connections to peers. */
   readonly localAddress?: string;
   readonly acceptance?: Partial<AcceptanceOptions>;
@@ -85,7 +85,7 @@
 > {
   readonly acceptance: AcceptanceOptions;
   readonly initialRules: string | undefined;
-  readonly tls: AgentOptions | undefined;
+  readonly tls: PeerTlsProvider | undefined;
   readonly localAddress: string | undefined;
 }
 
--- a/packages/entry/src/control/peering/peer_server.ts
+++ b/packages/entry/src/control/peering/peer_server.ts
@@ -1,12 +1,28 @@
-import {createServer, type RequestListener, type Server} from 'node:http';
+import type {RequestListener, Server} from 'node:http';
+import type {Logger} from '@anvilrudder/observability';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import type {ConnectRouter} from '@connectrpc/connect';
 import {listen} from '../../server/listen.js';
+import {
+  createServer,
+  requirePeerCertificate,
+  resolvePeerServerTls,
+  type TlsSource,
+} from '../../tls/index.js';
 import {MAX_CONTROL_REQUEST_BYTES} from '../operators/index.js';
 
 /** Registers services on a router. */
 export type Routes = (router: ConnectRouter) => void;
 
+/** Options of {@link startPeerServer}. */
+export interface PeerServerOptions {
+  readonly address: string;
+  readonly port: number;
+  readonly logger: Logger;
+  /** Certificate of this host; plain HTTP without it. */
+  readonly tls?: TlsSource | undefined;
+}
+
 /** The server for other entries and operators. */
 export interface PeerServer {
   /** `ip:port` in use. */
@@ -23,21 +39,30 @@
 
 /**
  * Starts the server, so that its address is known before the services that
- * tell it to others are created.
+ * tell it to others are created. Over TLS, all calls but those of operators need
+ * a client certificate of the deployment.
  *
  * @example
  * ```ts
- * const peers = await startPeerServer({address: '127.0.0.1', port: 0});
+ * const peers = await startPeerServer({address, port: 9080, logger});
  * peers.mount([keeper.routes]);
  * ```
  */
-export async function startPeerServer(where: {
-  readonly address: string;
-  readonly port: number;
-}): Promise<PeerServer> {
+export async function startPeerServer(
+  options: PeerServerOptions,
+): Promise<PeerServer> {
+  const {logger, tls} = options;
   let handle = NOT_MOUNTED;
-  const server = createServer((request, response) => handle(request, response));
-  const address = await listen(server, where);
+  const listener: RequestListener = (request, response) =>
+    handle(request, response);
+  const server =
+    tls === undefined
+      ? createServer({}, listener)
+      : createServer({}, requirePeerCertificate(listener, logger), {
+          source: tls,
+          resolve: resolvePeerServerTls,
+        });
+  const address = await listen(server, options);
   return {
     address,
     server,
--- a/packages/entry/src/control/peering/peer_transports.ts
+++ b/packages/entry/src/control/peering/peer_transports.ts
@@ -1,11 +1,13 @@
 import type {Transport} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
-import {Agent} from 'node:http';
+import {PeerAgent, type PeerTlsProvider} from '@anvilrudder/peers';
 
 /** Options of {@link createPeerTransports}. */
 export interface PeerTransportsOptions {
   /** Bound of one call. */
   readonly timeoutMs: number;
+  /** Certificates for HTTPS; plain HTTP without them. */
+  readonly tls?: PeerTlsProvider | undefined;
 }
 
 /** Transports to other entries by address, over connections kept open. */
@@ -25,15 +27,16 @@
 export function createPeerTransports(
   options: PeerTransportsOptions,
 ): PeerTransports {
-  const agent = new Agent({keepAlive: true});
+  const peerAgent = PeerAgent.create({tls: options.tls});
   const transports = new Map<string, Transport>();
   return {
     resolve(address) {
+      const agent = peerAgent.resolveAgent();
       let transport = transports.get(address);
       if (transport === undefined) {
         transport = createConnectTransport({
           httpVersion: '1.1',
-          baseUrl: `http://${address}`,
+          baseUrl: peerAgent.resolveBaseUrl(address),
           defaultTimeoutMs: options.timeoutMs,
           nodeOptions: {agent},
         });
@@ -42,7 +45,7 @@
       return transport;
     },
     close() {
-      agent.destroy();
+      peerAgent.close();
       transports.clear();
     },
   };
--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -6,6 +6,7 @@
 import type {BackendHost} from '../backends/backend_directory.js';
 import type {Settings} from '../config/settings_schema.js';
 import type {ClaimRunner} from '../entry_context.js';
+import {resolvePeerClientTls, type TlsSource} from '../tls/index.js';
 import {
   createRulesKeeper,
   type AcceptanceKeeper,
@@ -35,6 +36,8 @@
   readonly settings: Settings;
   readonly logger: Logger;
   readonly metrics: MetricRegistry;
+  /** Certificate for other entries; plain HTTP without it. */
+  readonly tls?: TlsSource | undefined;
   /** The entries of the host list, with their peer addresses. */
   readonly listEntries: () => readonly BackendHost[];
 }
@@ -70,12 +73,15 @@
   const {settings, logger, metrics} = options;
   const member = {host: settings.host, incarnation: randomUUID()};
   const store = createStore(settings, metrics);
-  const peers = await startPeerServer(settings.peer);
+  const {tls} = options;
+  const peerTls = tls && (() => resolvePeerClientTls(tls.material));
+  const peers = await startPeerServer({...settings.peer, logger, tls});
   const peerAddress = settings.peer.advertise ?? peers.address;
   const audit = createAuditTrail({store});
   const keeper: AcceptanceKeeper = createRulesKeeper({
     self: {...member, failureDomain: settings.failureDomain, peerAddress},
     store,
+    tls: peerTls,
     parse: parseRules,
     initialRules: readInitialRules(settings),
     listSeedAddresses: () => [
@@ -91,7 +97,10 @@
     },
   });
   keeper.trackPeerServer(peers.server);
-  const transports = createPeerTransports({timeoutMs: PEER_TIMEOUT_MS});
+  const transports = createPeerTransports({
+    timeoutMs: PEER_TIMEOUT_MS,
+    tls: peerTls,
+  });
   const directory = createPeerDirectory({
     keeper,
     host: settings.host,
--- a/packages/entry/src/server/caller_server.ts
+++ b/packages/entry/src/server/caller_server.ts
@@ -1,10 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Duplex} from 'node:stream';
 import {
   RouterError,
@@ -14,6 +9,7 @@
 } from '@anvilrudder/core';
 import type {EntryContext} from '../entry_context.js';
 import type {RawRequest} from '../stages/caller_request.js';
+import {createServer, resolveCallerTls, type TlsSource} from '../tls/index.js';
 import {createAnswerWriter, type AnswerWriter} from './answer_writer.js';
 import {findRoute, hasBody} from './caller_routes.js';
 import {readBody} from './request_body.js';
@@ -29,12 +25,16 @@
  * Creates the HTTP server for callers. Every answer, also to malformed
  * requests, is typed JSON or a stream of events.
  *
+ * @param tls The certificate; plain HTTP without it.
  * @example
  * ```ts
  * createCallerServer(context).listen(8080, '127.0.0.1');
  * ```
  */
-export function createCallerServer(context: EntryContext): Server {
+export function createCallerServer(
+  context: EntryContext,
+  tls?: TlsSource,
+): Server {
   const server = createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -46,6 +46,7 @@
     (request, response) => {
       void serveRequest(context, request, response);
     },
+    tls && {source: tls, resolve: resolveCallerTls},
   );
   server.on('clientError', answerMalformed);
   return server;
--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -11,6 +11,7 @@
 import {OpenRequests} from './server/open_requests.js';
 import {stopCallers} from './server/stop_callers.js';
 import {createAuthenticator} from './stages/authenticate.js';
+import {startTls} from './tls/index.js';
 
 /** A running entry. */
 export interface RunningEntry {
@@ -46,10 +47,12 @@
     logger,
     pollMs: settings.platform.hostPollMs,
   });
+  const tls = await startTls(settings, logger);
   const control = await startControl({
     settings,
     logger,
     metrics,
+    tls: tls.peers,
     listEntries: () => backends.listEntries(),
   });
   const decisions = await startDecisions({
@@ -95,7 +98,7 @@
     'rules_revision',
     () => control.keeper.status().revision,
   );
-  const server = createCallerServer(context);
+  const server = createCallerServer(context, tls.callers);
   const callerAddress = await listen(server, settings.listen);
   logger.info('entry_started', {
     callerAddress,
@@ -113,6 +116,7 @@
       stopRefreshing();
       await decisions.stop();
       await control.stop();
+      tls.stop();
       await clients.close();
       logger.info('entry_stopped', {});
     },
--- /dev/null
+++ b/packages/entry/src/tls/create_server.ts
@@ -0,0 +1,63 @@
+import {
+  createServer as createHttpServer,
+  type RequestListener,
+  type Server,
+  type ServerOptions,
+} from 'node:http';
+import {
+  createServer as createHttpsServer,
+  type Server as HttpsServer,
+  type ServerOptions as HttpsOptions,
+} from 'node:https';
+import type {Socket} from 'node:net';
+import type {TlsMaterial} from './tls_material.js';
+import type {TlsSource} from './tls_source.js';
+
+/** The TLS part of a server. */
+export interface ServerTls {
+  readonly source: TlsSource;
+  /** Turns a certificate into the options of the server. */
+  readonly resolve: (material: TlsMaterial) => HttpsOptions;
+}
+
+/**
+ * Creates an HTTP server, over TLS where it is given. Renewed certificates
+ * count for new connections at once; a connection made before closes after
+ * its next answer.
+ *
+ * @example
+ * ```ts
+ * const server = createServer({}, listener, {source, resolve: resolveCallerTls});
+ * ```
+ */
+export function createServer(
+  options: ServerOptions,
+  listener: RequestListener,
+  tls?: ServerTls,
+): Server {
+  if (tls === undefined) return createHttpServer(options, listener);
+  const {source, resolve} = tls;
+  const server = createHttpsServer({
+    ...options,
+    ...resolve(source.material),
+  });
+  closeOutdatedConnections(server, source);
+  server.on('request', listener);
+  source.onChange(material => server.setSecureContext(resolve(material)));
+  return server;
+}
+
+function closeOutdatedConnections(
+  server: HttpsServer,
+  source: TlsSource,
+): void {
+  let current = new WeakSet<Socket>();
+  server.on('secureConnection', socket => current.add(socket));
+  server.on('request', (request, response) => {
+    if (current.has(request.socket)) return;
+    response.setHeader('Connection', 'close');
+  });
+  source.onChange(() => {
+    current = new WeakSet();
+  });
+}
--- /dev/null
+++ b/packages/entry/src/tls/require_peer_certificate.ts
@@ -0,0 +1,75 @@
+import {ControlService} from '@anvilrudder/peers';
+import type {Logger} from '@anvilrudder/observability';
+import type {IncomingMessage, RequestListener, ServerResponse} from 'node:http';
+import {isIP} from 'node:net';
+import type {TLSSocket} from 'node:tls';
+
+/** Paths of calls that an operator's token authenticates. */
+const OPERATOR_PATHS: ReadonlySet<string> = new Set(
+  ControlService.methods.map(
+    method => `/${ControlService.typeName}/${method.name}`,
+  ),
+);
+
+// A server on an IPv6 address sees IPv4 clients in this form.
+const MAPPED_IPV4_PREFIX = /^::ffff:(?=\d+\.)/i;
+
+// The error message of the Connect protocol.
+const REFUSAL = JSON.stringify({
+  code: 'unauthenticated',
+  message: 'A client certificate for this address is required.',
+});
+
+/**
+ * Wraps the listener of a TLS server so that every call but those of
+ * operators needs a client certificate that the authorities signed and that
+ * carries the IP number it comes from.
+ *
+ * @example
+ * ```ts
+ * createServer({}, requirePeerCertificate(listener, logger), tls);
+ * ```
+ */
+export function requirePeerCertificate(
+  listener: RequestListener,
+  logger: Logger,
+): RequestListener {
+  const verified = new WeakSet<TLSSocket>();
+  return (request, response) => {
+    const socket = request.socket as TLSSocket;
+    if (verified.has(socket) || isOperatorCall(request)) {
+      listener(request, response);
+      return;
+    }
+    const fault = findPeerFault(socket);
+    if (fault === undefined) {
+      verified.add(socket);
+      listener(request, response);
+      return;
+    }
+    const {remoteAddress} = socket;
+    logger.warn('peer_refused', {remoteAddress, reason: fault});
+    refuse(request, response);
+  };
+}
+
+function findPeerFault(socket: TLSSocket): string | undefined {
+  if (!socket.authorized) return String(socket.authorizationError);
+  const address = (socket.remoteAddress ?? '').replace(MAPPED_IPV4_PREFIX, '');
+  const certificate = socket.getPeerX509Certificate();
+  if (isIP(address) !== 0 && certificate?.checkIP(address)) return undefined;
+  return 'the certificate does not carry the address';
+}
+
+function isOperatorCall(request: IncomingMessage): boolean {
+  return OPERATOR_PATHS.has((request.url ?? '').split('?', 1)[0]);
+}
+
+function refuse(request: IncomingMessage, response: ServerResponse): void {
+  request.resume();
+  response.writeHead(401, {
+    'Content-Type': 'application/json',
+    Connection: 'close',
+  });
+  response.end(REFUSAL);
+}
--- /dev/null
+++ b/packages/entry/src/tls/tls_source.ts
@@ -0,0 +1,109 @@
+import type {Logger} from '@anvilrudder/observability';
+import {FileWatcher} from './file_watcher.js';
+import {
+  readTlsMaterial,
+  type TlsFiles,
+  type TlsMaterial,
+} from './tls_material.js';
+
+/** Options of {@link TlsSource.create}. */
+export interface TlsSourceOptions {
+  /** What the certificate is for, shown in logs. */
+  readonly use: 'callers' | 'peers';
+  readonly files: TlsFiles;
+  readonly logger: Logger;
+  readonly checkPeriodMs?: number | undefined;
+}
+
+/** Receives renewed certificates. */
+export type TlsListener = (material: TlsMaterial) => void;
+
+/**
+ * The certificate in use, read again when one of its files changes. Files
+ * that do not fit together leave the one in use in force.
+ */
+export class TlsSource {
+  private readonly listeners = new Set<TlsListener>();
+
+  private constructor(
+    private readonly options: TlsSourceOptions,
+    private readonly watcher: FileWatcher,
+    private current: TlsMaterial,
+  ) {}
+
+  /**
+   * Reads the files and watches them.
+   *
+   * @throws Error when a file is missing, malformed or does not fit.
+   * @example
+   * ```ts
+   * const source = await TlsSource.create({use: 'peers', files, logger});
+   * source.onChange(material => server.setSecureContext(material));
+   * ```
+   */
+  static async create(options: TlsSourceOptions): Promise<TlsSource> {
+    const watcher = await FileWatcher.create({
+      paths: listPaths(options.files),
+      periodMs: options.checkPeriodMs,
+    });
+    const material = await readTlsMaterial(options.files);
+    const source = new TlsSource(options, watcher, material);
+    source.log('certificate_loaded');
+    watcher.start(() => source.reload());
+    return source;
+  }
+
+  get material(): TlsMaterial {
+    return this.current;
+  }
+
+  /** Calls the listener after each renewal. */
+  onChange(listener: TlsListener): void {
+    this.listeners.add(listener);
+  }
+
+  /** Reads the files again; logs and keeps the certificate on a fault. */
+  async reload(): Promise<void> {
+    let material: TlsMaterial;
+    try {
+      material = await readTlsMaterial(this.options.files);
+    } catch (error) {
+      const {use, logger} = this.options;
+      logger.warn('certificate_refused', {use, reason: describeError(error)});
+      return;
+    }
+    if (isSameMaterial(material, this.current)) return;
+    this.current = material;
+    for (const listener of this.listeners) listener(material);
+    this.log('certificate_renewed');
+  }
+
+  stop(): void {
+    this.watcher.stop();
+    this.listeners.clear();
+  }
+
+  private log(event: string): void {
+    const {use, logger} = this.options;
+    const {names, validTo} = this.current;
+    logger.info(event, {use, names, validTo});
+  }
+}
+
+function listPaths({certFile, keyFile, caFile}: TlsFiles): readonly string[] {
+  return caFile === undefined
+    ? [certFile, keyFile]
+    : [certFile, keyFile, caFile];
+}
+
+function isSameMaterial(left: TlsMaterial, right: TlsMaterial): boolean {
+  return (
+    left.cert.equals(right.cert) &&
+    left.key.equals(right.key) &&
+    (left.ca ?? left.cert).equals(right.ca ?? right.cert)
+  );
+}
+
+function describeError(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -3,6 +3,7 @@
 export * from './ledger/ledger_rpc.js';
 export * from './content_delta.js';
 export * from './head_codec.js';
+export * from './peer_agent.js';
 export * from './peer_client.js';
 export * from './peer_routes.js';
 export * from './report_codec.js';
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -1,7 +1,5 @@
 import {createClient, type Client} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
-import {Agent as HttpAgent} from 'node:http';
-import {Agent as HttpsAgent, type AgentOptions} from 'node:https';
 import {
   PeerService,
   type ExchangeRequest,
@@ -9,16 +7,14 @@
   type FetchContentRequest,
   type FetchContentResponse,
 } from './gen/anvilrudder/v1/peer_pb.js';
+import {PeerAgent, type PeerTlsProvider} from './peer_agent.js';
 import type {TrafficCounter} from './traffic_counter.js';
 
-/** How long an unused connection to a peer is kept. */
-const IDLE_SOCKET_MS = 5_000;
-
 /** How peers are called. */
 export interface PeerClientOptions {
   readonly timeoutMs: number;
   /** Certificates for HTTPS; plain HTTP without them. */
-  readonly tls?: AgentOptions;
+  readonly tls?: PeerTlsProvider | undefined;
   /** Local address of the connections; the system's choice without it. */
   readonly localAddress?: string;
   readonly traffic: TrafficCounter;
@@ -27,10 +23,10 @@
 /** Calls other entries by address, over connections that are kept open. */
 export class PeerClient {
   private readonly clients = new Map<string, Client<typeof PeerService>>();
-  private readonly agent: HttpAgent | HttpsAgent;
+  private readonly agent: PeerAgent;
 
   private constructor(private readonly options: PeerClientOptions) {
-    this.agent = createAgent(options);
+    this.agent = PeerAgent.create(options);
   }
 
   /**
@@ -65,7 +61,7 @@
 
   /** Closes all connections. */
   close(): void {
-    this.agent.destroy();
+    this.agent.close();
     this.clients.clear();
   }
 
@@ -78,13 +74,13 @@
 
   private resolveClient(address: string): Client<typeof PeerService> {
     this.options.traffic.countCall();
+    const agent = this.agent.resolveAgent();
     const existing = this.clients.get(address);
     if (existing !== undefined) return existing;
-    const scheme = this.options.tls === undefined ? 'http' : 'https';
     const transport = createConnectTransport({
-      baseUrl: `${scheme}://${address}`,
+      baseUrl: this.agent.resolveBaseUrl(address),
       httpVersion: '1.1',
-      nodeOptions: {agent: this.agent},
+      nodeOptions: {agent},
       useBinaryFormat: true,
       acceptCompression: [],
       defaultTimeoutMs: this.options.timeoutMs,
@@ -94,25 +90,3 @@
     return client;
   }
 }
-
-function createAgent(options: PeerClientOptions): HttpAgent | HttpsAgent {
-  const {localAddress} = options;
-  const agentOptions = {
-    keepAlive: true,
-    timeout: IDLE_SOCKET_MS,
-    localAddress,
-  };
-  const agent =
-    options.tls === undefined
-      ? new HttpAgent(agentOptions)
-      : new HttpsAgent({...options.tls, ...agentOptions});
-  const createConnection = agent.createConnection.bind(agent);
-  agent.createConnection = (connectOptions, callback) => {
-    const socket = createConnection(connectOptions, callback);
-    if (socket !== undefined && socket !== null) {
-      options.traffic.track(socket as import('node:net').Socket);
-    }
-    return socket;
-  };
-  return agent;
-}
