Measure what rules control costs a member by size

A command starts real keepers over loopback from a prepared head, counts bytes, messages, processor time, heap and object calls at rest, for a change and for a new member, and fits lines.

--- /dev/null
+++ b/packages/entry/src/control/index.ts
@@ -0,0 +1,14 @@
+export * from './acceptance/index.js';
+export {digestText, writeContent} from './acceptance/content_store.js';
+export {HEAD_KEY, HeadStore} from './acceptance/head_store.js';
+export * from './audit/audit_trail.js';
+export * from './billing/billing_compactor.js';
+export * from './billing/billing_journal.js';
+export * from './billing/held_records.js';
+export * from './claims/claim_collector.js';
+export * from './claims/claim_keeper.js';
+export * from './leases/lease_keeper.js';
+export * from './peering/peer_directory.js';
+export * from './peering/peer_server.js';
+export * from './peering/peer_transports.js';
+export * from './sharing/share_exchange.js';
--- /dev/null
+++ b/packages/experiments/src/capacity/capacity_rules.ts
@@ -0,0 +1,172 @@
+import {createRandom} from '@anvilrudder/core';
+import {
+  fitColumns,
+  type CapacityCommand,
+  type CapacityOptions,
+  type CapacityReport,
+  type Row,
+} from './capacity_report.js';
+import {KeeperGroup} from './keeper_group.js';
+import {createRuleText} from './rule_text.js';
+import {
+  pauseMs,
+  readCpuUs,
+  readHeapBytes,
+  toCorePercent,
+  waitUntil,
+} from './usage_meter.js';
+
+const MEMBER_COUNTS: readonly number[] = [2, 4, 8, 16, 32];
+const LINE_COUNTS: readonly number[] = [100, 400, 1600];
+const LINE_MEMBER_COUNT = 8;
+const DEFAULT_LINE_COUNT = 200;
+const REST_MS = 8000;
+const SMALL_REST_MS = 300;
+const CHANGE_COUNT = 5;
+const TARGET_MEMBERS = 360;
+const TARGET_LINES = 4000;
+const REST_COLUMNS: readonly string[] = [
+  'bytesPerS',
+  'messagesPerS',
+  'cpuPercent',
+  'heapBytes',
+  'objectCallsPerS',
+];
+const CHANGE_COLUMNS: readonly string[] = [
+  'bytesPerChange',
+  'messagesPerChange',
+  'cpuMsPerChange',
+  'objectCallsPerChange',
+  'changeMs',
+];
+
+interface Size {
+  readonly members: number;
+  readonly lines: number;
+}
+
+async function measureSize(
+  {members, lines}: Size,
+  {seed, isSmall}: CapacityOptions,
+): Promise<Row> {
+  const group = KeeperGroup.create(createRandom(seed));
+  const heapBefore = readHeapBytes();
+  await group.start(members, createRuleText(lines, 0));
+  const heapBytes = (readHeapBytes() - heapBefore) / members;
+  const rest = await measureRest(group, isSmall ? SMALL_REST_MS : REST_MS);
+  const change = await measureChanges(group, lines, isSmall ? 1 : CHANGE_COUNT);
+  const joinMs = await measureJoin(group);
+  await group.stop();
+  return {members, lines, ...rest, heapBytes, ...change, joinMs};
+}
+
+async function measureRest(group: KeeperGroup, durationMs: number) {
+  const before = group.readTotals();
+  const cpuBefore = process.cpuUsage();
+  await pauseMs(durationMs);
+  const after = group.readTotals();
+  const cpuUs = readCpuUs(cpuBefore);
+  const seconds = durationMs / 1000;
+  const perMember = (spent: number) => spent / seconds / group.members.length;
+  return {
+    bytesPerS: perMember(after.bytes - before.bytes),
+    messagesPerS: perMember(after.messages - before.messages),
+    cpuPercent: toCorePercent(cpuUs, durationMs) / group.members.length,
+    objectCallsPerS: (after.objectCalls - before.objectCalls) / seconds,
+  };
+}
+
+// Figures are what the changes took, work at rest during them included.
+async function measureChanges(
+  group: KeeperGroup,
+  lines: number,
+  changeCount: number,
+) {
+  const {members} = group;
+  const before = group.readTotals();
+  const cpuBefore = process.cpuUsage();
+  const startedAtMs = performance.now();
+  for (let change = 1; change <= changeCount; change++) {
+    const {keeper} = members[change % members.length];
+    const outcome = await keeper.apply({
+      changeId: `change-${change}`,
+      who: 'Kim',
+      why: 'a measurement',
+      content: createRuleText(lines, change),
+      baseRevision: change,
+      withoutHosts: [],
+    });
+    if (outcome.state !== 'accepted') throw new Error(outcome.reason);
+    await waitUntil(() =>
+      members.every(m => m.keeper.inForce()?.revision === change + 1),
+    );
+  }
+  const after = group.readTotals();
+  const perMember = (spent: number) => spent / changeCount / members.length;
+  return {
+    bytesPerChange: perMember(after.bytes - before.bytes),
+    messagesPerChange: perMember(after.messages - before.messages),
+    cpuMsPerChange: perMember(readCpuUs(cpuBefore) / 1000),
+    objectCallsPerChange:
+      (after.objectCalls - before.objectCalls) / changeCount,
+    changeMs: (performance.now() - startedAtMs) / changeCount,
+  };
+}
+
+async function measureJoin(group: KeeperGroup): Promise<number> {
+  const startedAtMs = performance.now();
+  await group.join();
+  const {length} = group.members;
+  await waitUntil(() =>
+    group.members.every(({keeper}) => {
+      const status = keeper.status();
+      return (
+        status.members.length === length &&
+        status.pendingChangeId === undefined &&
+        keeper.inForce() !== undefined
+      );
+    }),
+  );
+  return performance.now() - startedAtMs;
+}
+
+async function run(options: CapacityOptions): Promise<CapacityReport> {
+  const byMembers: Row[] = [];
+  const byLines: Row[] = [];
+  const memberCounts = options.isSmall ? [2] : MEMBER_COUNTS;
+  for (const members of memberCounts) {
+    const size = {members, lines: DEFAULT_LINE_COUNT};
+    byMembers.push(await measureSize(size, options));
+  }
+  for (const lines of options.isSmall ? [] : LINE_COUNTS) {
+    byLines.push(
+      await measureSize({members: LINE_MEMBER_COUNT, lines}, options),
+    );
+  }
+  return {
+    name: CAPACITY_RULES.name,
+    seed: options.seed,
+    rows: [...byMembers, ...byLines],
+    fits: [
+      ...fitColumns(
+        byMembers,
+        'members',
+        [...REST_COLUMNS, ...CHANGE_COLUMNS, 'joinMs'],
+        TARGET_MEMBERS,
+      ),
+      ...fitColumns(
+        byLines,
+        'lines',
+        ['heapBytes', ...CHANGE_COLUMNS],
+        TARGET_LINES,
+      ),
+    ],
+  };
+}
+
+/** Cost of accepting rules: at rest, for a change and for a new member. */
+export const CAPACITY_RULES: CapacityCommand = {
+  name: 'capacity-rules',
+  description: 'cost of rules control a member, at rest and a change',
+  run,
+};
--- /dev/null
+++ b/packages/experiments/src/capacity/keeper_group.ts
@@ -0,0 +1,141 @@
+import {formatHead, parseRules, type Member} from '@anvilrudder/core';
+import {
+  HEAD_KEY,
+  HeadStore,
+  createRulesKeeper,
+  digestText,
+  writeContent,
+  type AcceptanceKeeper,
+  type RulesKeeperOptions,
+} from '@anvilrudder/entry/control';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {CountingMemoryStore} from './counting_memory_store.js';
+import {waitUntil} from './usage_meter.js';
+
+const DOMAIN_COUNT = 4;
+const STORE_TIMEOUT_MS = 2000;
+
+/** One keeper and the server at which peers reach it. */
+export interface GroupMember {
+  readonly member: Member;
+  readonly keeper: AcceptanceKeeper;
+  readonly server: Server;
+}
+
+/** What the keepers of a group have spent together. */
+export interface GroupTotals {
+  readonly bytes: number;
+  readonly messages: number;
+  readonly objectCalls: number;
+}
+
+/** Keepers of this process that talk over loopback, with one store. */
+export class KeeperGroup {
+  readonly store = CountingMemoryStore.create();
+  readonly members: GroupMember[] = [];
+
+  private constructor(private readonly random: () => number) {}
+
+  static create(random: () => number): KeeperGroup {
+    return new KeeperGroup(random);
+  }
+
+  /** Starts members that are all in the head from the beginning. */
+  async start(count: number, text: string): Promise<void> {
+    const servers: Server[] = [];
+    for (let i = 0; i < count; i++) servers.push(await listenOnLoopback());
+    const members = servers.map((server, index) => createMember(server, index));
+    const heads = HeadStore.create(this.store, STORE_TIMEOUT_MS);
+    const digest = digestText(text);
+    await writeContent(heads, digest, text);
+    const head = formatHead({
+      sequence: 1,
+      rules: {revision: 1, digest},
+      members,
+      pending: undefined,
+      recent: [],
+    });
+    await this.store.put(HEAD_KEY, head, {kind: 'absent'});
+    servers.forEach((server, i) => this.startKeeper(server, members[i]));
+    await waitUntil(() =>
+      this.members.every(
+        ({keeper}) =>
+          keeper.inForce() !== undefined &&
+          keeper.status().servesBy === 'store',
+      ),
+    );
+  }
+
+  /** Starts one more entry, which joins by itself. */
+  async join(): Promise<GroupMember> {
+    const server = await listenOnLoopback();
+    const member = createMember(server, this.members.length);
+    return this.startKeeper(server, member);
+  }
+
+  /** What all members have spent so far. */
+  readTotals(): GroupTotals {
+    const counters = this.members.map(({keeper}) => keeper.counters());
+    const sum = (read: (c: (typeof counters)[number]) => number): number =>
+      counters.reduce((total, c) => total + read(c), 0);
+    return {
+      bytes: sum(
+        ({peerClient, peerServer}) =>
+          peerClient.bytesSent +
+          peerClient.bytesReceived +
+          peerServer.bytesSent +
+          peerServer.bytesReceived,
+      ),
+      messages: sum(c => c.peerClient.calls),
+      objectCalls: this.store.callCount,
+    };
+  }
+
+  /** Ends all members at once. */
+  async stop(): Promise<void> {
+    await Promise.all(
+      this.members.map(async ({keeper, server}) => {
+        await keeper.stop();
+        server.close();
+        server.closeAllConnections();
+      }),
+    );
+  }
+
+  private startKeeper(server: Server, self: Member): GroupMember {
+    const options: RulesKeeperOptions = {
+      self,
+      store: this.store,
+      parse: parseRules,
+      listSeedAddresses: () => this.members.map(m => m.member.peerAddress),
+      random: this.random,
+      leaveTimeoutMs: 0,
+    };
+    const keeper = createRulesKeeper(options);
+    keeper.trackPeerServer(server);
+    server.on('request', connectNodeAdapter({routes: keeper.routes}));
+    const started = {member: self, keeper, server};
+    this.members.push(started);
+    return started;
+  }
+}
+
+async function listenOnLoopback(): Promise<Server> {
+  const server = createServer();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return server;
+}
+
+function createMember(server: Server, index: number): Member {
+  const {port} = server.address() as AddressInfo;
+  return {
+    host: `entry-${index}`,
+    incarnation: `4d0c6f9e-6b3a-4b62-9a52-${String(index).padStart(12, '0')}`,
+    failureDomain: `domain-${index % DOMAIN_COUNT}`,
+    peerAddress: `127.0.0.1:${port}`,
+  };
+}
--- a/packages/experiments/src/main.ts
+++ b/packages/experiments/src/main.ts
@@ -1,4 +1,5 @@
 import {defineCommand, runMain} from 'citty';
+import {listCapacity, runCapacity} from './capacity/run_capacity.js';
 import {formatTables} from './harness/report.js';
 import {runExperiment, writeReport} from './harness/run_experiment.js';
 import {EXPERIMENTS} from './registry.js';
@@ -9,6 +10,7 @@
   for (const {name, description} of EXPERIMENTS) {
     console.log(`${name}: ${description}`);
   }
+  for (const line of listCapacity()) console.log(line);
 }
 
 const command = defineCommand({
@@ -19,8 +21,9 @@
     seeds: {type: 'string', description: 'number of seeds, from seed 1'},
     json: {type: 'boolean', description: 'prints JSON in place of tables'},
   },
-  run({args}) {
+  async run({args}) {
     if (args.list) return printList();
+    if (await runCapacity(args.name ?? '')) return;
     const experiment = EXPERIMENTS.find(({name}) => name === args.name);
     if (experiment === undefined) {
       printList();
