Carry out operators' orders to engines under a lease

Cause: the runner of roll-out steps was proved and served nobody. Change: orders plan, status and cancel in the command line; one plan is current at a time, so that repairing an older plan undoes nothing newer; the holder of the duty's lease advances and repairs it, each step is audited. Ruled out: repairing every plan ever made (older plans fight newer ones).

--- a/packages/cli/src/run_cli.ts
+++ b/packages/cli/src/run_cli.ts
@@ -9,6 +9,7 @@
 import {isCliError} from './cli_error.js';
 import type {CliIo} from './cli_io.js';
 import {
+  ORDER_COMMANDS,
   RULES_COMMANDS,
   TOP_COMMANDS,
   VERSION_COMMANDS,
@@ -66,9 +67,18 @@
     meta: {name: 'versions', description: 'Work with model versions'},
     subCommands: createCommands(VERSION_COMMANDS, io, finish),
   });
+  const orders = defineCommand({
+    meta: {name: 'orders', description: 'Order engines to load or drain'},
+    subCommands: createCommands(ORDER_COMMANDS, io, finish),
+  });
   return defineCommand({
     meta: {name: PROGRAM, description: 'Operate an anvilrudder deployment'},
-    subCommands: {rules, versions, ...createCommands(TOP_COMMANDS, io, finish)},
+    subCommands: {
+      rules,
+      versions,
+      orders,
+      ...createCommands(TOP_COMMANDS, io, finish),
+    },
   });
 }
 
--- a/packages/entry/src/control/operators/control_routes.ts
+++ b/packages/entry/src/control/operators/control_routes.ts
@@ -1,4 +1,8 @@
-import {MAX_RULE_FILE_BYTES} from '@anvilrudder/core';
+import {
+  MAX_RULE_FILE_BYTES,
+  parseModelVersion,
+  type PlannedStep,
+} from '@anvilrudder/core';
 import {ControlService} from '@anvilrudder/peers';
 import type * as wire from '@anvilrudder/peers';
 import {
@@ -9,6 +13,7 @@
   type Interceptor,
   type ServiceImpl,
 } from '@connectrpc/connect';
+import type {OrderPlans} from '../orders/order_plans.js';
 import type {ApplyRulesRequest, RulesKeeper} from '../rules_keeper.js';
 import type {AuditQuery, AuditReader} from './audit_reader.js';
 import {createRefusal, toConnectError} from './connect_errors.js';
@@ -23,6 +28,7 @@
 import {
   encodeAuditRecord,
   encodeOption,
+  encodeOrderPlan,
   encodeOutcome,
   encodeStatus,
   encodeVersion,
@@ -37,6 +43,8 @@
   readonly operatorTokens: readonly OperatorToken[];
   /** Rulings on versions; undefined while the entry starts. */
   readonly versions?: () => VersionControl | undefined;
+  /** Plans of orders to engines; undefined while the entry starts. */
+  readonly orders?: () => OrderPlans | undefined;
   /** Explains by the rules in force alone when it is left out. */
   readonly explain?: Explainer;
 }
@@ -139,6 +147,28 @@
       const status = await resolveVersionControl(options).rule(order);
       return {version: encodeVersion(status)};
     },
+    async planOrders({planId, states, why}, context) {
+      checkChangeId(planId);
+      checkText('why', why);
+      const status = await resolveOrders(options).plan({
+        planId,
+        steps: states.map(decodeEngineState),
+        who: context.values.get(operatorKey),
+        why,
+      });
+      return {plan: encodeOrderPlan(status)};
+    },
+    async getOrders() {
+      const status = await resolveOrders(options).current();
+      return status === undefined ? {} : {plan: encodeOrderPlan(status)};
+    },
+    async cancelOrders({planId, why}, context) {
+      checkChangeId(planId);
+      checkText('why', why);
+      const who = context.values.get(operatorKey);
+      const status = await resolveOrders(options).cancel({planId, who, why});
+      return {plan: encodeOrderPlan(status)};
+    },
     explain({organisation, kind}) {
       const {revision, options: explained} = explain({organisation, kind});
       return {
@@ -149,6 +179,29 @@
   };
 }
 
+function resolveOrders(options: ControlRoutesOptions): OrderPlans {
+  const orders = options.orders?.();
+  if (orders !== undefined) return orders;
+  throw createRefusal(
+    'This entry carries out no orders yet.',
+    Code.Unavailable,
+    'not_ready',
+  );
+}
+
+function decodeEngineState(state: wire.EngineState): PlannedStep {
+  checkText('engine', state.engine);
+  const loaded = state.loaded.map(name => {
+    const version = parseModelVersion(name);
+    if (version !== undefined) return version;
+    throw createInvalid('loaded versions are written model@version.');
+  });
+  return {
+    engine: state.engine,
+    wanted: {loaded, isDraining: state.isDraining},
+  };
+}
+
 function resolveVersionControl(options: ControlRoutesOptions): VersionControl {
   const versions = options.versions?.();
   if (versions !== undefined) return versions;
--- a/packages/entry/src/control/operators/wire_messages.ts
+++ b/packages/entry/src/control/operators/wire_messages.ts
@@ -1,6 +1,7 @@
 import {create} from '@bufbuild/protobuf';
 import type {ExplainedOption, Finding} from '@anvilrudder/core';
 import * as wire from '@anvilrudder/peers';
+import type {OrderPlanStatus} from '../orders/order_plans.js';
 import type {
   ChangeOutcome,
   MemberStatus,
@@ -105,3 +106,13 @@
     ratings: BigInt(status.ratings),
   });
 }
+
+/** Encodes how far a plan of orders is. */
+export function encodeOrderPlan(status: OrderPlanStatus): wire.OrderPlan {
+  return create(wire.OrderPlanSchema, {
+    planId: status.planId,
+    planned: status.plannedCount,
+    applied: status.appliedCount,
+    cancelled: status.cancelledCount,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/control/orders/engine_orders.ts
@@ -0,0 +1,31 @@
+import type {EngineClient} from '@anvilrudder/platform';
+import type {BackendDirectory} from '../../backends/backend_directory.js';
+import type {EngineOrders} from './rollout_runner.js';
+
+/**
+ * Sends orders through the engine client to the hosts of the host list.
+ *
+ * @example
+ * ```ts
+ * const orders = createEngineOrders(clients.engines, directory);
+ * ```
+ */
+export function createEngineOrders(
+  client: EngineClient,
+  directory: BackendDirectory,
+): EngineOrders {
+  return {
+    async send(engine, order) {
+      const address = directory.findAddress(engine);
+      if (address === undefined) return 'failed';
+      const result = await client.order(address, order);
+      return result.status;
+    },
+    async loaded(engine) {
+      const address = directory.findAddress(engine);
+      if (address === undefined) throw new Error(`${engine} is not listed`);
+      const load = await client.load(address);
+      return load.loaded;
+    },
+  };
+}
--- a/packages/entry/src/control/orders/rollout_runner.ts
+++ b/packages/entry/src/control/orders/rollout_runner.ts
@@ -65,6 +65,8 @@
 export interface RolloutRunner {
   /** Writes the steps; to be repeated with the same id until it is true. */
   plan(rolloutId: string, steps: readonly PlannedStep[]): Promise<boolean>;
+  /** Counts the steps by state; undefined when the object API is out. */
+  readProgress(rolloutId: string): Promise<RolloutProgress | undefined>;
   /** Cancels the steps that are not applied; false to be repeated. */
   cancel(rolloutId: string): Promise<boolean>;
   /**
@@ -154,15 +156,20 @@
     );
     const isApplied = await Promise.all(selected.map(s => this.runStep(s)));
     const appliedNow = isApplied.filter(Boolean).length;
-    const count = (state: string) =>
-      steps.filter(step => step.state === state).length;
+    const before = countSteps(steps);
     return {
-      plannedCount: count('planned') - appliedNow,
-      appliedCount: count('applied') + appliedNow,
-      cancelledCount: count('cancelled'),
+      ...before,
+      plannedCount: before.plannedCount - appliedNow,
+      appliedCount: before.appliedCount + appliedNow,
     };
   }
 
+  async readProgress(rolloutId: string): Promise<RolloutProgress | undefined> {
+    const {store} = this.options;
+    const steps = await runStoreProtocol(store, listRolloutSteps(rolloutId));
+    return steps && countSteps(steps);
+  }
+
   async repair(rolloutId: string): Promise<number> {
     const {store, engines} = this.options;
     const steps = await runStoreProtocol(store, listRolloutSteps(rolloutId));
@@ -225,6 +232,16 @@
   }
 }
 
+function countSteps(steps: readonly RolloutStep[]): RolloutProgress {
+  const count = (state: StepState): number =>
+    steps.filter(step => step.state === state).length;
+  return {
+    plannedCount: count('planned'),
+    appliedCount: count('applied'),
+    cancelledCount: count('cancelled'),
+  };
+}
+
 interface OrderAttempt {
   readonly outcome: OrderEvent['outcome'];
   readonly fencing: number;
--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -20,6 +20,8 @@
 import {createDutyRunner, type DutyRunner} from './leases/duty_runner.js';
 import {createLeaseKeeper} from './leases/lease_keeper.js';
 import {createControlRoutes, type VersionControl} from './operators/index.js';
+import {startOrderPlans, type OrderPlans} from './orders/order_plans.js';
+import type {EngineOrders} from './orders/rollout_runner.js';
 import {
   createPeerDirectory,
   type PeerDirectory,
@@ -61,6 +63,8 @@
   mount(routes: Routes): void;
   /** Lets operators see and decide of model versions. */
   setVersionControl(versions: VersionControl): void;
+  /** Starts to carry out orders to engines. */
+  startOrders(engines: EngineOrders): void;
   stop(): Promise<void>;
 }
 
@@ -128,6 +132,7 @@
   });
   const claimCollection = startClaimCollection(store, member, logger);
   let versionControl: VersionControl | undefined;
+  let orders: OrderPlans | undefined;
   const routes: Routes[] = [
     keeper.routes,
     billing.routes,
@@ -138,6 +143,7 @@
         list: query => audit.list({...query}),
       },
       versions: () => versionControl,
+      orders: () => orders,
       operatorTokens: settings.operators.map(({name, tokenSha256}) => ({
         name,
         sha256: tokenSha256,
@@ -160,6 +166,16 @@
     setVersionControl(versions) {
       versionControl = versions;
     },
+    startOrders(engines) {
+      orders = startOrderPlans({
+        store,
+        member,
+        engines,
+        audit,
+        logger,
+        readRevision: () => keeper.status().revision,
+      });
+    },
     mount(added) {
       routes.push(added);
       peers.mount(routes);
@@ -167,6 +183,7 @@
     async stop() {
       claimKeeper.stop();
       await claimCollection.stop();
+      await orders?.stop();
       await billing.stop();
       await keeper.stop();
       audit.stop();
--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -3,6 +3,7 @@
 import {createBackendClients} from './backends/create_backend_clients.js';
 import {watchBackends} from './backends/watch_backends.js';
 import type {Settings} from './config/settings_schema.js';
+import {createEngineOrders} from './control/orders/engine_orders.js';
 import {startControl} from './control/start_control.js';
 import {startDecisions} from './decisions/start_decisions.js';
 import type {EntryContext} from './entry_context.js';
@@ -55,6 +56,7 @@
     tls: tls.peers,
     listEntries: () => backends.listEntries(),
   });
+  control.startOrders(createEngineOrders(clients.engines, backends));
   const decisions = await startDecisions({
     settings,
     logger,
--- a/packages/entry/test/support/test_deployment.ts
+++ b/packages/entry/test/support/test_deployment.ts
@@ -20,6 +20,9 @@
   'agency-b': 'key-of-agency-b',
 } as const;
 
+/** Token of the operator `mina` of a test deployment. */
+export const OPERATOR_TOKEN = 'token-of-mina';
+
 /** Rules that most tests start from. */
 export const TEST_RULES = `
 model name=quick version=v1 cost-per-mtok=1 quality=0.8 # test: base
@@ -160,6 +163,14 @@
         name,
         apiKeySha256: [createHash('sha256').update(key).digest('hex')],
       })),
+      operators: [
+        {
+          name: 'mina',
+          tokenSha256: createHash('sha256')
+            .update(OPERATOR_TOKEN)
+            .digest('hex'),
+        },
+      ],
       sessions: {
         keys: [
           {id: 'k1', secretBase64: Buffer.alloc(32, 7).toString('base64')},
