Compare plans by estimate, hold them to the target with caution

The standard errors taken off each plan also decided which plans were compared as best, and plans with few ratings lost for that alone. Change: the hull is of estimated qualities; the weight on exposure counts where a plan is held against the target and in the ledger.

--- a/packages/core/src/routing/model_chooser.ts
+++ b/packages/core/src/routing/model_chooser.ts
@@ -222,8 +222,8 @@
     plan: RoutePlan | RatedPlan,
     qualityTarget: number,
   ): void {
-    if (!('quality' in plan)) return;
-    const next = surplus + plan.quality - qualityTarget;
+    if (!('cautiousQuality' in plan)) return;
+    const next = surplus + plan.cautiousQuality - qualityTarget;
     this.surplusByLedger.set(
       ledger,
       clamp(next, -MAX_SURPLUS_REQUESTS, MAX_SURPLUS_REQUESTS),
--- a/packages/core/src/routing/model_option.ts
+++ b/packages/core/src/routing/model_option.ts
@@ -25,6 +25,8 @@
 export interface RatedPlan extends RoutePlan {
   readonly costPerMtok: number;
   readonly quality: number;
+  /** The quality less the standard errors that the weights call for. */
+  readonly cautiousQuality: number;
 }
 
 /** What the deployment weighs; only the ratio of the two matters. */
--- a/packages/core/src/routing/model_policies.ts
+++ b/packages/core/src/routing/model_policies.ts
@@ -44,11 +44,13 @@
 function pickLearntMix(context: PickContext): RoutePlan {
   const {qualityTarget, surplus} = context;
   const plans = context.planTable();
-  const upperIndex = plans.findIndex(plan => plan.quality >= qualityTarget);
+  const upperIndex = plans.findIndex(
+    plan => plan.cautiousQuality >= qualityTarget,
+  );
   if (upperIndex === 0) return plans[0];
   if (upperIndex < 0) return plans[plans.length - 1];
   const lower = plans[upperIndex - 1];
-  const isAffordable = surplus + lower.quality - qualityTarget >= 0;
+  const isAffordable = surplus + lower.cautiousQuality - qualityTarget >= 0;
   return isAffordable ? lower : plans[upperIndex];
 }
 
--- a/packages/core/src/routing/plan_table.ts
+++ b/packages/core/src/routing/plan_table.ts
@@ -51,7 +51,8 @@
       steps: [option],
       checkThresholds: [],
       costPerMtok: option.costPerMtok,
-      quality: mean - caution * Math.sqrt(variance),
+      quality: mean,
+      cautiousQuality: mean - caution * Math.sqrt(variance),
     };
   });
 }
@@ -97,7 +98,8 @@
       steps: [first, next],
       checkThresholds: [(index + 1) / bins.length],
       costPerMtok: first.costPerMtok + escalatedShare * next.costPerMtok,
-      quality: keptMean - caution * error,
+      quality: keptMean,
+      cautiousQuality: keptMean - caution * error,
     };
   });
 }
