--- a/packages/entry/src/control/acceptance/peer_exchange.ts
+++ b/packages/entry/src/control/acceptance/peer_exchange.ts
@@ -121,10 +121,8 @@
         pause(node.options.loadWaitMs, node.stopSignal),
       ]);
     }
-    await node.waitFor(
-      () => listMissingDigests(node.state).length === 0,
-      node.options.loadWaitMs,
-    );
+    const isLoaded = await this.waitForContent(node.options.loadWaitMs);
+    if (!isLoaded) void this.acknowledgeLater(report.sender.peerAddress);
     // A grant must be recorded by the state that makes the answer.
     if (isGuestOf(node.state, report)) {
       node.dispatch({kind: 'peerAsked', report});
@@ -142,6 +140,21 @@
     return create(FetchContentResponseSchema, {content});
   }
 
+  private async waitForContent(timeoutMs: number): Promise<boolean> {
+    const {node} = this;
+    return node.waitFor(
+      () => listMissingDigests(node.state).length === 0,
+      timeoutMs,
+    );
+  }
+
+  private async acknowledgeLater(address: string): Promise<void> {
+    const {abortAfterMs} = this.node.options.acceptance;
+    if (await this.waitForContent(abortAfterMs)) {
+      await this.exchangeWith(address);
+    }
+  }
+
   private forgetOldAddresses(): void {
     const addresses = new Set(this.listAddresses());
     this.client.retainAddresses(addresses);
--- a/packages/entry/test/control/measure_control_cost.ts
+++ b/packages/entry/test/control/measure_control_cost.ts
@@ -93,6 +93,8 @@
       acceptance: {lostAfterMs: 60_000},
       exchangePeriodMs: 1_000,
       confirmPeriodMs: 1_000,
+      peerTimeoutMs: 1_000,
+      loadWaitMs: 500,
       initialRules: createRules(0),
     });
     await waitUntil(() => keeper.status().servesBy === 'store');
