Reload keys, tokens and the log level from the settings file

Cause: a new API key, operator token or session key needed a restart of every entry, and no record told when a host took it over.

Ruled out: audit ids made from digests of the keys, since nothing derived from a secret belongs in the trail; one record for the whole deployment, which would not tell from when every host refuses an old key.

Change: the settings file is read again on SIGHUP and when it changes. API keys, operators' tokens, session keys and the log level take effect; a file with findings leaves the settings in force and each finding is logged; fields that need a restart are named in a warning. Each change of a key is logged and goes to the audit trail as key.rotate with its kind and name, under an id of this run and its count, so that a repeated write is found and a repeated reload adds none.

Conclusion: a key rotates with overlap in three edits; a change made while an entry is stopped is not in the trail.

--- a/packages/entry/src/cli/entry_command.ts
+++ b/packages/entry/src/cli/entry_command.ts
@@ -43,7 +43,10 @@
       process.stdout.write(`${args.config}: no findings\n`);
       return;
     }
-    const entry = await startEntry(settings);
+    const entry = await startEntry(settings, {settingsFile: args.config});
+    process.on('SIGHUP', () => {
+      void entry.reload();
+    });
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
       process.once(signal, () => {
         void entry.stop();
--- /dev/null
+++ b/packages/entry/src/config/key_changes.ts
@@ -0,0 +1,85 @@
+import type {Settings} from './settings_schema.js';
+
+/** What kind of secret changed. */
+export type KeyKind = 'API key' | 'operator token' | 'session key';
+
+/** A change of a secret, described without it. */
+export interface KeyChange {
+  readonly kind: KeyKind;
+  /** Organisation, operator or id of the session key. */
+  readonly name: string;
+  readonly change: 'added' | 'removed' | 'signs';
+}
+
+interface NamedSecret {
+  readonly name: string;
+  readonly secret: string;
+}
+
+const SECRET_LISTS: ReadonlyMap<
+  KeyKind,
+  (settings: Settings) => readonly NamedSecret[]
+> = new Map([
+  [
+    'API key',
+    ({organisations}) =>
+      organisations.flatMap(({name, apiKeySha256}) =>
+        apiKeySha256.map(secret => ({name, secret})),
+      ),
+  ],
+  [
+    'operator token',
+    ({operators}) =>
+      operators.map(({name, tokenSha256}) => ({name, secret: tokenSha256})),
+  ],
+  [
+    'session key',
+    ({sessions}) =>
+      sessions.keys.map(({id, secretBase64}) => ({
+        name: id,
+        secret: secretBase64,
+      })),
+  ],
+]);
+
+/**
+ * Lists what changed between the secrets of two settings. A replaced secret
+ * is one removed and one added under the same name.
+ *
+ * @example
+ * ```ts
+ * listKeyChanges(before, after);
+ * // [{kind: 'session key', name: 'k2', change: 'added'}]
+ * ```
+ */
+export function listKeyChanges(
+  before: Settings,
+  after: Settings,
+): readonly KeyChange[] {
+  const changes: KeyChange[] = [];
+  for (const [kind, list] of SECRET_LISTS) {
+    const old = list(before);
+    const current = list(after);
+    for (const {name} of subtract(current, old)) {
+      changes.push({kind, name, change: 'added'});
+    }
+    for (const {name} of subtract(old, current)) {
+      changes.push({kind, name, change: 'removed'});
+    }
+  }
+  const signing = after.sessions.keys[0].id;
+  if (signing !== before.sessions.keys[0].id) {
+    changes.push({kind: 'session key', name: signing, change: 'signs'});
+  }
+  return changes;
+}
+
+function subtract(
+  left: readonly NamedSecret[],
+  right: readonly NamedSecret[],
+): readonly NamedSecret[] {
+  return left.filter(
+    ({name, secret}) =>
+      !right.some(other => other.name === name && other.secret === secret),
+  );
+}
--- /dev/null
+++ b/packages/entry/src/control/audit/record_key_changes.ts
@@ -0,0 +1,52 @@
+import type {MemberId} from '@anvilrudder/core';
+import type {Logger} from '@anvilrudder/observability';
+import type {KeyChange} from '../../config/key_changes.js';
+import type {AuditTrail} from './audit_trail.js';
+
+/** Options of {@link createKeyChangeRecorder}. */
+export interface KeyChangeRecorderOptions {
+  readonly audit: AuditTrail;
+  /** This run of this entry. */
+  readonly member: MemberId;
+  readonly logger: Logger;
+  /** Revision of the rules in force. */
+  readonly revision: () => number;
+}
+
+/**
+ * Creates the function that puts changes of secrets in the audit trail. Each
+ * host records when it took a change over; names and ids go in, never a
+ * secret or digest.
+ *
+ * @example
+ * ```ts
+ * const record = createKeyChangeRecorder({audit, member, logger, revision});
+ * record({kind: 'session key', name: 'k2', change: 'added'});
+ * ```
+ */
+export function createKeyChangeRecorder(
+  options: KeyChangeRecorderOptions,
+): (change: KeyChange) => void {
+  const {audit, member, logger, revision} = options;
+  let count = 0;
+  return ({kind, name, change}) => {
+    count += 1;
+    const currentRevision = revision();
+    audit
+      .append({
+        // Unique to this run and change: a repeated write is found by it.
+        id: `key.rotate/${member.host}/${member.incarnation}/${count}`,
+        timeMs: Date.now(),
+        host: member.host,
+        action: 'key.rotate',
+        who: 'settings file',
+        why: `${kind} ${name}`,
+        beforeRevision: currentRevision,
+        afterRevision: currentRevision,
+        outcome: change,
+      })
+      .catch((error: unknown) => {
+        logger.warn('key_change_not_recorded', {name, reason: String(error)});
+      });
+  };
+}
--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -53,6 +53,8 @@
   readonly directory: PeerDirectory;
   readonly transports: PeerTransports;
   readonly peerAddress: string;
+  /** Puts other operators' tokens in force. */
+  setOperators(operators: Settings['operators']): void;
   /** Adds a service to the server for other entries. */
   mount(routes: Routes): void;
   stop(): Promise<void>;
@@ -116,22 +118,22 @@
     metrics,
   });
   const claimKeeper = createClaimKeeper({store, member});
-  const routes: Routes[] = [
-    keeper.routes,
-    billing.routes,
+  const createOperatorRoutes = (operators: Settings['operators']): Routes =>
     createControlRoutes({
       host: settings.host,
       keeper,
       audit: {
         list: query => audit.list({...query}),
       },
-      operatorTokens: settings.operators.map(({name, tokenSha256}) => ({
+      operatorTokens: operators.map(({name, tokenSha256}) => ({
         name,
         sha256: tokenSha256,
       })),
-    }),
-  ];
-  peers.mount(routes);
+    });
+  let operatorRoutes = createOperatorRoutes(settings.operators);
+  const routes: Routes[] = [keeper.routes, billing.routes];
+  const mountAll = (): void => peers.mount([...routes, operatorRoutes]);
+  mountAll();
   const isServing = await keeper.waitUntilServing(START_WAIT_MS);
   if (!isServing) logger.warn('rules_not_confirmed', {});
   return {
@@ -144,9 +146,13 @@
     directory,
     transports,
     peerAddress,
+    setOperators(operators) {
+      operatorRoutes = createOperatorRoutes(operators);
+      mountAll();
+    },
     mount(added) {
       routes.push(added);
-      peers.mount(routes);
+      mountAll();
     },
     async stop() {
       claimKeeper.stop();
--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -2,7 +2,10 @@
 import {BackendDirectory} from './backends/backend_directory.js';
 import {createBackendClients} from './backends/create_backend_clients.js';
 import {watchBackends} from './backends/watch_backends.js';
+import {createLiveCredentials} from './config/live_credentials.js';
+import {SettingsReloader} from './config/settings_reloader.js';
 import type {Settings} from './config/settings_schema.js';
+import {createKeyChangeRecorder} from './control/audit/record_key_changes.js';
 import {startControl} from './control/start_control.js';
 import {startDecisions} from './decisions/start_decisions.js';
 import type {EntryContext} from './entry_context.js';
@@ -10,7 +13,6 @@
 import {listen} from './server/listen.js';
 import {OpenRequests} from './server/open_requests.js';
 import {stopCallers} from './server/stop_callers.js';
-import {createAuthenticator} from './stages/authenticate.js';
 import {startTls} from './tls/index.js';
 
 /** A running entry. */
@@ -18,10 +20,18 @@
   readonly callerAddress: string;
   readonly peerAddress: string;
   readonly context: EntryContext;
+  /** Reads settings and certificates again. */
+  reload(): Promise<void>;
   /** Stops gracefully; resolves when no request is open. */
   stop(): Promise<void>;
 }
 
+/** Options of {@link startEntry}. */
+export interface StartEntryOptions {
+  /** File that the settings came from; watched for changes. */
+  readonly settingsFile?: string;
+}
+
 /**
  * Starts an entry: control first, then the server for callers.
  *
@@ -32,7 +42,10 @@
  * await entry.stop();
  * ```
  */
-export async function startEntry(settings: Settings): Promise<RunningEntry> {
+export async function startEntry(
+  settings: Settings,
+  options: StartEntryOptions = {},
+): Promise<RunningEntry> {
   const logger = createLogger({
     name: 'anvilrudder-entry',
     host: settings.host,
@@ -66,23 +79,14 @@
     decisions.engines.refresh(control.directory.listLive().length + 1);
   refreshPool();
   const stopRefreshing = backends.onChange(refreshPool);
+  const credentials = createLiveCredentials(settings);
   let isAccepting = true;
   const context: EntryContext = {
     settings,
     logger,
     metrics,
-    callers: createAuthenticator(
-      settings.organisations.map(({name, apiKeySha256}) => ({
-        name,
-        digests: apiKeySha256,
-      })),
-    ),
-    sessionKeys: {
-      keys: settings.sessions.keys.map(({id, secretBase64}) => ({
-        id,
-        secret: Buffer.from(secretBase64, 'base64'),
-      })),
-    },
+    callers: credentials.callers,
+    sessionKeys: credentials.sessionKeys,
     keeper: control.keeper,
     decisions,
     claims: control.claims,
@@ -100,6 +104,26 @@
   );
   const server = createCallerServer(context, tls.callers);
   const callerAddress = await listen(server, settings.listen);
+  const {settingsFile} = options;
+  const reloader =
+    settingsFile === undefined
+      ? undefined
+      : await SettingsReloader.create({
+          path: settingsFile,
+          settings,
+          logger,
+          apply: changed => {
+            credentials.update(changed);
+            control.setOperators(changed.operators);
+            logger.setLevel(changed.log.level);
+          },
+          record: createKeyChangeRecorder({
+            audit: control.audit,
+            member: control.member,
+            logger,
+            revision: () => control.keeper.status().revision,
+          }),
+        });
   logger.info('entry_started', {
     callerAddress,
     peerAddress: control.peerAddress,
@@ -109,8 +133,12 @@
     callerAddress,
     peerAddress: control.peerAddress,
     context,
+    async reload() {
+      await Promise.all([reloader?.reload(), tls.reload()]);
+    },
     async stop() {
       isAccepting = false;
+      reloader?.stop();
       await stopCallers(context, server);
       stopWatching();
       stopRefreshing();
--- a/packages/entry/test/support/test_deployment.ts
+++ b/packages/entry/test/support/test_deployment.ts
@@ -39,6 +39,8 @@
   readonly entryCount?: number;
   readonly engines?: readonly EngineStandInOptions[];
   readonly rules?: string;
+  /** Folder for a settings file `<host>.yaml` that each entry watches. */
+  readonly settingsFolder?: string;
   /** Changes the settings of every entry. */
   readonly settings?: (settings: Settings) => Settings;
 }
@@ -97,7 +99,11 @@
       hostsUrl: `http://${hosts.address}`,
       rulesFile,
     });
-    return startEntry(options.settings?.(settings) ?? settings);
+    const changed = options.settings?.(settings) ?? settings;
+    if (options.settingsFolder === undefined) return startEntry(changed);
+    const settingsFile = join(options.settingsFolder, `${host}.yaml`);
+    writeFileSync(settingsFile, stringify(changed));
+    return startEntry(changed, {settingsFile});
   };
   const entries = await Promise.all(
     Array.from({length: options.entryCount ?? 1}, (_, index) =>
--- a/packages/observability/src/logs/logger.ts
+++ b/packages/observability/src/logs/logger.ts
@@ -12,6 +12,11 @@
   error(event: string, fields?: LogFields): void;
 }
 
+/** A logger whose lowest level may change while it is in use. */
+export interface AdjustableLogger extends Logger {
+  setLevel(level: LogLevel): void;
+}
+
 /** Options of {@link createLogger}. */
 export interface LoggerOptions {
   /** Name of the program. */
@@ -48,7 +53,7 @@
  * logger.info('entry_started', {port: 8080});
  * ```
  */
-export function createLogger(options: LoggerOptions): Logger {
+export function createLogger(options: LoggerOptions): AdjustableLogger {
   const writeLine =
     options.writeLine ?? ((line: string) => process.stdout.write(line));
   const stream = {
@@ -71,6 +76,7 @@
     info: (event, fields) => target.info({fields}, event),
     warn: (event, fields) => target.warn({fields}, event),
     error: (event, fields) => target.error({fields}, event),
+    setLevel: level => target.level(level),
   };
 }
 
--- a/packages/observability/test/logs/key_value_line.test.ts
+++ b/packages/observability/test/logs/key_value_line.test.ts
@@ -57,3 +57,19 @@
   assert.equal(fields['reason'], 'two\nlines');
   assert.equal(fields['revision'], '3');
 });
+
+test('a change of the level counts from the next event', () => {
+  const lines: string[] = [];
+  const logger = createLogger({
+    name: 'test',
+    host: 'h1',
+    level: 'info',
+    writeLine: line => lines.push(line),
+  });
+  logger.setLevel('error');
+  logger.warn('hidden');
+  logger.setLevel('debug');
+  logger.debug('shown');
+  assert.equal(lines.length, 1);
+  assert.equal(parseKeyValueLine(lines[0].trimEnd())['event'], 'shown');
+});
