--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -59,6 +59,8 @@
   readonly directory: PeerDirectory;
   readonly transports: PeerTransports;
   readonly peerAddress: string;
+  /** Puts other operators' tokens in force. */
+  setOperators(operators: Settings['operators']): void;
   /** Adds a service to the server for other entries. */
   mount(routes: Routes): void;
   /** Lets operators see and decide of model versions. */
@@ -133,9 +135,7 @@
   const claimCollection = startClaimCollection(store, member, logger);
   let versionControl: VersionControl | undefined;
   let orders: OrderPlans | undefined;
-  const routes: Routes[] = [
-    keeper.routes,
-    billing.routes,
+  const createOperatorRoutes = (operators: Settings['operators']): Routes =>
     createControlRoutes({
       host: settings.host,
       keeper,
@@ -144,13 +144,15 @@
       },
       versions: () => versionControl,
       orders: () => orders,
-      operatorTokens: settings.operators.map(({name, tokenSha256}) => ({
+      operatorTokens: operators.map(({name, tokenSha256}) => ({
         name,
         sha256: tokenSha256,
       })),
-    }),
-  ];
-  peers.mount(routes);
+    });
+  let operatorRoutes = createOperatorRoutes(settings.operators);
+  const routes: Routes[] = [keeper.routes, billing.routes];
+  const mountAll = (): void => peers.mount([...routes, operatorRoutes]);
+  mountAll();
   const isServing = await keeper.waitUntilServing(START_WAIT_MS);
   if (!isServing) logger.warn('rules_not_confirmed', {});
   return {
@@ -176,9 +178,13 @@
         readRevision: () => keeper.status().revision,
       });
     },
+    setOperators(operators) {
+      operatorRoutes = createOperatorRoutes(operators);
+      mountAll();
+    },
     mount(added) {
       routes.push(added);
-      peers.mount(routes);
+      mountAll();
     },
     async stop() {
       claimKeeper.stop();
