--- /dev/null
+++ b/packages/experiments/src/capacity/capacity_billing.ts
@@ -0,0 +1,185 @@
+import {createRandom, encodeLink, type BillingRecord} from '@anvilrudder/core';
+import {
+  createBillingCompactor,
+  createBillingJournal,
+  createHeldRecords,
+  createPeerTransports,
+} from '@anvilrudder/entry/control';
+import {
+  LedgerService,
+  createHoldClient,
+  createLedgerHandlers,
+} from '@anvilrudder/peers';
+import type {CapacityCommand, CapacityOptions, Row} from './capacity_report.js';
+import {CountingMemoryStore} from './counting_memory_store.js';
+import {startRpcServer} from './loopback_server.js';
+import {countCalls, pauseMs, readCpuUs, readHeapBytes} from './usage_meter.js';
+
+const RECORD_COUNT = 400;
+const SMALL_RECORD_COUNT = 20;
+/** Records a second of one entry: today's few, and 3,800 / 360 and above. */
+const RATES_PER_S: readonly number[] = [10.6, 50];
+const BATCH_AGES_MS: readonly number[] = [2000, 10_000];
+const RUN_MS = 20_000;
+const SMALL_RUN_MS = 500;
+const PENDING_COUNT = 50_000;
+const SMALL_PENDING_COUNT = 1000;
+const PEER_HOST = 'entry-2';
+const MS_PER_S = 1000;
+
+function createRecord(index: number, tokens: number): BillingRecord {
+  return {
+    requestId: `01JDXZ4Q7M-${String(index).padStart(10, '0')}`,
+    organisation: `school-${index % 10}`,
+    period: '2026-12',
+    kind: 'icebreaker',
+    model: 'quick',
+    version: 'v3',
+    promptTokens: 300 + tokens,
+    outputTokens: 400 + tokens,
+    costMicros: 120,
+  };
+}
+
+interface Rate {
+  readonly recordsPerS: number;
+  readonly batchAgeMs: number;
+}
+
+/** One journal whose copies go over a socket to another entry. */
+async function measureRate(
+  {recordsPerS, batchAgeMs}: Rate,
+  {seed, isSmall}: CapacityOptions,
+): Promise<Row> {
+  const random = createRandom(seed);
+  const store = CountingMemoryStore.create();
+  const held = createHeldRecords({store});
+  const server = await startRpcServer(router => {
+    router.service(
+      LedgerService,
+      createLedgerHandlers(request => held.hold(request)),
+    );
+  });
+  const transports = createPeerTransports({timeoutMs: MS_PER_S});
+  const hold = createHoldClient(transports.resolve(server.address));
+  const journal = createBillingJournal({
+    store,
+    incarnation: 'entry-1-1',
+    choosePeer: () => ({host: PEER_HOST, hold}),
+    maxBatchAgeMs: batchAgeMs,
+    random,
+  });
+  const runMs = isSmall ? SMALL_RUN_MS : RUN_MS;
+  const count = Math.max(1, Math.round((recordsPerS * runMs) / MS_PER_S));
+  const cpuBefore = process.cpuUsage();
+  const commits: Array<Promise<unknown>> = [];
+  for (let i = 0; i < count; i++) {
+    commits.push(journal.commit(createRecord(i, Math.floor(random() * 50))));
+    await pauseMs(runMs / count);
+  }
+  await Promise.all(commits);
+  const cpuUs = readCpuUs(cpuBefore);
+  await journal.flush();
+  const {bytesReceived, bytesSent} = server.readTraffic();
+  journal.stop();
+  held.stop();
+  transports.close();
+  server.stop();
+  const {writes, writtenBytes} = store.counts;
+  return {
+    part: `journal, batch of ${batchAgeMs} ms`,
+    recordsPerS,
+    writesPerS: (writes * MS_PER_S) / runMs,
+    storedBytesPerRecord: writtenBytes / count,
+    copyBytesPerRecord: (bytesReceived + bytesSent) / count,
+    cpuUsPerRecord: cpuUs / count,
+  };
+}
+
+async function measurePending({isSmall}: CapacityOptions): Promise<Row> {
+  const count = isSmall ? SMALL_PENDING_COUNT : PENDING_COUNT;
+  const store = CountingMemoryStore.create();
+  const held = createHeldRecords({store, maxRecords: count});
+  const journal = createBillingJournal({
+    store,
+    incarnation: 'entry-1-1',
+    choosePeer: () => ({host: PEER_HOST, hold: async () => {}}),
+    maxBatchAgeMs: 3_600_000,
+    maxBatchRecords: count + 1,
+    maxPendingRecords: count,
+  });
+  const heapBefore = readHeapBytes();
+  for (let i = 0; i < count; i++) await journal.commit(createRecord(i, i % 50));
+  const heapBetween = readHeapBytes();
+  const batch = {shard: 0, incarnation: 'entry-9-1', sequence: 1};
+  for (let i = 0; i < count; i++) {
+    const records = [createRecord(i, i % 50)];
+    held.hold({batch: {...batch, records}, durableThrough: 0});
+  }
+  const heapAfter = readHeapBytes();
+  const row = {
+    part: 'pending records',
+    journalBytesPerRecord: (heapBetween - heapBefore) / count,
+    heldBytesPerRecord: (heapAfter - heapBetween) / count,
+    encodedBytesPerRecord:
+      encodeLink({
+        writer: 'origin',
+        records: Array.from({length: 42}, (_, i) => createRecord(i, i)),
+      }).length / 42,
+  };
+  journal.stop();
+  held.stop();
+  if (held.recordCount + journal.status().pendingRecords < 2 * count) {
+    throw new Error('records missing');
+  }
+  return row;
+}
+
+async function measureCompaction({isSmall}: CapacityOptions): Promise<Row> {
+  const store = CountingMemoryStore.create();
+  const member = {host: 'entry-1', incarnation: 'entry-1-1'};
+  const compactor = createBillingCompactor({store, member, shard: 0});
+  const journal = createBillingJournal({
+    store,
+    incarnation: member.incarnation,
+    maxBatchRecords: 42,
+    groupCommitMs: 0,
+  });
+  const count = (isSmall ? SMALL_RECORD_COUNT : RECORD_COUNT) * 42;
+  await Promise.all(
+    Array.from({length: count}, (_, i) => journal.commit(createRecord(i, 0))),
+  );
+  const cpuBefore = process.cpuUsage();
+  let batches = 0;
+  const calls = await countCalls(store, async () => {
+    batches = (await compactor.compact()).foldedCount;
+    await compactor.compact();
+  });
+  const cpuUs = readCpuUs(cpuBefore);
+  journal.stop();
+  return {
+    part: 'compaction, batches of 42',
+    callsPerBatch: calls / Math.max(1, batches),
+    cpuUsPerRecord: cpuUs / count,
+  };
+}
+
+async function run(options: CapacityOptions) {
+  const rates = RATES_PER_S.flatMap(recordsPerS =>
+    BATCH_AGES_MS.map(batchAgeMs => ({recordsPerS, batchAgeMs})),
+  );
+  const rows: Row[] = [];
+  for (const rate of options.isSmall ? rates.slice(0, 1) : rates) {
+    rows.push(await measureRate(rate, options));
+  }
+  rows.push(await measurePending(options));
+  rows.push(await measureCompaction(options));
+  return {name: CAPACITY_BILLING.name, seed: options.seed, rows, fits: []};
+}
+
+/** Cost of billing a record. */
+export const CAPACITY_BILLING: CapacityCommand = {
+  name: 'capacity-billing',
+  description: 'writes, bytes, processor time and memory of a billing record',
+  run,
+};
--- a/packages/experiments/src/capacity/registry.ts
+++ b/packages/experiments/src/capacity/registry.ts
@@ -1,5 +1,17 @@
+import {CAPACITY_BILLING} from './capacity_billing.js';
+import {CAPACITY_LEDGER} from './capacity_ledger.js';
+import {CAPACITY_LOAD_REPORTS} from './capacity_load_reports.js';
 import type {CapacityCommand} from './capacity_report.js';
+import {CAPACITY_ROUTING} from './capacity_routing.js';
 import {CAPACITY_RULES} from './capacity_rules.js';
+import {CAPACITY_SHARING} from './capacity_sharing.js';
 
 /** Every capacity command, in the order of `--list`. */
-export const CAPACITY_COMMANDS: readonly CapacityCommand[] = [CAPACITY_RULES];
+export const CAPACITY_COMMANDS: readonly CapacityCommand[] = [
+  CAPACITY_RULES,
+  CAPACITY_SHARING,
+  CAPACITY_BILLING,
+  CAPACITY_LEDGER,
+  CAPACITY_LOAD_REPORTS,
+  CAPACITY_ROUTING,
+];
