--- a/packages/experiments/src/capacity/capacity_rules.ts
+++ b/packages/experiments/src/capacity/capacity_rules.ts
@@ -1,4 +1,4 @@
-import {createRandom} from '@anvilrudder/core';
+import {createRandom, formatHead} from '@anvilrudder/core';
 import {
   fitColumns,
   type CapacityCommand,
@@ -6,31 +6,30 @@
   type CapacityReport,
   type Row,
 } from './capacity_report.js';
-import {KeeperGroup} from './keeper_group.js';
+import {KeeperGroup, createAbsentMembers} from './keeper_group.js';
 import {createRuleText} from './rule_text.js';
-import {
-  pauseMs,
-  readCpuUs,
-  readHeapBytes,
-  toCorePercent,
-  waitUntil,
-} from './usage_meter.js';
+import {pauseMs, readCpuUs, toCorePercent, waitUntil} from './usage_meter.js';
 
-const MEMBER_COUNTS: readonly number[] = [2, 4, 8, 16, 32];
+const MEMBER_COUNTS: readonly number[] = [2, 4, 8, 16, 32, 48];
+/** Fewer members have fewer peers than an exchange asks in a period. */
+const MIN_FITTED_MEMBERS = 4;
 const LINE_COUNTS: readonly number[] = [100, 400, 1600];
 const LINE_MEMBER_COUNT = 8;
 const DEFAULT_LINE_COUNT = 200;
 const REST_MS = 8000;
 const SMALL_REST_MS = 300;
 const CHANGE_COUNT = 5;
+/** Milliseconds of a second of one core. */
+const CPU_MS_PER_PERCENT = 10;
 const TARGET_MEMBERS = 360;
 const TARGET_LINES = 4000;
 const REST_COLUMNS: readonly string[] = [
   'bytesPerS',
   'messagesPerS',
   'cpuPercent',
-  'heapBytes',
   'objectCallsPerS',
+  'objectReadBytesPerS',
+  'headBytes',
 ];
 const CHANGE_COLUMNS: readonly string[] = [
   'bytesPerChange',
@@ -50,14 +49,18 @@
   {seed, isSmall}: CapacityOptions,
 ): Promise<Row> {
   const group = KeeperGroup.create(createRandom(seed));
-  const heapBefore = readHeapBytes();
   await group.start(members, createRuleText(lines, 0));
-  const heapBytes = (readHeapBytes() - heapBefore) / members;
   const rest = await measureRest(group, isSmall ? SMALL_REST_MS : REST_MS);
-  const change = await measureChanges(group, lines, isSmall ? 1 : CHANGE_COUNT);
+  const change = await measureChanges(
+    group,
+    lines,
+    isSmall ? 1 : CHANGE_COUNT,
+    rest,
+  );
   const joinMs = await measureJoin(group);
   await group.stop();
-  return {members, lines, ...rest, heapBytes, ...change, joinMs};
+  const headBytes = measureHeadBytes(members);
+  return {members, lines, ...rest, headBytes, ...change, joinMs};
 }
 
 async function measureRest(group: KeeperGroup, durationMs: number) {
@@ -73,14 +76,27 @@
     messagesPerS: perMember(after.messages - before.messages),
     cpuPercent: toCorePercent(cpuUs, durationMs) / group.members.length,
     objectCallsPerS: (after.objectCalls - before.objectCalls) / seconds,
+    objectReadBytesPerS:
+      (after.objectReadBytes - before.objectReadBytes) / seconds,
   };
 }
 
-// Figures are what the changes took, work at rest during them included.
+function measureHeadBytes(members: number): number {
+  return formatHead({
+    sequence: 1,
+    rules: {revision: 1, digest: 'x'.repeat(64)},
+    members: createAbsentMembers(members),
+    pending: undefined,
+    recent: [],
+  }).length;
+}
+
+// What the members would have spent at rest meanwhile is taken off.
 async function measureChanges(
   group: KeeperGroup,
   lines: number,
   changeCount: number,
+  rest: Awaited<ReturnType<typeof measureRest>>,
 ) {
   const {members} = group;
   const before = group.readTotals();
@@ -102,14 +118,23 @@
     );
   }
   const after = group.readTotals();
-  const perMember = (spent: number) => spent / changeCount / members.length;
+  const elapsedMs = performance.now() - startedAtMs;
+  const perMember = (spent: number, restPerS: number) =>
+    (spent / members.length - (restPerS * elapsedMs) / 1000) / changeCount;
+  const cpuMs = readCpuUs(cpuBefore) / 1000;
+  const objectCalls =
+    after.objectCalls -
+    before.objectCalls -
+    (rest.objectCallsPerS * elapsedMs) / 1000;
   return {
-    bytesPerChange: perMember(after.bytes - before.bytes),
-    messagesPerChange: perMember(after.messages - before.messages),
-    cpuMsPerChange: perMember(readCpuUs(cpuBefore) / 1000),
-    objectCallsPerChange:
-      (after.objectCalls - before.objectCalls) / changeCount,
-    changeMs: (performance.now() - startedAtMs) / changeCount,
+    bytesPerChange: perMember(after.bytes - before.bytes, rest.bytesPerS),
+    messagesPerChange: perMember(
+      after.messages - before.messages,
+      rest.messagesPerS,
+    ),
+    cpuMsPerChange: perMember(cpuMs, rest.cpuPercent * CPU_MS_PER_PERCENT),
+    objectCallsPerChange: objectCalls / changeCount,
+    changeMs: elapsedMs / changeCount,
   };
 }
 
@@ -149,17 +174,12 @@
     rows: [...byMembers, ...byLines],
     fits: [
       ...fitColumns(
-        byMembers,
+        byMembers.filter(row => Number(row.members) >= MIN_FITTED_MEMBERS),
         'members',
         [...REST_COLUMNS, ...CHANGE_COLUMNS, 'joinMs'],
         TARGET_MEMBERS,
       ),
-      ...fitColumns(
-        byLines,
-        'lines',
-        ['heapBytes', ...CHANGE_COLUMNS],
-        TARGET_LINES,
-      ),
+      ...fitColumns(byLines, 'lines', CHANGE_COLUMNS, TARGET_LINES),
     ],
   };
 }
--- a/packages/experiments/src/capacity/counting_memory_store.ts
+++ b/packages/experiments/src/capacity/counting_memory_store.ts
@@ -18,6 +18,8 @@
   lists: number;
   watches: number;
   writtenBytes: number;
+  /** Values in answers, those of refused writes included. */
+  readBytes: number;
 }
 
 /** An object store in memory that counts its calls. */
@@ -29,6 +31,7 @@
     lists: 0,
     watches: 0,
     writtenBytes: 0,
+    readBytes: 0,
   };
   private readonly objects = new Map<string, StoredObject>();
   private readonly events: WatchEvent[] = [];
@@ -49,7 +52,7 @@
 
   async get(key: string): Promise<StoredObject | undefined> {
     this.counts.reads += 1;
-    return this.objects.get(key);
+    return this.countRead(this.objects.get(key));
   }
 
   async list(prefix: string, after = ''): Promise<ObjectPage> {
@@ -59,7 +62,7 @@
       .sort();
     const page = keys.slice(0, PAGE_SIZE);
     return {
-      objects: page.flatMap(key => this.objects.get(key) ?? []),
+      objects: page.flatMap(key => this.countRead(this.objects.get(key)) ?? []),
       storeVersion: this.version,
       nextAfter: keys.length > PAGE_SIZE ? page.at(-1) : undefined,
     };
@@ -92,7 +95,16 @@
         event => event.version > afterVersion && event.key.startsWith(prefix),
       );
     if (find().length === 0) await this.waitForEvent(timeoutMs, signal);
-    return {events: find(), storeVersion: this.version};
+    const events = find();
+    for (const event of events) {
+      this.counts.readBytes += event.value?.length ?? 0;
+    }
+    return {events, storeVersion: this.version};
+  }
+
+  private countRead<T extends StoredObject | undefined>(object: T): T {
+    this.counts.readBytes += object?.value.length ?? 0;
+    return object;
   }
 
   private async waitForEvent(
@@ -117,7 +129,9 @@
     condition: WriteCondition,
   ): WriteResult {
     const current = this.objects.get(key);
-    if (!isMet(condition, current)) return {status: 'conflict', current};
+    if (!isMet(condition, current)) {
+      return {status: 'conflict', current: this.countRead(current)};
+    }
     this.version += 1;
     const {version} = this;
     if (value === undefined) this.objects.delete(key);
--- a/packages/experiments/src/capacity/keeper_group.ts
+++ b/packages/experiments/src/capacity/keeper_group.ts
@@ -30,6 +30,14 @@
   readonly bytes: number;
   readonly messages: number;
   readonly objectCalls: number;
+  readonly objectReadBytes: number;
+}
+
+/** Members that a head names, without servers behind them. */
+export function createAbsentMembers(count: number): readonly Member[] {
+  return Array.from({length: count}, (_, index) =>
+    createMemberAt(index, `10.1.${index >> 8}.${index & 255}:7071`),
+  );
 }
 
 /** Keepers of this process that talk over loopback, with one store. */
@@ -91,6 +99,7 @@
       ),
       messages: sum(c => c.peerClient.calls),
       objectCalls: this.store.callCount,
+      objectReadBytes: this.store.counts.readBytes,
     };
   }
 
@@ -132,10 +141,14 @@
 
 function createMember(server: Server, index: number): Member {
   const {port} = server.address() as AddressInfo;
+  return createMemberAt(index, `127.0.0.1:${port}`);
+}
+
+function createMemberAt(index: number, peerAddress: string): Member {
   return {
     host: `entry-${index}`,
     incarnation: `4d0c6f9e-6b3a-4b62-9a52-${String(index).padStart(12, '0')}`,
     failureDomain: `domain-${index % DOMAIN_COUNT}`,
-    peerAddress: `127.0.0.1:${port}`,
+    peerAddress,
   };
 }
--- a/packages/experiments/src/capacity/registry.ts
+++ b/packages/experiments/src/capacity/registry.ts
@@ -1,6 +1,7 @@
 import {CAPACITY_BILLING} from './capacity_billing.js';
 import {CAPACITY_LEDGER} from './capacity_ledger.js';
 import {CAPACITY_LOAD_REPORTS} from './capacity_load_reports.js';
+import {CAPACITY_PROCESS} from './capacity_process.js';
 import type {CapacityCommand} from './capacity_report.js';
 import {CAPACITY_ROUTING} from './capacity_routing.js';
 import {CAPACITY_RULES} from './capacity_rules.js';
@@ -13,5 +14,6 @@
   CAPACITY_BILLING,
   CAPACITY_LEDGER,
   CAPACITY_LOAD_REPORTS,
+  CAPACITY_PROCESS,
   CAPACITY_ROUTING,
 ];
