Prove rules and confirmations with entries as real processes

Cause: the fault tables ran all entries in one process, so kills, freezes and restarts were only imitated. Ruled out: signals to the stand-ins, which are the judge; they stay in the test's process and their counters are read directly. Restarts here keep their address, as settings with a fixed port do. Conclusion: zero executions of a withdrawn version after acceptance, also from an entry that was frozen across it.

--- /dev/null
+++ b/packages/entry/test/faults/process_restarts.test.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {applyRules} from '../support/operator.js';
+import {
+  readReadiness,
+  startProcessDeployment,
+  waitForReady,
+  type ProcessDeployment,
+} from '../support/process_deployment.js';
+import {generate} from '../support/test_caller.js';
+import {TEST_RULES} from '../support/test_deployment.js';
+
+const ALL_V2 = TEST_RULES.replace('share=0%', 'share=100%');
+const WITHDRAWN = `${ALL_V2}withdraw model=quick version=v2 # test: bad\n`;
+
+const RESTARTS = [
+  {
+    fault: 'the store down',
+    set: (deployment: ProcessDeployment) =>
+      deployment.objects.setFaults({isDown: true}),
+    clear: (deployment: ProcessDeployment) =>
+      deployment.objects.setFaults({isDown: false}),
+    isServedDuring: false,
+  },
+  {
+    fault: 'the store slow',
+    set: (deployment: ProcessDeployment) =>
+      deployment.objects.setFaults({delayMs: 200}),
+    clear: (deployment: ProcessDeployment) =>
+      deployment.objects.setFaults({delayMs: 0}),
+    isServedDuring: true,
+  },
+] as const;
+
+for (const {fault, set, clear, isServedDuring} of RESTARTS) {
+  test(`[rules] all entries killed and restarted with ${fault}: no older revision`, async () => {
+    const deployment = await startProcessDeployment({rules: ALL_V2});
+    try {
+      const outcome = await applyRules(deployment.entries[0].peerAddress, {
+        content: WITHDRAWN,
+        baseRevision: 1,
+      });
+      assert.equal(outcome.state, 'accepted', outcome.reason);
+      await Promise.all(deployment.entries.map(entry => entry.kill()));
+      set(deployment);
+      const restarted = await Promise.all(
+        deployment.entries.map(deployment.restartEntry),
+      );
+      const during = await Promise.all(
+        restarted.map(({callerAddress}) => generate(callerAddress)),
+      );
+      for (const answer of during) {
+        if (answer.isWhole) assert.equal(answer.version, 'quick@v1');
+        else assert.equal(answer.execution, 'notRun', answer.code);
+      }
+      if (!isServedDuring) {
+        assert.deepEqual(
+          [...new Set(during.map(({code}) => code))],
+          ['not_ready'],
+        );
+      }
+      clear(deployment);
+      for (const {callerAddress} of restarted) {
+        await waitForReady(callerAddress, 2);
+        const answer = await generate(callerAddress);
+        assert.equal(answer.version, 'quick@v1', answer.code);
+      }
+      assert.equal(deployment.countExecutions('quick@v2'), 0);
+    } finally {
+      await deployment.stop();
+    }
+  });
+}
+
+test('[rules] all entries killed and restarted on an older copy of the store: no older revision', async () => {
+  const deployment = await startProcessDeployment({rules: ALL_V2});
+  try {
+    deployment.objects.setFaults({staleReads: true});
+    const outcome = await applyRules(deployment.entries[0].peerAddress, {
+      content: WITHDRAWN,
+      baseRevision: 1,
+    });
+    assert.equal(outcome.state, 'accepted', outcome.reason);
+    await Promise.all(deployment.entries.map(entry => entry.kill()));
+    const restarted = await Promise.all(
+      deployment.entries.map(deployment.restartEntry),
+    );
+    for (const {callerAddress} of restarted) {
+      const ready = await readReadiness(callerAddress);
+      const answer = await generate(callerAddress);
+      if (ready?.httpStatus === 200) assert.equal(ready.revision, 2);
+      if (answer.isWhole) assert.equal(answer.version, 'quick@v1');
+    }
+    deployment.objects.setFaults({staleReads: false});
+    for (const {callerAddress} of restarted) {
+      await waitForReady(callerAddress, 2);
+      const answer = await generate(callerAddress);
+      assert.equal(answer.version, 'quick@v1', answer.code);
+    }
+    assert.equal(deployment.countExecutions('quick@v2'), 0);
+  } finally {
+    await deployment.stop();
+  }
+});
--- /dev/null
+++ b/packages/entry/test/faults/process_withdrawal.test.ts
@@ -0,0 +1,139 @@
+import assert from 'node:assert/strict';
+import {randomUUID} from 'node:crypto';
+import {test} from 'node:test';
+import {LoadGroup} from '../support/load_group.js';
+import {
+  applyRules,
+  connectOperator,
+  decideChange,
+} from '../support/operator.js';
+import {
+  startProcessDeployment,
+  waitForReady,
+  type ProcessDeployment,
+} from '../support/process_deployment.js';
+import {generate} from '../support/test_caller.js';
+import {TEST_RULES, waitUntil} from '../support/test_deployment.js';
+
+const ALL_V2 = TEST_RULES.replace('share=0%', 'share=100%');
+const WITHDRAWN = `${ALL_V2}withdraw model=quick version=v2 # test: bad\n`;
+const WORKERS_PER_ENTRY = 3;
+const ANSWERS_BEFORE = 20;
+const ANSWERS_AFTER = 30;
+
+function startLoad(deployment: ProcessDeployment): LoadGroup {
+  const {entries} = deployment;
+  return LoadGroup.start(entries.length * WORKERS_PER_ENTRY, worker =>
+    generate(entries[worker % entries.length].callerAddress, {
+      prompt: `load of ${worker}`,
+    }),
+  );
+}
+
+const FREEZES = [
+  {
+    fault: 'no fault',
+    frozen: [],
+  },
+  {
+    fault: 'an entry frozen from before the change until after its acceptance',
+    frozen: [2],
+  },
+] as const;
+
+for (const {fault, frozen} of FREEZES) {
+  test(`[withdrawn] no new request after acceptance: ${fault}`, async () => {
+    const deployment = await startProcessDeployment({rules: ALL_V2});
+    try {
+      const {entries} = deployment;
+      const load = startLoad(deployment);
+      await waitUntil(
+        () => load.wholeCount >= ANSWERS_BEFORE,
+        'the load runs at every entry',
+      );
+      assert.ok(deployment.countExecutions('quick@v2') > 0);
+      for (const index of frozen) entries[index].freeze();
+      const outcome = await applyRules(entries[0].peerAddress, {
+        content: WITHDRAWN,
+        baseRevision: 1,
+      });
+      const atAcceptance = deployment.countExecutions('quick@v2');
+      assert.equal(outcome.state, 'accepted', outcome.reason);
+      for (const index of frozen) entries[index].thaw();
+      await Promise.all(
+        entries.map(({callerAddress}) => waitForReady(callerAddress, 2)),
+      );
+      const target = load.wholeCount + ANSWERS_AFTER;
+      await waitUntil(() => load.wholeCount >= target, 'the load goes on');
+      const {answers} = await load.stop();
+      assert.equal(deployment.countExecutions('quick@v2'), atAcceptance);
+      assert.deepEqual(
+        answers.filter(answer => answer.code === 'cut'),
+        [],
+      );
+      const last = await generate(entries[2].callerAddress);
+      assert.equal(last.version, 'quick@v1');
+    } finally {
+      await deployment.stop();
+    }
+  });
+}
+
+test('[rules] a change whose coordinator is killed is decided at another entry', async () => {
+  const deployment = await startProcessDeployment({rules: ALL_V2});
+  try {
+    const [coordinator, other, slow] = deployment.entries;
+    const change = {
+      changeId: randomUUID(),
+      content: WITHDRAWN,
+      baseRevision: 1,
+    };
+    // The frozen entry holds the change open until the coordinator is gone.
+    slow.freeze();
+    const asked = applyRules(coordinator.peerAddress, change).then(
+      () => 'answered',
+      () => 'lost',
+    );
+    await waitUntil(async () => {
+      const {objects} = await deployment.store.list('rules/');
+      return objects.some(({value}) => value.includes(change.changeId));
+    }, 'the change is proposed');
+    await coordinator.kill();
+    assert.equal(await asked, 'lost');
+    slow.thaw();
+    const outcome = await decideChange(other.peerAddress, change);
+    const again = await decideChange(slow.peerAddress, change);
+    assert.equal(again.state, outcome.state);
+    const answer = await generate(other.callerAddress);
+    assert.equal(
+      answer.version,
+      outcome.state === 'accepted' ? 'quick@v1' : 'quick@v2',
+    );
+  } finally {
+    await deployment.stop();
+  }
+});
+
+test('[rules] of two operators at two entries at once one is refused and told the change', async () => {
+  const deployment = await startProcessDeployment();
+  try {
+    const [first, second] = deployment.entries;
+    const changes = [
+      {entry: first, content: TEST_RULES.replace('share=0%', 'share=10%')},
+      {entry: second, content: TEST_RULES.replace('share=0%', 'share=20%')},
+    ];
+    const outcomes = await Promise.all(
+      changes.map(({entry, content}) =>
+        applyRules(entry.peerAddress, {content, baseRevision: 1}),
+      ),
+    );
+    const states = outcomes.map(({state}) => state).sort();
+    assert.deepEqual(states, ['accepted', 'refused']);
+    const accepted = outcomes.findIndex(({state}) => state === 'accepted');
+    assert.match(outcomes[1 - accepted].reason, /revision 2 by mina: test/);
+    const {content} = await connectOperator(first.peerAddress).getRules({});
+    assert.equal(content, changes[accepted].content);
+  } finally {
+    await deployment.stop();
+  }
+});
--- a/packages/entry/test/support/test_caller.ts
+++ b/packages/entry/test/support/test_caller.ts
@@ -4,6 +4,7 @@
 
 /** What a caller saw of one generation. */
 export interface SeenAnswer {
+  readonly requestId: string;
   readonly httpStatus: number;
   /** `ok`, the error code, or `cut` when neither end nor error came. */
   readonly code: string;
@@ -29,6 +30,7 @@
 }
 
 interface EventData {
+  readonly requestId?: string;
   readonly text?: string;
   readonly engineRequestId?: string;
   readonly model?: string;
@@ -37,6 +39,7 @@
   readonly error?: {
     readonly code: string;
     readonly execution: string;
+    readonly requestId: string;
     readonly retryAfterMs?: number;
   };
 }
@@ -124,6 +127,7 @@
     input.maxTokens,
   );
   return {
+    requestId: last?.data.error?.requestId ?? last?.data.requestId ?? '',
     httpStatus,
     code: isDone ? 'ok' : (last?.data.error?.code ?? 'cut'),
     execution: last?.data.error?.execution,
--- a/packages/entry/test/support/test_deployment.ts
+++ b/packages/entry/test/support/test_deployment.ts
@@ -124,12 +124,15 @@
   };
 }
 
-/** Waits until a condition holds; fails after ten seconds. */
+const WAIT_TIMEOUT_MS = 10_000;
+
+/** Waits until a condition holds; fails after ten seconds by default. */
 export async function waitUntil(
   condition: () => boolean | Promise<boolean>,
   what: string,
+  timeoutMs = WAIT_TIMEOUT_MS,
 ): Promise<void> {
-  const giveUpAtMs = performance.now() + 10_000;
+  const giveUpAtMs = performance.now() + timeoutMs;
   while (!(await condition())) {
     if (performance.now() > giveUpAtMs) throw new Error(`never: ${what}`);
     await new Promise(resolve => setTimeout(resolve, 10));
