List error codes, log events and metrics, checked against the source

Cause: callers and operators had no list of codes, events and metrics. Ruled out: a page generated at build, as the meaning and the advice are written by hand; a search by text, as it takes computed names for events. Conclusion: a new code, event or metric can't land without its row.

--- /dev/null
+++ b/packages/entry/test/docs/logs_and_metrics_page.test.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {readCodeSpans, readTableRows} from './doc_tables.js';
+import {listSourceCalls, readUnion, type SourceCall} from './source_calls.js';
+
+const PAGE = 'docs/api/logs_and_metrics.md';
+const LEVELS = ['debug', 'info', 'warn', 'error'];
+const METRIC_TYPES: ReadonlyMap<string, string> = new Map([
+  ['count', 'counter'],
+  ['recordMs', 'summary'],
+  ['registerGauge', 'gauge'],
+]);
+const KEEPER_EVENTS = 'packages/entry/src/control/acceptance/keeper_options.ts';
+const KEEPER_FIELDS = ['changeId', 'revision', 'who', 'why', 'detail'];
+const CERTIFICATE_FIELDS = ['use', 'names', 'validTo'];
+const TLS_SOURCE = 'packages/entry/src/tls';
+
+const ROWS = readTableRows(PAGE);
+const EVENT_ROWS = ROWS.filter(cells => LEVELS.includes(cells[1]));
+const METRIC_ROWS = ROWS.filter(cells =>
+  [...METRIC_TYPES.values()].includes(cells[1]),
+);
+
+/** Events whose name the caller of the logger is given. */
+function listComputedEvents(): readonly SourceCall[] {
+  const keeper = readUnion(KEEPER_EVENTS, 'kind').map(kind => ({
+    method: 'info',
+    name: kind.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`),
+    isComputed: true,
+    keys: KEEPER_FIELDS,
+  }));
+  const certificates = [
+    ...listSourceCalls('this', ['log'], TLS_SOURCE),
+    ...listSourceCalls('source', ['log'], TLS_SOURCE),
+  ].map(({name}) => ({
+    method: 'info',
+    name,
+    isComputed: true,
+    keys: CERTIFICATE_FIELDS,
+  }));
+  return [...keeper, ...certificates];
+}
+
+function listEvents(): readonly SourceCall[] {
+  const direct = listSourceCalls('logger', LEVELS);
+  assert.deepEqual(
+    direct
+      .filter(({isComputed}) => isComputed)
+      .map(({name}) => name)
+      .sort(),
+    ['event', 'toEventName(kind)'],
+    'the names of a further computed event must be listed',
+  );
+  return [
+    ...direct.filter(({isComputed}) => !isComputed),
+    ...listComputedEvents(),
+  ];
+}
+
+test('each row of the page is an event or a metric', () => {
+  assert.equal(EVENT_ROWS.length + METRIC_ROWS.length, ROWS.length);
+});
+
+test('the page lists each log event with its level, and no other', () => {
+  const listed = EVENT_ROWS.map(
+    cells => `${readCodeSpans(cells[0])[0]} ${cells[1]}`,
+  );
+  const written = new Set(
+    listEvents().map(({name, method}) => `${name} ${method}`),
+  );
+  assert.deepEqual([...listed].sort(), [...written].sort());
+});
+
+test('the page lists the fields of each log event', () => {
+  const listed = new Map(
+    EVENT_ROWS.map(cells => [
+      readCodeSpans(cells[0])[0],
+      readCodeSpans(cells[2]),
+    ]),
+  );
+  for (const {name, keys} of listEvents()) {
+    if (keys !== undefined) assert.deepEqual(listed.get(name), keys, name);
+  }
+});
+
+test('the page lists each metric with its type and labels, and no other', () => {
+  const listed = METRIC_ROWS.map(cells =>
+    [
+      readCodeSpans(cells[0])[0],
+      cells[1],
+      readCodeSpans(cells[3]).join(' '),
+    ].join(' '),
+  );
+  const written = listSourceCalls('metrics', [...METRIC_TYPES.keys()]).map(
+    ({method, name, keys}) => {
+      const labels = method === 'registerGauge' ? [] : (keys ?? []);
+      return [name, METRIC_TYPES.get(method), labels.join(' ')].join(' ');
+    },
+  );
+  assert.deepEqual([...listed].sort(), [...new Set(written)].sort());
+});
+
+test('each metric has a unit and each row a meaning', () => {
+  for (const cells of METRIC_ROWS) assert.notEqual(cells[2], '', cells[0]);
+  for (const cells of ROWS) assert.notEqual(cells.at(-1), '', cells[0]);
+});
