--- a/packages/core/test/acceptance/exploration.test.ts
+++ b/packages/core/test/acceptance/exploration.test.ts
@@ -198,6 +198,30 @@
   assert.equal(whole.run(JOIN_SCHEDULE), undefined);
 });
 
+// Entry 2 receives an answer of entry 1 only after a change that both others
+// acknowledged was committed.
+const LATE_ANSWER_SCHEDULE: readonly ScheduledAction[] = [
+  {kind: 'ask', a: 2, b: 1},
+  {kind: 'deliver', a: 0, b: 0},
+  {kind: 'propose', a: 0, b: 0},
+  {kind: 'exchange', a: 0, b: 0},
+  {kind: 'load', a: 1, b: 0},
+  {kind: 'exchange', a: 0, b: 0},
+  ...Array.from({length: 5}, () => ({kind: 'tick', a: 0, b: 0}) as const),
+  {kind: 'decide', a: 0, b: 0},
+  {kind: 'deliver', a: 0, b: 0},
+];
+
+test('a schedule in which an answer under way for long looks fresh', () => {
+  const broken = ProtocolModel.create(3, 0, {
+    answerSentAtMs: (_, nowMs) => nowMs,
+  });
+  assert.match(broken.run(LATE_ANSWER_SCHEDULE) ?? '', /entry 2 serves r1/);
+  const whole = ProtocolModel.create(3, 0);
+  assert.equal(whole.run(LATE_ANSWER_SCHEDULE), undefined);
+  assert.equal(whole.counts.accepted, 1);
+});
+
 function withOptions(
   state: EntryState,
   options: Partial<EntryState['options']>,
