Split the dispatch stage and the command table; yield to a full roll-out

Ruled out: shares of the rule file for the others (they sum to one before the ramp is applied). Change: the others of a model take what is left, nothing once a roll-out has all; unchanged shares give the same array, so that plans stay cached. The stage is attempt, step, dispatch and its errors; each command group has a table.

--- a/packages/cli/src/run_cli.ts
+++ b/packages/cli/src/run_cli.ts
@@ -8,14 +8,11 @@
 } from 'citty';
 import {isCliError} from './cli_error.js';
 import type {CliIo} from './cli_io.js';
-import {
-  ORDER_COMMANDS,
-  RULES_COMMANDS,
-  TOP_COMMANDS,
-  VERSION_COMMANDS,
-  type CommandSpec,
-  type CommandTable,
-} from './command_table.js';
+import type {CommandSpec, CommandTable} from './tables/command_spec.js';
+import {ORDER_COMMANDS} from './tables/orders_table.js';
+import {RULES_COMMANDS} from './tables/rules_table.js';
+import {TOP_COMMANDS} from './tables/top_table.js';
+import {VERSION_COMMANDS} from './tables/versions_table.js';
 import {EXIT_CODES, type ExitCode} from './exit_codes.js';
 import {OptionReader, type ParsedOptions} from './option_reader.js';
 
--- /dev/null
+++ b/packages/cli/src/tables/rules_table.ts
@@ -0,0 +1,124 @@
+import {runRulesApply} from '../commands/rules_apply.js';
+import {runRulesChange} from '../commands/rules_change.js';
+import {runRulesCheck} from '../commands/rules_check.js';
+import {runRulesDiff} from '../commands/rules_diff.js';
+import {runRulesShow} from '../commands/rules_show.js';
+import {runRulesStatus} from '../commands/rules_status.js';
+import {SILENT_PROGRESS} from '../progress.js';
+import {DEFAULT_SUBMIT_OPTIONS} from '../submit_change.js';
+import {
+  ENTRY_ARGS,
+  FILE_ARG,
+  JSON_ARG,
+  connect,
+  readTimeoutMs,
+  type CommandTable,
+} from './command_spec.js';
+
+/** Commands below `rules`. */
+export const RULES_COMMANDS: CommandTable = {
+  check: {
+    description: 'Check a rule file without any entry',
+    args: {...FILE_ARG, ...JSON_ARG},
+    run: (options, io) =>
+      runRulesCheck(
+        {file: options.readRequired('file'), isJson: options.readFlag('json')},
+        io,
+      ),
+  },
+  apply: {
+    description: 'Put a rule file in force everywhere, or refuse it',
+    args: {
+      ...FILE_ARG,
+      ...ENTRY_ARGS,
+      why: {type: 'string', description: 'Reason, for the audit trail'},
+      who: {type: 'string', description: 'Your name as the token has it'},
+      without: {
+        type: 'string',
+        valueHint: 'host',
+        description: 'Host you vouch is stopped or fenced; may be repeated',
+      },
+      base: {
+        type: 'string',
+        valueHint: 'revision',
+        description: 'Revision you edited, or latest',
+      },
+      'change-id': {
+        type: 'string',
+        valueHint: 'id',
+        description: 'Id of an earlier try; its outcome is repeated',
+      },
+    },
+    run: async (options, io) =>
+      runRulesApply(
+        {
+          file: options.readRequired('file'),
+          why: options.readRequired('why'),
+          who: options.readText('who') ?? '',
+          withoutHosts: options.readList('without'),
+          base: options.readText('base'),
+          changeId: options.readText('change-id'),
+          isProgressForced: options.readFlag('progress'),
+          isJson: options.readFlag('json'),
+          submit: {
+            ...DEFAULT_SUBMIT_OPTIONS,
+            timeoutMs: readTimeoutMs(options, DEFAULT_SUBMIT_OPTIONS.timeoutMs),
+          },
+        },
+        await connect(options, io, SILENT_PROGRESS),
+        io,
+      ),
+  },
+  change: {
+    description: 'Print the outcome of a change',
+    args: {
+      id: {type: 'positional', description: 'Change id', required: true},
+      ...ENTRY_ARGS,
+    },
+    run: async (options, io) =>
+      runRulesChange(
+        {
+          changeId: options.readRequired('id'),
+          isJson: options.readFlag('json'),
+        },
+        await connect(options, io),
+        io,
+      ),
+  },
+  status: {
+    description: 'Print what each entry has in force',
+    args: ENTRY_ARGS,
+    run: async (options, io) =>
+      runRulesStatus(
+        {isJson: options.readFlag('json')},
+        await connect(options, io),
+        io,
+      ),
+  },
+  show: {
+    description: 'Print the rule file in force',
+    args: {
+      ...ENTRY_ARGS,
+      revision: {type: 'boolean', description: 'Print the revision alone'},
+    },
+    run: async (options, io) =>
+      runRulesShow(
+        {
+          isRevisionOnly: options.readFlag('revision'),
+          isJson: options.readFlag('json'),
+        },
+        await connect(options, io),
+        io,
+      ),
+  },
+  diff: {
+    description: 'Compare a rule file with the rules in force',
+    args: {...FILE_ARG, ...ENTRY_ARGS},
+    run: async (options, io) =>
+      runRulesDiff(
+        {file: options.readRequired('file'), isJson: options.readFlag('json')},
+        await connect(options, io),
+        io,
+      ),
+  },
+};
--- /dev/null
+++ b/packages/cli/src/tables/top_table.ts
@@ -0,0 +1,64 @@
+import {
+  AUDIT_POLL_INTERVAL_MS,
+  DEFAULT_AUDIT_LIMIT,
+  runAudit,
+} from '../commands/audit.js';
+import {runExplain, runExplainFile} from '../commands/explain.js';
+import {ENTRY_ARGS, connect, type CommandTable} from './command_spec.js';
+
+/** Commands at the top level. */
+export const TOP_COMMANDS: CommandTable = {
+  audit: {
+    description: 'Print the audit trail',
+    args: {
+      ...ENTRY_ARGS,
+      who: {type: 'string', description: 'Only changes of this operator'},
+      action: {type: 'string', description: 'Only records of this action'},
+      after: {
+        type: 'string',
+        valueHint: 'sequence',
+        description: 'Only records after this sequence number',
+      },
+      limit: {
+        type: 'string',
+        valueHint: 'count',
+        description: `Most records of one listing (default ${DEFAULT_AUDIT_LIMIT})`,
+      },
+      follow: {type: 'boolean', description: 'Wait for further records'},
+    },
+    run: async (options, io) =>
+      runAudit(
+        {
+          who: options.readText('who') ?? '',
+          action: options.readText('action') ?? '',
+          afterSequence: BigInt(options.readInteger('after', 0, 0)),
+          limit: options.readInteger('limit', 1, DEFAULT_AUDIT_LIMIT),
+          isFollowing: options.readFlag('follow'),
+          isJson: options.readFlag('json'),
+          pollIntervalMs: AUDIT_POLL_INTERVAL_MS,
+        },
+        await connect(options, io),
+        io,
+      ),
+  },
+  explain: {
+    description: 'Explain which version a request gets, and by which rules',
+    args: {
+      ...ENTRY_ARGS,
+      organisation: {type: 'string', description: 'Organisation that asks'},
+      kind: {type: 'string', description: 'Kind of request'},
+      file: {type: 'string', description: 'Explain this file, not an entry'},
+    },
+    run: async (options, io) => {
+      const request = {
+        organisation: options.readRequired('organisation'),
+        kind: options.readRequired('kind'),
+        isJson: options.readFlag('json'),
+      };
+      const file = options.readText('file');
+      return file === undefined
+        ? runExplain(request, await connect(options, io), io)
+        : runExplainFile(request, file, io);
+    },
+  },
+};
--- a/packages/cli/test/rule_files.test.ts
+++ b/packages/cli/test/rule_files.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {readFile} from 'node:fs/promises';
 import {test} from 'node:test';
-import {RULES_COMMANDS, TOP_COMMANDS} from '../src/command_table.js';
+import {RULES_COMMANDS} from '../src/tables/rules_table.js';
+import {TOP_COMMANDS} from '../src/tables/top_table.js';
 import {runCli} from '../src/index.js';
 import {createFakeIo} from './fake_io.js';
 
--- a/packages/entry/src/config/settings_schema.ts
+++ b/packages/entry/src/config/settings_schema.ts
@@ -114,7 +114,7 @@
       /** Rule file that creates revision 1 when the deployment has none. */
       initialFile: z.string().optional(),
       /** An entry that has not confirmed its rules for this long stops. */
-      freshnessMs: DURATION_MS.default(4000),
+      freshnessMs: DURATION_MS.default(6000),
     })
     .prefault({}),
   requests: z
--- a/packages/entry/src/decisions/rollout_watch.ts
+++ b/packages/entry/src/decisions/rollout_watch.ts
@@ -25,11 +25,20 @@
   readonly onStop: (ruling: Ruling) => void;
 }
 
+interface LimitedOptions {
+  readonly key: string;
+  readonly options: readonly ModelOption[];
+}
+
 /** Follows the roll-outs of the rules in force and stops bad versions. */
 export class RolloutWatch {
   readonly evidence: EvidenceLedger;
   readonly rulings = RulingLedger.create();
   private readonly monitors = new Map<string, RolloutMonitor>();
+  private readonly limitedOptions = new WeakMap<
+    readonly ModelOption[],
+    LimitedOptions
+  >();
 
   private constructor(private readonly options: RolloutWatchOptions) {
     this.evidence = EvidenceLedger.create(options.member);
@@ -88,19 +97,55 @@
     }
   }
 
-  /** Holds the shares of versions in roll-out to their present step. */
-  limitShares(options: readonly ModelOption[]): readonly ModelOption[] {
-    if (!this.options.rampsOnEvidence || this.monitors.size === 0) {
-      return options;
+  /**
+   * Holds versions in roll-out to their present share; the other versions of
+   * the model take what is left, and nothing once a roll-out has it all. The
+   * same shares give the same array.
+   */
+  limitShares(
+    options: readonly ModelOption[],
+    rollouts: readonly RolloutRule[],
+  ): readonly ModelOption[] {
+    if (rollouts.length === 0) return options;
+    const shares = this.resolveShares(options, rollouts);
+    const key = shares.join();
+    const cached = this.limitedOptions.get(options);
+    if (cached?.key === key) return cached.options;
+    const limited = options.map((option, index) => ({
+      ...option,
+      share: shares[index],
+    }));
+    this.limitedOptions.set(options, {key, options: limited});
+    return limited;
+  }
+
+  private resolveShares(
+    options: readonly ModelOption[],
+    rollouts: readonly RolloutRule[],
+  ): readonly number[] {
+    const rolloutShares = options.map(option =>
+      rollouts.some(rule => isSameModelVersion(rule, option))
+        ? this.resolveRolloutShare(option)
+        : undefined,
+    );
+    const takenByModel = new Map<string, number>();
+    for (const [index, {model}] of options.entries()) {
+      const taken = takenByModel.get(model) ?? 0;
+      takenByModel.set(model, taken + (rolloutShares[index] ?? 0));
     }
-    if (!options.some(option => this.findMonitor(option))) return options;
-    return options.map(option => {
-      const monitor = this.findMonitor(option);
-      if (monitor === undefined) return option;
-      return {...option, share: Math.min(option.share, monitor.share)};
+    return options.map(({model, share}, index) => {
+      const isTaken = (takenByModel.get(model) ?? 0) >= 1;
+      return rolloutShares[index] ?? (isTaken ? 0 : share);
     });
   }
 
+  private resolveRolloutShare(option: ModelOption): number {
+    const monitor = this.options.rampsOnEvidence
+      ? this.findMonitor(option)
+      : undefined;
+    return Math.min(option.share, monitor?.share ?? 1);
+  }
+
   private decide(rollout: RolloutRule, baseline: ModelVersion): void {
     const key = formatModelVersion(rollout);
     const {model, version, share} = rollout;
--- a/packages/entry/src/stages/cascade.ts
+++ b/packages/entry/src/stages/cascade.ts
@@ -3,8 +3,9 @@
 import type {AnswerWriter} from '../server/answer_writer.js';
 import type {GenerateRequest} from './caller_request.js';
 import {passesCheck} from './check_answer.js';
-import {runStep, type StepResult, type TokenSink} from './dispatch.js';
+import {runStep} from './dispatch.js';
 import type {RoutePlan} from './route.js';
+import type {StepResult, TokenSink} from './step.js';
 
 /** A step that an engine ran to its end. */
 export interface RunStep extends ModelVersion {
--- a/packages/entry/src/stages/check_answer.ts
+++ b/packages/entry/src/stages/check_answer.ts
@@ -1,4 +1,4 @@
-import type {StepResult} from './dispatch.js';
+import type {StepResult} from './step.js';
 
 /**
  * Checks the answer of a cascade step that a better model could replace: it
--- /dev/null
+++ b/packages/entry/src/stages/dispatch_errors.ts
@@ -0,0 +1,77 @@
+import {
+  RouterError,
+  formatModelVersion,
+  isRouterError,
+} from '@anvilrudder/core';
+import {mayHaveRun} from '../backends/send_gate.js';
+import type {Progress, StepRequest} from './step.js';
+
+const NO_BACKEND_RETRY_MS = 2000;
+
+/**
+ * Explains an error that ends a request, such as a refusal by the rules; what
+ * earlier attempts may have run stays said.
+ *
+ * @example
+ * ```ts
+ * throw explainRefusal(error, progress);
+ * ```
+ */
+export function explainRefusal(error: unknown, progress: Progress): unknown {
+  if (!isRouterError(error)) return error;
+  const {code, publicMessage, retryAfterMs} = error;
+  if (progress.tokenCount > 0) {
+    return RouterError.create(
+      `The answer broke off after ${progress.tokenCount} tokens and may not be resumed: ${publicMessage}`,
+      {code: 'stream_broken', cause: error},
+    );
+  }
+  const execution = mayHaveRun(progress.failures) ? 'unknown' : error.execution;
+  return RouterError.create(publicMessage, {
+    code,
+    retryAfterMs,
+    execution,
+    cause: error,
+  });
+}
+
+/**
+ * Creates the error of a step without a whole answer.
+ *
+ * @example
+ * ```ts
+ * throw createFinalError(step, progress);
+ * ```
+ */
+export function createFinalError(
+  step: StepRequest,
+  progress: Progress,
+): RouterError {
+  const {failures, tokenCount} = progress;
+  const execution = mayHaveRun(failures) ? 'unknown' : 'notRun';
+  const cause = failures.at(-1);
+  const retryAfterMs = cause?.retryAfterMs ?? NO_BACKEND_RETRY_MS;
+  if (performance.now() >= step.request.deadlineAtMs) {
+    return RouterError.create('The deadline passed.', {
+      code: 'deadline_exceeded',
+      execution,
+      retryAfterMs,
+      cause,
+    });
+  }
+  if (cause === undefined) {
+    return RouterError.create(
+      `No backend server in service has ${formatModelVersion(step)}.`,
+      {code: 'no_backend', retryAfterMs},
+    );
+  }
+  return RouterError.create(
+    `No whole answer after ${tokenCount} tokens: ${cause.failure}.`,
+    {
+      code: execution === 'unknown' ? 'stream_broken' : 'backend_refused',
+      execution,
+      retryAfterMs,
+      cause,
+    },
+  );
+}
--- a/packages/entry/src/stages/route.ts
+++ b/packages/entry/src/stages/route.ts
@@ -203,6 +203,7 @@
 ): readonly ModelOption[] {
   return context.decisions.rollouts.limitShares(
     resolveModelOptions(inForce, request),
+    inForce.rules.rollouts,
   );
 }
 
