--- a/packages/entry/test/faults/process_restarts.test.ts
+++ b/packages/entry/test/faults/process_restarts.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {applyRules} from '../support/operator.js';
+import {applyRules, connectOperator} from '../support/operator.js';
 import {
   readReadiness,
   startProcessDeployment,
@@ -8,7 +8,7 @@
   type ProcessDeployment,
 } from '../support/process_deployment.js';
 import {generate} from '../support/test_caller.js';
-import {TEST_RULES} from '../support/test_deployment.js';
+import {TEST_RULES, waitUntil} from '../support/test_deployment.js';
 
 const ALL_V2 = TEST_RULES.replace('share=0%', 'share=100%');
 const WITHDRAWN = `${ALL_V2}withdraw model=quick version=v2 # test: bad\n`;
@@ -102,3 +102,41 @@
     await deployment.stop();
   }
 });
+
+test('[rules] all hosts replaced at other addresses serve nothing until the operator vouches for the old ones', async () => {
+  const deployment = await startProcessDeployment({rules: ALL_V2});
+  try {
+    const {entries} = deployment;
+    const lostHosts = entries.map(({host}) => host);
+    await waitUntil(async () => {
+      const status = await connectOperator(entries[0].peerAddress).getStatus(
+        {},
+      );
+      return status.members.length === entries.length;
+    }, 'every entry is a member');
+    await Promise.all(entries.map(entry => entry.kill()));
+    const replaced = await Promise.all(
+      lostHosts.map((host, index) =>
+        deployment.startEntry(`new-${host}`, index),
+      ),
+    );
+    for (const {callerAddress} of replaced) {
+      const answer = await generate(callerAddress);
+      assert.equal(answer.code, 'not_ready');
+      assert.equal(answer.execution, 'notRun');
+    }
+    const outcome = await applyRules(replaced[0].peerAddress, {
+      content: WITHDRAWN,
+      baseRevision: 1,
+      withoutHosts: lostHosts,
+    });
+    assert.equal(outcome.state, 'accepted', outcome.reason);
+    for (const {callerAddress} of replaced) {
+      await waitForReady(callerAddress, 2);
+      const answer = await generate(callerAddress);
+      assert.equal(answer.version, 'quick@v1', answer.code);
+    }
+  } finally {
+    await deployment.stop();
+  }
+});
--- a/packages/entry/test/support/operator.ts
+++ b/packages/entry/test/support/operator.ts
@@ -12,6 +12,8 @@
   readonly baseRevision: number;
   /** Default a fresh one. */
   readonly changeId?: string;
+  /** Hosts that the operator knows to have stopped. Default none. */
+  readonly withoutHosts?: readonly string[];
 }
 
 /** Connects to the operators' service of an entry. */
@@ -38,11 +40,13 @@
   input: ChangeInput,
 ): Promise<ChangeOutcome> {
   const {content, baseRevision, changeId = randomUUID()} = input;
+  const withoutHosts = [...(input.withoutHosts ?? [])];
   const {outcome} = await connectOperator(peerAddress).applyRules({
     changeId,
     why: 'test',
     content,
     baseRevision: BigInt(baseRevision),
+    withoutHosts,
   });
   if (outcome === undefined) throw new Error('no outcome');
   return outcome;
