Let a failed process test end although its load still runs

Cause: in a trial with a stop that cuts requests the file hung after its red verdict, since refused workers went on with a referenced timer. Change: the pause of a refused worker holds nothing open.

--- a/packages/entry/test/support/load_group.ts
+++ b/packages/entry/test/support/load_group.ts
@@ -47,8 +47,9 @@
         this.answers.push(await call());
       } catch {
         this.lostCount += 1;
-        // A refused connection fails at once; others get their turn.
-        await new Promise(resolve => setTimeout(resolve, 5));
+        // A refused connection fails at once; others get their turn. A test
+        // that failed leaves its load running, which must not hold it open.
+        await new Promise(resolve => setTimeout(resolve, 5).unref());
       }
     }
   }
