Make the reference of the settings from the schema

Cause: the settings had comments in the schema and no page.

Ruled out: a page kept by hand with a test of its paths alone, since types and defaults would drift.

--- a/packages/entry/src/config/settings_schema.ts
+++ b/packages/entry/src/config/settings_schema.ts
@@ -25,146 +25,219 @@
 const DURATION_MS = z.number().int().positive();
 
 const LISTEN = z.strictObject({
-  /** IP number to listen on. */
-  address: z.string().default('127.0.0.1'),
-  /** TCP port; 0 takes any free one. */
-  port: z.number().int().min(0).max(65_535),
+  address: z.string().default('127.0.0.1').describe('IP number to listen on.'),
+  port: z
+    .number()
+    .int()
+    .min(0)
+    .max(65_535)
+    .describe('TCP port; 0 takes any free one.'),
 });
 
 const TLS = z.strictObject({
-  /** PEM certificate chain; read again when the file changes. */
-  certFile: z.string(),
-  /** PEM private key. */
-  keyFile: z.string(),
-  /** PEM authorities that sign the certificates of the other side. */
-  caFile: z.string().optional(),
+  certFile: z
+    .string()
+    .describe('PEM certificate chain; read again when it changes.'),
+  keyFile: z.string().describe('PEM private key; read again when it changes.'),
+  caFile: z
+    .string()
+    .optional()
+    .describe('PEM authorities that sign the certificates of the other side.'),
 });
 
 // Entries verify each other, so the authorities are required.
-const PEER_TLS = TLS.required({caFile: true});
+const PEER_TLS = TLS.extend({
+  caFile: z
+    .string()
+    .describe('PEM authorities that sign the certificates of other entries.'),
+});
 
 /** Settings of one entry process, as written in its YAML file. */
 export const SETTINGS_SCHEMA = z.strictObject({
-  /** Name of this host, unique in the deployment. */
-  host: NAME,
-  /** Failure domain of this host. */
-  failureDomain: NAME,
-  /** Name of the deployment; marks metrics and objects. */
-  deployment: NAME.default('default'),
-  /** Address for callers. */
-  listen: LISTEN,
-  /** Address for other entries and for operators. */
+  host: NAME.describe('Name of this host, unique in the deployment.'),
+  failureDomain: NAME.describe('Failure domain of this host.'),
+  deployment: NAME.default('default').describe(
+    'Name of the deployment; marks metrics and objects.',
+  ),
+  listen: LISTEN.describe('Address for callers.'),
   peer: LISTEN.extend({
-    /** `ip:port` that other entries reach this one at. */
-    advertise: ADDRESS.optional(),
-    /** Peer addresses of other entries to ask while the head is not known. */
-    seeds: z.array(ADDRESS).default([]),
-  }),
+    advertise: ADDRESS.optional().describe(
+      '`ip:port` that other entries reach this one at; the address listened on when unset.',
+    ),
+    seeds: z
+      .array(ADDRESS)
+      .default([])
+      .describe(
+        'Peer addresses of other entries to ask while the head of the rules is not known.',
+      ),
+  }).describe('Address for other entries and for operators.'),
   tls: z
     .strictObject({
-      callers: TLS.optional(),
-      peers: PEER_TLS.optional(),
+      callers: TLS.optional().describe(
+        'Certificate for callers; plain HTTP when unset. With `caFile`, callers need a certificate too.',
+      ),
+      peers: PEER_TLS.optional().describe(
+        'Certificate for other entries and operators; plain HTTP when unset.',
+      ),
     })
     .prefault({}),
   platform: z.strictObject({
-    /** Base URL of the object API. */
-    objectsUrl: z.url(),
-    /** Base URL of the host list. */
-    hostsUrl: z.url(),
-    /** Base URL of the rating service; no ratings when unset. */
-    ratingsUrl: z.url().optional(),
-    /** Answers that the rating service takes a second, from all entries. */
-    ratingsPerS: z.number().positive().default(50),
-    /** Longest wait for one call of the object API. */
-    callTimeoutMs: DURATION_MS.default(2000),
-    /** Time between two reads of the host list. */
-    hostPollMs: DURATION_MS.default(1000),
+    objectsUrl: z.url().describe('Base URL of the object API.'),
+    hostsUrl: z.url().describe('Base URL of the host list.'),
+    ratingsUrl: z
+      .url()
+      .optional()
+      .describe('Base URL of the rating service; no ratings when unset.'),
+    ratingsPerS: z
+      .number()
+      .positive()
+      .default(50)
+      .describe(
+        'Answers that the rating service takes a second, from all entries.',
+      ),
+    callTimeoutMs: DURATION_MS.default(2000).describe(
+      'Longest wait for one call of the object API.',
+    ),
+    hostPollMs: DURATION_MS.default(1000).describe(
+      'Time between two reads of the host list.',
+    ),
   }),
   organisations: z
     .array(
       z.strictObject({
-        name: NAME,
-        /** SHA-256 digests of the API keys in use. */
-        apiKeySha256: z.array(SHA256_HEX).min(1),
+        name: NAME.describe('Name of the organisation, as the rules have it.'),
+        apiKeySha256: z
+          .array(SHA256_HEX)
+          .min(1)
+          .describe(
+            'SHA-256 digests of the API keys in use; take effect without a restart.',
+          ),
       }),
     )
     .min(1),
   operators: z
-    .array(z.strictObject({name: NAME, tokenSha256: SHA256_HEX}))
+    .array(
+      z.strictObject({
+        name: NAME.describe('Name of the operator, as the audit trail has it.'),
+        tokenSha256: SHA256_HEX.describe(
+          'SHA-256 digest of the token; takes effect without a restart.',
+        ),
+      }),
+    )
     .default([]),
   sessions: z.strictObject({
-    /** Signing keys; the first signs, all verify. */
     keys: z
       .array(
         z.strictObject({
-          id: NAME,
-          /** At least 32 bytes in base64. */
+          id: NAME.describe('Id of the key; part of the tokens it signs.'),
           secretBase64: z
             .string()
             .refine(
               text => Buffer.from(text, 'base64').length >= 32,
               'expected at least 32 bytes in base64',
-            ),
+            )
+            .describe('Secret of at least 32 bytes, in base64.'),
         }),
       )
-      .min(1),
+      .min(1)
+      .describe(
+        'Keys of session tokens: the first signs, all verify; take effect without a restart.',
+      ),
   }),
   rules: z
     .strictObject({
-      /** Rule file that creates revision 1 when the deployment has none. */
-      initialFile: z.string().optional(),
-      /** An entry that has not confirmed its rules for this long stops. */
-      freshnessMs: DURATION_MS.default(4000),
+      initialFile: z
+        .string()
+        .optional()
+        .describe(
+          'Rule file that creates revision 1 when the deployment has none.',
+        ),
+      freshnessMs: DURATION_MS.default(4000).describe(
+        'An entry that has not confirmed its rules for this long stops.',
+      ),
     })
     .prefault({}),
   requests: z
     .strictObject({
-      /** Largest body of a request, in bytes. */
-      maxBodyBytes: z.number().int().positive().default(1_048_576),
-      /** Deadline of a request that names none and whose kind has none. */
-      defaultDeadlineMs: DURATION_MS.default(30_000),
-      /** Longest deadline that a caller may ask for. */
-      maxDeadlineMs: DURATION_MS.default(120_000),
-      /** Most tokens that a caller may ask for. */
-      maxTokens: z.number().int().positive().default(4096),
-      /** Most requests that wait in this entry. */
-      maxQueued: z.number().int().positive().default(256),
+      maxBodyBytes: z
+        .number()
+        .int()
+        .positive()
+        .default(1_048_576)
+        .describe('Largest body of a request, in bytes.'),
+      defaultDeadlineMs: DURATION_MS.default(30_000).describe(
+        'Deadline of a request that names none and whose kind has none.',
+      ),
+      maxDeadlineMs: DURATION_MS.default(120_000).describe(
+        'Longest deadline that a caller may ask for.',
+      ),
+      maxTokens: z
+        .number()
+        .int()
+        .positive()
+        .default(4096)
+        .describe('Most tokens that a caller may ask for.'),
+      maxQueued: z
+        .number()
+        .int()
+        .positive()
+        .default(256)
+        .describe('Most requests that wait in this entry.'),
     })
     .prefault({}),
   stop: z
     .strictObject({
-      /** Time between failing `/readyz` and refusing new connections. */
-      readyGraceMs: DURATION_MS.default(2000),
-      /** Time after which requests still in progress are cut. */
-      stragglerTimeoutMs: DURATION_MS.default(60_000),
+      readyGraceMs: DURATION_MS.default(2000).describe(
+        'Time between failing `/readyz` and refusing new connections.',
+      ),
+      stragglerTimeoutMs: DURATION_MS.default(60_000).describe(
+        'Time after which requests still in progress are cut.',
+      ),
     })
     .prefault({}),
   decisions: z
     .strictObject({
-      /** How the model and version are chosen. */
-      modelPolicy: z.enum(listNames(MODEL_POLICIES)).default('learnt-mix'),
-      /** How the backend server is chosen. */
+      modelPolicy: z
+        .enum(listNames(MODEL_POLICIES))
+        .default('learnt-mix')
+        .describe('How the model and version are chosen.'),
       backendPolicy: z
         .enum(listNames(SERVER_POLICIES))
-        .default('prefix-bounded'),
-      /** How requests are admitted to the servers of a version. */
+        .default('prefix-bounded')
+        .describe('How the backend server is chosen.'),
       admissionPolicy: z
         .enum(listNames(ADMISSION_POLICIES))
-        .default('predictive'),
-      /** How the limits of organisations are split between entries. */
-      limitPolicy: z.enum(listNames(SHARE_POLICIES)).default('demand-share'),
-      /** Weight of cost and of exposure to bad versions. */
+        .default('predictive')
+        .describe('How requests are admitted to the servers of a version.'),
+      limitPolicy: z
+        .enum(listNames(SHARE_POLICIES))
+        .default('demand-share')
+        .describe('How the limits of organisations are split between entries.'),
       weights: z
         .strictObject({
-          cost: z.number().min(0).default(1),
-          exposure: z.number().min(0).default(1),
+          cost: z
+            .number()
+            .min(0)
+            .default(1)
+            .describe('Weight of cost against the other measures.'),
+          exposure: z
+            .number()
+            .min(0)
+            .default(1)
+            .describe(
+              'Weight of exposure to bad versions against the other measures.',
+            ),
         })
-        .prefault({}),
+        .prefault({})
+        .describe('Weight of cost and of exposure to bad versions.'),
     })
     .prefault({}),
   log: z
     .strictObject({
-      level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+      level: z
+        .enum(['debug', 'info', 'warn', 'error'])
+        .default('info')
+        .describe('Lowest level written; takes effect without a restart.'),
     })
     .prefault({}),
 });
