--- a/packages/cli/src/client_settings.ts
+++ b/packages/cli/src/client_settings.ts
@@ -8,17 +8,28 @@
 /** Environment variable with the operator token. */
 export const TOKEN_VARIABLE = 'ANVILRUDDER_TOKEN';
 
+/** Environment variable with the path of the authorities' certificates. */
+export const CA_FILE_VARIABLE = 'ANVILRUDDER_CA_FILE';
+
 /** How to reach the entries. */
 export interface ClientSettings {
   /** Base URLs of the entries, in the order in which they are tried. */
   readonly entryUrls: readonly string[];
   readonly token: string;
+  /** PEM authorities of the entries; the system's own when unset. */
+  readonly ca?: string | undefined;
 }
 
 /** The options that name entries and token. */
 export interface ClientOptions {
   readonly entryUrls: readonly string[];
   readonly tokenFile: string | undefined;
+  readonly caFile?: string | undefined;
+}
+
+interface CaReading {
+  readonly ca: string | undefined;
+  readonly faults: readonly string[];
 }
 
 interface TokenReading {
@@ -26,6 +37,7 @@
   readonly faults: readonly string[];
 }
 
+const CERTIFICATE_MARK = '-----BEGIN CERTIFICATE-----';
 const TOKEN = /^[!-~]{1,512}$/;
 
 /**
@@ -44,11 +56,12 @@
 ): Promise<ClientSettings> {
   const entryUrls = listEntryUrls(options, io);
   const {token, faults: tokenFaults} = await readToken(options.tokenFile, io);
-  const faults = [...checkEntryUrls(entryUrls), ...tokenFaults];
+  const {ca, faults: caFaults} = await readCa(options.caFile, io);
+  const faults = [...checkEntryUrls(entryUrls), ...tokenFaults, ...caFaults];
   if (faults.length > 0) {
     throw CliError.create(faults.join('\n'), EXIT_CODES.usage);
   }
-  return {entryUrls, token};
+  return {entryUrls, token, ca};
 }
 
 function listEntryUrls(options: ClientOptions, io: CliIo): readonly string[] {
@@ -73,6 +86,21 @@
   return ['http:', 'https:'].includes(new URL(text).protocol);
 }
 
+async function readCa(
+  caFile: string | undefined,
+  io: CliIo,
+): Promise<CaReading> {
+  const path = caFile ?? io.env[CA_FILE_VARIABLE] ?? '';
+  if (path === '') return {ca: undefined, faults: []};
+  try {
+    const ca = await io.readFile(path);
+    if (ca.includes(CERTIFICATE_MARK)) return {ca, faults: []};
+    return {ca: undefined, faults: [`the file ${path} holds no certificate`]};
+  } catch {
+    return {ca: undefined, faults: [`the file ${path} can't be read`]};
+  }
+}
+
 async function readToken(
   tokenFile: string | undefined,
   io: CliIo,
--- a/packages/cli/src/command_table.ts
+++ b/packages/cli/src/command_table.ts
@@ -48,6 +48,11 @@
     valueHint: 'file',
     description: 'File with the operator token (ANVILRUDDER_TOKEN)',
   },
+  'ca-file': {
+    type: 'string',
+    valueHint: 'file',
+    description: 'Authorities of the entries, PEM (ANVILRUDDER_CA_FILE)',
+  },
   'timeout-s': {
     type: 'string',
     valueHint: 'seconds',
@@ -237,6 +242,7 @@
     {
       entryUrls: options.readList('entry'),
       tokenFile: options.readText('token-file'),
+      caFile: options.readText('ca-file'),
     },
     io,
   );
--- a/packages/cli/src/entry_client.ts
+++ b/packages/cli/src/entry_client.ts
@@ -6,6 +6,7 @@
   type Client,
 } from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
+import {Agent, type RequestOptions} from 'node:https';
 import {CliError} from './cli_error.js';
 import type {ClientSettings} from './client_settings.js';
 import {EXIT_CODES} from './exit_codes.js';
@@ -47,11 +48,13 @@
   progress: Progress,
 ): readonly EntryClient[] {
   const authorization = `Bearer ${settings.token}`;
+  const {ca} = settings;
   return settings.entryUrls.map(url => {
     const transport = createConnectTransport({
       baseUrl: url,
       httpVersion: '1.1',
       defaultTimeoutMs: callTimeoutMs,
+      nodeOptions: url.startsWith('https:') ? createTlsOptions(ca) : {},
       interceptors: [
         next => async request => {
           request.header.set('authorization', authorization);
@@ -68,6 +71,10 @@
   });
 }
 
+function createTlsOptions(ca: string | undefined): RequestOptions {
+  return {agent: new Agent({keepAlive: false, minVersion: 'TLSv1.2', ca})};
+}
+
 /**
  * Calls one entry after another until one answers.
  *
--- a/packages/cli/test/fake_deployment.ts
+++ b/packages/cli/test/fake_deployment.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server} from 'node:http';
+import {createServer as createTlsServer} from 'node:https';
 import type {AddressInfo} from 'node:net';
 import {parseRules} from '@anvilrudder/core';
 import {
@@ -18,6 +19,12 @@
 
 export const TOKEN = 'kim-token';
 
+/** Certificate and key of an entry, PEM. */
+export interface ServerCertificate {
+  readonly cert: string;
+  readonly key: string;
+}
+
 /** What an entry does with an offered change. */
 export type ApplyFault =
   | 'none'
@@ -45,7 +52,11 @@
   }
 
   /** Starts an entry and returns its URL. */
-  async startEntry(fault: ApplyFault = 'none', token = TOKEN): Promise<string> {
+  async startEntry(
+    fault: ApplyFault = 'none',
+    token = TOKEN,
+    tls?: ServerCertificate,
+  ): Promise<string> {
     const keeper = new FakeKeeper(this, fault, () =>
       server.closeAllConnections(),
     );
@@ -56,10 +67,13 @@
       operatorTokens: [{name: 'kim', sha256: digestOperatorToken(token)}],
     });
     const readMaxBytes = MAX_CONTROL_REQUEST_BYTES;
-    const server = createServer(connectNodeAdapter({routes, readMaxBytes}));
+    const handle = connectNodeAdapter({routes, readMaxBytes});
+    const server: Server =
+      tls === undefined ? createServer(handle) : createTlsServer(tls, handle);
     this.servers.push(server);
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-    return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const scheme = tls === undefined ? 'http' : 'https';
+    return `${scheme}://127.0.0.1:${(server.address() as AddressInfo).port}`;
   }
 
   stop(): void {
