--- a/packages/cli/src/tables/command_spec.ts
+++ b/packages/cli/src/tables/command_spec.ts
@@ -37,6 +37,11 @@
     valueHint: 'file',
     description: 'File with the operator token (ANVILRUDDER_TOKEN)',
   },
+  'ca-file': {
+    type: 'string',
+    valueHint: 'file',
+    description: 'Authorities of the entries, PEM (ANVILRUDDER_CA_FILE)',
+  },
   'timeout-s': {
     type: 'string',
     valueHint: 'seconds',
@@ -62,6 +67,7 @@
     {
       entryUrls: options.readList('entry'),
       tokenFile: options.readText('token-file'),
+      caFile: options.readText('ca-file'),
     },
     io,
   );
