--- a/packages/entry/src/config/settings_reloader.ts
+++ b/packages/entry/src/config/settings_reloader.ts
@@ -100,7 +100,7 @@
     try {
       text = await readFile(path, 'utf8');
     } catch (error) {
-      logger.warn('settings_refused', {path, message: String(error)});
+      logger.warn('settings_unreadable', {path, reason: String(error)});
       return undefined;
     }
     const {settings, findings} = parseSettings(text);
