Name the setting of a certificate that stops a start

Cause: a key that does not fit was reported without the setting it belongs to, and the start had begun to watch the host list before.

Ruled out: starting without TLS, which would serve keys in plain text.

Change: certificates are read first, and the error names tls.callers or tls.peers. A table of faults covers starts and reloads.

Conclusion: a broken file stops a start and leaves a running entry alone.

--- a/packages/entry/src/start_entry.ts
+++ b/packages/entry/src/start_entry.ts
@@ -51,6 +51,7 @@
     host: settings.host,
     level: settings.log.level,
   });
+  const tls = await startTls(settings, logger);
   const metrics = MetricRegistry.create();
   const clients = createBackendClients(settings);
   const backends = BackendDirectory.create();
@@ -60,7 +61,6 @@
     logger,
     pollMs: settings.platform.hostPollMs,
   });
-  const tls = await startTls(settings, logger);
   const control = await startControl({
     settings,
     logger,
--- a/packages/entry/src/tls/tls_source.ts
+++ b/packages/entry/src/tls/tls_source.ts
@@ -46,7 +46,7 @@
       paths: listPaths(options.files),
       periodMs: options.checkPeriodMs,
     });
-    const material = await readTlsMaterial(options.files);
+    const material = await readFirstMaterial(options);
     const source = new TlsSource(options, watcher, material);
     source.log('certificate_loaded');
     watcher.start(() => source.reload());
@@ -90,6 +90,18 @@
   }
 }
 
+async function readFirstMaterial(
+  options: TlsSourceOptions,
+): Promise<TlsMaterial> {
+  try {
+    return await readTlsMaterial(options.files);
+  } catch (error) {
+    throw new Error(`tls.${options.use}: ${describeError(error)}`, {
+      cause: error,
+    });
+  }
+}
+
 function listPaths({certFile, keyFile, caFile}: TlsFiles): readonly string[] {
   return caFile === undefined
     ? [certFile, keyFile]
--- /dev/null
+++ b/packages/entry/test/tls/tls_source.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import {writeFileSync} from 'node:fs';
+import {test} from 'node:test';
+import type {LogFields, Logger} from '@anvilrudder/observability';
+import {SILENT_LOGGER} from '@anvilrudder/observability';
+import {TlsSource} from '../../src/tls/index.js';
+import {
+  createCertificateFiles,
+  readPem,
+  replaceCertificate,
+  type CertificateFiles,
+} from '../support/test_certificates.js';
+
+/** Files of which one does not fit. */
+const FAULTS: ReadonlyArray<
+  readonly [string, (files: CertificateFiles) => void]
+> = [
+  ['no certificate', files => writeFileSync(files.certFile, '')],
+  ['no key', files => writeFileSync(files.keyFile, 'no key')],
+  ['no authority', files => writeFileSync(files.caFile, '')],
+  [
+    'the key of another certificate',
+    files => writeFileSync(files.keyFile, readPem('renewed.key')),
+  ],
+  [
+    'an authority that may not sign',
+    files => writeFileSync(files.caFile, readPem('entry.pem')),
+  ],
+];
+
+for (const [name, breakFiles] of FAULTS) {
+  test(`a start refuses ${name}, a reload keeps the certificate`, async t => {
+    const warnings: LogFields[] = [];
+    const logger: Logger = {
+      ...SILENT_LOGGER,
+      warn: (event, fields) => warnings.push({event, ...fields}),
+    };
+    const files = createCertificateFiles();
+    const options = {use: 'peers', files, logger} as const;
+    const source = await TlsSource.create(options);
+    t.after(() => source.stop());
+    const before = source.material;
+    breakFiles(files);
+    await source.reload();
+    assert.equal(source.material, before);
+    assert.equal(warnings[0]['event'], 'certificate_refused');
+    await assert.rejects(TlsSource.create(options), /^Error: tls\.peers: /);
+  });
+}
+
+test('listeners hear of a renewal once, and not of an unchanged file', async t => {
+  const files = createCertificateFiles();
+  const source = await TlsSource.create({
+    use: 'callers',
+    files,
+    logger: SILENT_LOGGER,
+  });
+  t.after(() => source.stop());
+  let renewals = 0;
+  source.onChange(() => {
+    renewals += 1;
+  });
+  await source.reload();
+  replaceCertificate(files, 'renewed');
+  await source.reload();
+  await source.reload();
+  assert.equal(renewals, 1);
+});
