--- a/packages/core/src/errors/error_codes.ts
+++ b/packages/core/src/errors/error_codes.ts
@@ -104,7 +104,7 @@
     httpStatus: 503,
     execution: 'notRun',
     isRetryable: true,
-    description: 'This entry has no confirmed rules or is stopping.',
+    description: 'This entry has no confirmed rules.',
   },
   platform_unavailable: {
     httpStatus: 503,
--- a/packages/core/src/errors/router_error.ts
+++ b/packages/core/src/errors/router_error.ts
@@ -18,6 +18,9 @@
 /** Base of every error of the product. */
 export const BaseError = ModernError.subclass('BaseError');
 
+/** When to come back after an error that names no time of its own. */
+export const DEFAULT_RETRY_AFTER_MS = 1000;
+
 const RouterErrorClass = BaseError.subclass('RouterError');
 
 /** An error that ends a request with a typed answer. */
@@ -46,12 +49,19 @@
         code,
         publicMessage: message,
         execution: execution ?? ERROR_DEFINITIONS[code].execution,
-        retryAfterMs,
+        retryAfterMs: retryAfterMs ?? resolveRetryAfterMs(code),
       },
     });
   },
 };
 
+// Every retryable error tells when to come back.
+function resolveRetryAfterMs(code: ErrorCode): number | undefined {
+  return ERROR_DEFINITIONS[code].isRetryable
+    ? DEFAULT_RETRY_AFTER_MS
+    : undefined;
+}
+
 /**
  * True for errors made by {@link RouterError.create}.
  *
--- a/packages/entry/src/config/settings_schema.ts
+++ b/packages/entry/src/config/settings_schema.ts
@@ -190,7 +190,7 @@
       readyGraceMs: DURATION_MS.default(2000).describe(
         'Time between failing `/readyz` and refusing new connections.',
       ),
-      stragglerTimeoutMs: DURATION_MS.default(60_000).describe(
+      stragglerTimeoutMs: DURATION_MS.default(150_000).describe(
         'Time after which requests still in progress are cut.',
       ),
     })
--- a/packages/entry/src/control/operators/control_routes.ts
+++ b/packages/entry/src/control/operators/control_routes.ts
@@ -1,6 +1,7 @@
 import {
   MAX_RULE_FILE_BYTES,
   parseModelVersion,
+  type AuditFilter,
   type PlannedStep,
 } from '@anvilrudder/core';
 import {ControlService} from '@anvilrudder/peers';
@@ -15,7 +16,7 @@
 } from '@connectrpc/connect';
 import type {OrderPlans} from '../orders/order_plans.js';
 import type {ApplyRulesRequest, RulesKeeper} from '../rules_keeper.js';
-import type {AuditQuery, AuditReader} from './audit_reader.js';
+import type {AuditReader} from './audit_reader.js';
 import {createRefusal, toConnectError} from './connect_errors.js';
 import {
   createOperatorDirectory,
@@ -260,7 +261,7 @@
   };
 }
 
-function decodeAuditQuery(request: wire.ListAuditRequest): AuditQuery {
+function decodeAuditQuery(request: wire.ListAuditRequest): AuditFilter {
   const {who, action, limit} = request;
   return {
     who: who === '' ? undefined : who,
--- a/packages/entry/src/control/operators/wire_messages.ts
+++ b/packages/entry/src/control/operators/wire_messages.ts
@@ -1,5 +1,5 @@
 import {create} from '@bufbuild/protobuf';
-import type {ExplainedOption, Finding} from '@anvilrudder/core';
+import type {AuditEntry, ExplainedOption, Finding} from '@anvilrudder/core';
 import * as wire from '@anvilrudder/peers';
 import type {OrderPlanStatus} from '../orders/order_plans.js';
 import type {
@@ -7,7 +7,6 @@
   MemberStatus,
   RulesStatus,
 } from '../rules_keeper.js';
-import type {AuditRecord} from './audit_reader.js';
 import type {VersionStatus} from './version_control.js';
 
 /** Encodes the outcome of a change. */
@@ -40,7 +39,7 @@
 }
 
 /** Encodes one record of the audit trail. */
-export function encodeAuditRecord(record: AuditRecord): wire.AuditRecord {
+export function encodeAuditRecord(record: AuditEntry): wire.AuditRecord {
   return create(wire.AuditRecordSchema, {
     ...record,
     sequence: BigInt(record.sequence),
--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -1,7 +1,11 @@
 import {randomUUID} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {parseRules, type MemberId, type ObjectStore} from '@anvilrudder/core';
-import type {Logger, MetricRegistry} from '@anvilrudder/observability';
+import type {
+  LogLevel,
+  Logger,
+  MetricRegistry,
+} from '@anvilrudder/observability';
 import {HttpObjectStore, createCountingStore} from '@anvilrudder/platform';
 import type {BackendHost} from '../backends/backend_directory.js';
 import type {Settings} from '../config/settings_schema.js';
@@ -130,7 +134,7 @@
   const claimKeeper = createClaimKeeper({
     store,
     member,
-    isMemberGone: holder => isReplaced(keeper, holder),
+    isMemberGone: holder => isGone(keeper, holder),
   });
   const claimCollection = startClaimCollection(store, member, logger);
   let versionControl: VersionControl | undefined;
@@ -139,9 +143,7 @@
     createControlRoutes({
       host: settings.host,
       keeper,
-      audit: {
-        list: query => audit.list({...query}),
-      },
+      audit,
       versions: () => versionControl,
       orders: () => orders,
       operatorTokens: operators.map(({name, tokenSha256}) => ({
@@ -236,14 +238,14 @@
     : readFileSync(initialFile, 'utf8');
 }
 
-// A host that runs under another incarnation has ended the earlier one.
-function isReplaced(keeper: AcceptanceKeeper, holder: MemberId): boolean {
-  return keeper
-    .status()
-    .members.some(
-      ({host, incarnation}) =>
-        host === holder.host && incarnation !== holder.incarnation,
-    );
+// A run that is no member any more was replaced or removed after a long
+// silence. A wrong guess tells its callers `unknown` too early, and no more.
+function isGone(keeper: AcceptanceKeeper, holder: MemberId): boolean {
+  const {members} = keeper.status();
+  const isMember = members.some(
+    ({incarnation}) => incarnation === holder.incarnation,
+  );
+  return members.length > 0 && !isMember;
 }
 
 function startClaimCollection(
@@ -271,9 +273,16 @@
     membersChanged: 'members',
   };
 
+const LOG_LEVELS: Readonly<Partial<Record<KeeperEvent['kind'], LogLevel>>> = {
+  storeFailed: 'warn',
+  contentInvalid: 'error',
+  loopFailed: 'error',
+};
+
 function logKeeperEvent(logger: Logger, event: KeeperEvent): void {
   const {kind, ...fields} = event;
-  logger.info(toEventName(kind), {...fields});
+  const write = LOG_LEVELS[kind] ?? 'info';
+  logger[write](toEventName(kind), {...fields});
 }
 
 function recordKeeperEvent(
@@ -291,7 +300,10 @@
       action: outcome === 'members' ? 'members.change' : 'rules.apply',
       who: event.who,
       why: event.why,
-      beforeRevision: Math.max(0, event.revision - 1),
+      beforeRevision:
+        outcome === 'members'
+          ? event.revision
+          : Math.max(0, event.revision - 1),
       afterRevision: event.revision,
       outcome,
     })
--- a/packages/entry/src/decisions/rollout_watch.ts
+++ b/packages/entry/src/decisions/rollout_watch.ts
@@ -13,6 +13,9 @@
   type Ruling,
 } from '@anvilrudder/core';
 
+/** Time after an operator's ruling in which the test starts anew. */
+const ALLOWED_GRACE_MS = 30_000;
+
 /** Options of {@link RolloutWatch}. */
 export interface RolloutWatchOptions {
   readonly member: MemberId;
@@ -25,6 +28,12 @@
   readonly onStop: (ruling: Ruling) => void;
 }
 
+interface FollowedRollout {
+  readonly monitor: RolloutMonitor;
+  readonly maxShare: number;
+  readonly baseline: ModelVersion;
+}
+
 interface LimitedOptions {
   readonly key: string;
   readonly options: readonly ModelOption[];
@@ -34,7 +43,9 @@
 export class RolloutWatch {
   readonly evidence: EvidenceLedger;
   readonly rulings = RulingLedger.create();
-  private readonly monitors = new Map<string, RolloutMonitor>();
+  private readonly followed = new Map<string, FollowedRollout>();
+  private readonly peerSteps = new Map<string, number>();
+  private readonly allowedAtMs = new Map<string, number>();
   private readonly limitedOptions = new WeakMap<
     readonly ModelOption[],
     LimitedOptions
@@ -83,6 +94,25 @@
     return ruling;
   }
 
+  /** The step of each roll-out that this entry follows, by version. */
+  listSteps(): ReadonlyMap<string, number> {
+    const steps = new Map<string, number>();
+    for (const [key, {monitor}] of this.followed) {
+      steps.set(key, monitor.stepIndex);
+    }
+    return steps;
+  }
+
+  /** Takes over later steps of a peer. */
+  mergeSteps(steps: ReadonlyMap<string, number>): void {
+    for (const [key, step] of steps) {
+      if (step <= (this.peerSteps.get(key) ?? 0)) continue;
+      this.peerSteps.set(key, step);
+      const monitor = this.followed.get(key)?.monitor;
+      monitor?.adoptStep(step, this.evidence, performance.now());
+    }
+  }
+
   /** Decides anew on each roll-out of the rules. */
   tick(rules: RuleSet): void {
     const seen = new Set<string>();
@@ -92,8 +122,10 @@
       seen.add(formatModelVersion(rollout));
       this.decide(rollout, baseline);
     }
-    for (const key of this.monitors.keys()) {
-      if (!seen.has(key)) this.monitors.delete(key);
+    for (const key of this.followed.keys()) {
+      if (seen.has(key)) continue;
+      this.followed.delete(key);
+      this.peerSteps.delete(key);
     }
   }
 
@@ -140,6 +172,7 @@
   }
 
   private resolveRolloutShare(option: ModelOption): number {
+    if (this.isStopped(option)) return 0;
     const monitor = this.options.rampsOnEvidence
       ? this.findMonitor(option)
       : undefined;
@@ -147,19 +180,14 @@
   }
 
   private decide(rollout: RolloutRule, baseline: ModelVersion): void {
-    const key = formatModelVersion(rollout);
-    const {model, version, share} = rollout;
-    const nowMs = performance.now();
-    let monitor = this.monitors.get(key);
-    if (monitor === undefined) {
-      monitor = RolloutMonitor.create(
-        {candidate: {model, version}, baseline, maxShare: share},
-        nowMs,
-      );
-      this.monitors.set(key, monitor);
-    }
+    const {model, version} = rollout;
+    const monitor = this.resolveMonitor(rollout, baseline);
     if (this.isStopped(rollout)) return;
-    const decision = monitor.decide(this.evidence, nowMs);
+    if (this.isInGrace(rollout)) {
+      monitor.restart(this.evidence, performance.now());
+      return;
+    }
+    const decision = monitor.decide(this.evidence, performance.now());
     if (decision.action !== 'stop') return;
     const {host} = this.options.member;
     this.options.onStop(
@@ -167,15 +195,53 @@
     );
   }
 
-  // The evidence that stopped a version must not stop it again at once.
+  // A changed rule keeps the step that the roll-out has reached.
+  private resolveMonitor(
+    rollout: RolloutRule,
+    baseline: ModelVersion,
+  ): RolloutMonitor {
+    const key = formatModelVersion(rollout);
+    const {model, version, share: maxShare} = rollout;
+    const known = this.followed.get(key);
+    const isSame =
+      known?.maxShare === maxShare &&
+      isSameModelVersion(known.baseline, baseline);
+    if (known !== undefined && isSame) return known.monitor;
+    const nowMs = performance.now();
+    const monitor = RolloutMonitor.create(
+      {candidate: {model, version}, baseline, maxShare},
+      nowMs,
+    );
+    const step = Math.max(
+      known?.monitor.stepIndex ?? 0,
+      this.peerSteps.get(key) ?? 0,
+    );
+    monitor.adoptStep(step, this.evidence, nowMs);
+    if (this.rulings.find(rollout)?.state === 'allowed') {
+      monitor.restart(this.evidence, nowMs);
+    }
+    this.followed.set(key, {monitor, maxShare, baseline});
+    return monitor;
+  }
+
   private restartAllowed(ruling: Ruling): void {
     if (ruling.state !== 'allowed') return;
-    const monitor = this.monitors.get(formatModelVersion(ruling));
-    monitor?.restart(this.evidence, performance.now());
+    this.allowedAtMs.set(formatModelVersion(ruling), performance.now());
+    this.findMonitor(ruling)?.restart(this.evidence, performance.now());
+  }
+
+  // Ratings of answers from before the operator's ruling arrive late, and must
+  // not stop the version again.
+  private isInGrace(version: ModelVersion): boolean {
+    const allowedAtMs = this.allowedAtMs.get(formatModelVersion(version));
+    return (
+      allowedAtMs !== undefined &&
+      performance.now() - allowedAtMs < ALLOWED_GRACE_MS
+    );
   }
 
   private findMonitor(option: ModelVersion): RolloutMonitor | undefined {
-    return this.monitors.get(formatModelVersion(option));
+    return this.followed.get(formatModelVersion(option))?.monitor;
   }
 }
 
--- a/packages/entry/src/decisions/start_decisions.ts
+++ b/packages/entry/src/decisions/start_decisions.ts
@@ -117,6 +117,7 @@
       rulings: rollouts.rulings.list(),
       limitUse: limits.use,
       leavingServers: backends.listSelfLeaving(),
+      rolloutSteps: rollouts.listSteps(),
     };
   }
 
@@ -125,6 +126,7 @@
     for (const ruling of facts.rulings) {
       if (rollouts.mergeRuling(ruling)) logRuling(ruling, 'peer');
     }
+    rollouts.mergeSteps(facts.rolloutSteps);
     limits.merge(facts.limitUse);
     for (const id of facts.leavingServers) engines.markLeaving(id, 'peer');
   }
--- a/packages/entry/src/server/caller_server.ts
+++ b/packages/entry/src/server/caller_server.ts
@@ -82,7 +82,7 @@
       signal: caller.signal,
     };
     await handle(context, raw, answer);
-    context.metrics.count('answers_total', {code: 'ok'});
+    if (hasBody(request)) context.metrics.count('answers_total', {code: 'ok'});
   } catch (error) {
     answerError(context, requestId, error, answer);
   }
--- a/packages/entry/src/stages/call_service.ts
+++ b/packages/entry/src/stages/call_service.ts
@@ -135,6 +135,12 @@
   failures: readonly BackendError[],
 ): RouterError {
   const cause = failures.at(-1);
+  if (cause?.execution === 'ran') {
+    return RouterError.create(
+      `${request.service} ran the call and reported a failure.`,
+      {code: 'backend_failed', cause},
+    );
+  }
   const isUnknown = mayHaveRun(failures);
   const code: ErrorCode = isUnknown
     ? 'outcome_unknown'
--- a/packages/entry/src/stages/dispatch_errors.ts
+++ b/packages/entry/src/stages/dispatch_errors.ts
@@ -65,6 +65,12 @@
       {code: 'no_backend', retryAfterMs},
     );
   }
+  if (cause.execution === 'ran') {
+    return RouterError.create('The backend server reported a failure.', {
+      code: 'backend_failed',
+      cause,
+    });
+  }
   return RouterError.create(
     `No whole answer after ${tokenCount} tokens: ${cause.failure}.`,
     {
--- a/packages/entry/src/stages/generate.ts
+++ b/packages/entry/src/stages/generate.ts
@@ -2,6 +2,8 @@
   formatModelVersion,
   isRouterError,
   verifySession,
+  type ErrorCode,
+  type ModelVersion,
 } from '@anvilrudder/core';
 import type {EntryContext} from '../entry_context.js';
 import type {AnswerWriter} from '../server/answer_writer.js';
@@ -76,15 +78,17 @@
   readonly outcome: PlanOutcome;
 }
 
-// The rules may change between the route and the first byte. New work then
-// takes another route; a session or a version asked for by name has no other.
+// The rules may change between the route and the first byte, and the servers
+// of a version may all be out. New work then takes another route; a session
+// or a version asked for by name has no other.
 async function runRouted(
   context: EntryContext,
   request: GenerateRequest,
   answer: AnswerWriter,
 ): Promise<RoutedOutcome> {
+  const failed: ModelVersion[] = [];
   for (let attempt = 1; ; attempt += 1) {
-    const plan = resolveRoute(context, request);
+    const plan = resolveRoute(context, request, failed);
     try {
       const outcome = await runPlan(context, request, plan, answer);
       return {plan, outcome};
@@ -93,17 +97,25 @@
         plan.source === 'chosen' &&
         attempt < MAX_ROUTES &&
         !answer.isStreaming &&
-        isRefusedByRules(error);
+        mayTakeAnotherRoute(error);
       if (!mayReroute) throw error;
+      failed.push(...plan.steps);
     }
   }
 }
 
-function isRefusedByRules(error: unknown): boolean {
+const REROUTED_CODES: ReadonlySet<ErrorCode> = new Set([
+  'version_withdrawn',
+  'not_allowed',
+  'no_backend',
+  'backend_refused',
+]);
+
+function mayTakeAnotherRoute(error: unknown): boolean {
   return (
     isRouterError(error) &&
     error.execution === 'notRun' &&
-    (error.code === 'version_withdrawn' || error.code === 'not_allowed')
+    REROUTED_CODES.has(error.code)
   );
 }
 
--- a/packages/entry/src/stages/route.ts
+++ b/packages/entry/src/stages/route.ts
@@ -44,6 +44,8 @@
 interface PlanInput {
   readonly context: EntryContext;
   readonly request: GenerateRequest;
+  /** Versions that an earlier route of the request met in vain. */
+  readonly failed: readonly ModelVersion[];
   readonly options: readonly ModelOption[];
   /** Models that may be tried in turn, cheapest first. */
   readonly cascadeModels: readonly string[];
@@ -76,6 +78,7 @@
 /**
  * Chooses the models and versions of a request within the rules in force.
  *
+ * @param failed versions that an earlier route of the request met in vain.
  * @throws RouterError `not_ready`, `unknown_model`, `not_allowed` or
  *     `version_withdrawn`.
  * @example
@@ -86,6 +89,7 @@
 export function resolveRoute(
   context: EntryContext,
   request: GenerateRequest,
+  failed: readonly ModelVersion[] = [],
 ): RoutePlan {
   const inForce = resolveInForce(context.keeper);
   const {revision, rules} = inForce;
@@ -93,6 +97,7 @@
   const plan = PLAN_HANDLERS[source]({
     context,
     request,
+    failed,
     options: listOpenOptions(context, inForce, request),
     cascadeModels: resolveCascade(rules, request.kind)?.models ?? [],
   });
@@ -152,7 +157,7 @@
 }
 
 function planChosen(input: PlanInput): PlannedSteps {
-  const {context, request, options, cascadeModels} = input;
+  const {context, request, options, cascadeModels, failed} = input;
   const plan = context.decisions.chooser.choose({
     organisation: request.organisation,
     kind: request.kind,
@@ -160,7 +165,7 @@
     qualityTarget: request.qualityTarget,
     options: listSessionOptions(request, options),
     cascadeModels,
-    excluded: listExcluded(context, options),
+    excluded: [...failed, ...listExcluded(context, options)],
   });
   if (plan !== undefined) return plan;
   if (options.length === 0) throw createNotAllowedError(request);
--- a/packages/experiments/src/capacity/capacity_sharing.ts
+++ b/packages/experiments/src/capacity/capacity_sharing.ts
@@ -121,6 +121,7 @@
         rulings: [],
         limitUse: use,
         leavingServers: [],
+        rolloutSteps: new Map(),
       }),
       merge: facts => {
         this.ledger.merge(facts.evidence);
--- a/packages/peers/src/share/share_rpc.ts
+++ b/packages/peers/src/share/share_rpc.ts
@@ -24,6 +24,8 @@
   readonly limitUse: LimitHeartbeat;
   /** Ids of backend servers that said themselves that they are leaving. */
   readonly leavingServers: readonly string[];
+  /** Step of each roll-out by `model@version`. */
+  readonly rolloutSteps: ReadonlyMap<string, number>;
 }
 
 /**
@@ -73,6 +75,7 @@
       uses: [...facts.limitUse.uses],
     },
     leavingServers: [...facts.leavingServers],
+    rolloutSteps: Object.fromEntries(facts.rolloutSteps),
   });
 }
 
@@ -93,5 +96,6 @@
       uses: facts.limitUse?.uses ?? [],
     },
     leavingServers: facts.leavingServers,
+    rolloutSteps: new Map(Object.entries(facts.rolloutSteps)),
   };
 }
