Hand off the copies of a peer that was never heard

Cause: an entry takes a peer for lost only after it heard it in one of its checks, once a second; a peer that died before the first such check kept its copies in memory until a planned stop. Ruled out: handing off what is held at once, which doubles the writes. Change: runs that copies are held for count as seen when first noticed; the decision moves to LostPeers. A row of requests that wait for a slot joins the withdrawals. Conclusion: copies of any run are handed off at last.

--- a/packages/entry/src/control/billing/held_records.ts
+++ b/packages/entry/src/control/billing/held_records.ts
@@ -38,6 +38,8 @@
   /** Hands off everything; for a planned stop of this entry. */
   handOffAll(): Promise<void>;
   readonly recordCount: number;
+  /** Runs of entries that copies are held for. */
+  listIncarnations(): ReadonlySet<string>;
   /** Stops the retries in the background. */
   stop(): void;
 }
@@ -95,12 +97,16 @@
   }
 
   async handOffAll(): Promise<void> {
-    const batches = [...this.copies.batches.values()];
-    for (const incarnation of new Set(batches.map(b => b.incarnation))) {
+    for (const incarnation of this.listIncarnations()) {
       await this.handOff(incarnation);
     }
   }
 
+  listIncarnations(): ReadonlySet<string> {
+    const batches = [...this.copies.batches.values()];
+    return new Set(batches.map(({incarnation}) => incarnation));
+  }
+
   stop(): void {
     this.retries.stop();
   }
--- a/packages/entry/src/control/billing/start_billing.ts
+++ b/packages/entry/src/control/billing/start_billing.ts
@@ -18,6 +18,7 @@
 import {createBillingJournal} from './billing_journal.js';
 import type {BillingPeer} from './billing_peer.js';
 import {createHeldRecords} from './held_records.js';
+import {LostPeers} from './lost_peers.js';
 
 const SHARD_COUNT = 1;
 const COMPACT_PERIOD_MS = 5000;
@@ -87,10 +88,18 @@
       logger.warn('billing_compaction_failed', {reason: String(error)});
     });
   }, COMPACT_PERIOD_MS);
-  const lostTimer = watchLostPeers(options, incarnation => {
-    logger.info('billing_hand_off', {incarnation});
-    void held.handOff(incarnation);
-  });
+  const lostPeers = LostPeers.create(LOST_AFTER_MS);
+  const lostTimer = setInterval(() => {
+    const lost = lostPeers.check(
+      performance.now(),
+      directory.listLive().map(({incarnation}) => incarnation),
+      held.listIncarnations(),
+    );
+    for (const incarnation of lost) {
+      logger.info('billing_hand_off', {incarnation});
+      void held.handOff(incarnation);
+    }
+  }, LOST_CHECK_PERIOD_MS);
 
   return {
     routes: router => {
@@ -116,22 +125,3 @@
     },
   };
 }
-
-// Calls back once for each run of a peer that has been silent or was replaced.
-function watchLostPeers(
-  options: StartBillingOptions,
-  onLost: (incarnation: string) => void,
-): NodeJS.Timeout {
-  const lastSeenAtMs = new Map<string, number>();
-  return setInterval(() => {
-    const nowMs = performance.now();
-    for (const {incarnation} of options.directory.listLive()) {
-      lastSeenAtMs.set(incarnation, nowMs);
-    }
-    for (const [incarnation, seenAtMs] of lastSeenAtMs) {
-      if (nowMs - seenAtMs < LOST_AFTER_MS) continue;
-      lastSeenAtMs.delete(incarnation);
-      onLost(incarnation);
-    }
-  }, LOST_CHECK_PERIOD_MS);
-}
--- a/packages/entry/test/faults/process_withdrawal.test.ts
+++ b/packages/entry/test/faults/process_withdrawal.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {randomUUID} from 'node:crypto';
 import {test} from 'node:test';
+import type {EngineStandInOptions} from '@anvilrudder/stand-ins';
 import {LoadGroup} from '../support/load_group.js';
 import {
   applyRules,
@@ -30,20 +31,36 @@
   );
 }
 
+const NARROW_ENGINE: EngineStandInOptions = {
+  loaded: [
+    {model: 'quick', version: 'v1'},
+    {model: 'quick', version: 'v2'},
+  ],
+  slots: 2,
+  queueLimit: 0,
+  tokenDelayMs: 20,
+};
+
 const FREEZES = [
+  {fault: 'no fault', frozen: [], engines: undefined},
   {
-    fault: 'no fault',
+    fault: 'requests that wait in the entries for a slot',
     frozen: [],
+    engines: [NARROW_ENGINE],
   },
   {
     fault: 'an entry frozen from before the change until after its acceptance',
     frozen: [2],
+    engines: undefined,
   },
 ] as const;
 
-for (const {fault, frozen} of FREEZES) {
+for (const {fault, frozen, engines} of FREEZES) {
   test(`[withdrawn] no new request after acceptance: ${fault}`, async () => {
-    const deployment = await startProcessDeployment({rules: ALL_V2});
+    const deployment = await startProcessDeployment({
+      rules: ALL_V2,
+      engines,
+    });
     try {
       const {entries} = deployment;
       const load = startLoad(deployment);
