Spread the reads of the host list and load reports by jitter

Entries that started together, such as after the loss of a domain, read in step for good. A fixed offset an entry was ruled out, since it needs agreement on who has which.

--- a/packages/entry/src/backends/watch_backends.ts
+++ b/packages/entry/src/backends/watch_backends.ts
@@ -5,6 +5,9 @@
   EngineLoad,
 } from './backend_directory.js';
 
+/** A pause lasts from 0.8 to 1.2 times the period. */
+const JITTER = 0.4;
+
 /** Reads the host list and the engines' load reports. */
 export interface BackendReader {
   readHosts(): Promise<readonly BackendHost[]>;
@@ -17,6 +20,8 @@
   readonly reader: BackendReader;
   readonly logger: Logger;
   readonly pollMs: number;
+  /** Uniform between 0 and 1; spreads the reads of many entries. */
+  readonly random?: () => number;
 }
 
 /**
@@ -33,12 +38,14 @@
 ): Promise<() => void> {
   let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
+  const {pollMs, random = Math.random} = options;
 
   async function refresh(): Promise<void> {
     await refreshHosts(options);
     await refreshLoads(options);
     options.directory.notifyChange();
-    if (!isStopped) timer = setTimeout(() => void refresh(), options.pollMs);
+    const delayMs = pollMs * (1 + JITTER * (random() - 0.5));
+    if (!isStopped) timer = setTimeout(() => void refresh(), delayMs);
   }
 
   await refresh();
