--- a/packages/cli/src/run_cli.ts
+++ b/packages/cli/src/run_cli.ts
@@ -8,13 +8,11 @@
 } from 'citty';
 import {isCliError} from './cli_error.js';
 import type {CliIo} from './cli_io.js';
-import {
-  RULES_COMMANDS,
-  TOP_COMMANDS,
-  VERSION_COMMANDS,
-  type CommandSpec,
-  type CommandTable,
-} from './command_table.js';
+import type {CommandSpec, CommandTable} from './tables/command_spec.js';
+import {ORDER_COMMANDS} from './tables/orders_table.js';
+import {RULES_COMMANDS} from './tables/rules_table.js';
+import {TOP_COMMANDS} from './tables/top_table.js';
+import {VERSION_COMMANDS} from './tables/versions_table.js';
 import {EXIT_CODES, type ExitCode} from './exit_codes.js';
 import {OptionReader, type ParsedOptions} from './option_reader.js';
 
@@ -66,9 +64,18 @@
     meta: {name: 'versions', description: 'Work with model versions'},
     subCommands: createCommands(VERSION_COMMANDS, io, finish),
   });
+  const orders = defineCommand({
+    meta: {name: 'orders', description: 'Order engines to load or drain'},
+    subCommands: createCommands(ORDER_COMMANDS, io, finish),
+  });
   return defineCommand({
     meta: {name: PROGRAM, description: 'Operate an anvilrudder deployment'},
-    subCommands: {rules, versions, ...createCommands(TOP_COMMANDS, io, finish)},
+    subCommands: {
+      rules,
+      versions,
+      orders,
+      ...createCommands(TOP_COMMANDS, io, finish),
+    },
   });
 }
 
--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -20,6 +20,8 @@
 import {createDutyRunner, type DutyRunner} from './leases/duty_runner.js';
 import {createLeaseKeeper} from './leases/lease_keeper.js';
 import {createControlRoutes, type VersionControl} from './operators/index.js';
+import {startOrderPlans, type OrderPlans} from './orders/order_plans.js';
+import type {EngineOrders} from './orders/rollout_runner.js';
 import {
   createPeerDirectory,
   type PeerDirectory,
@@ -57,10 +59,14 @@
   readonly directory: PeerDirectory;
   readonly transports: PeerTransports;
   readonly peerAddress: string;
+  /** Puts other operators' tokens in force. */
+  setOperators(operators: Settings['operators']): void;
   /** Adds a service to the server for other entries. */
   mount(routes: Routes): void;
   /** Lets operators see and decide of model versions. */
   setVersionControl(versions: VersionControl): void;
+  /** Starts to carry out orders to engines. */
+  startOrders(engines: EngineOrders): void;
   stop(): Promise<void>;
 }
 
@@ -128,9 +134,8 @@
   });
   const claimCollection = startClaimCollection(store, member, logger);
   let versionControl: VersionControl | undefined;
-  const routes: Routes[] = [
-    keeper.routes,
-    billing.routes,
+  let orders: OrderPlans | undefined;
+  const createOperatorRoutes = (operators: Settings['operators']): Routes =>
     createControlRoutes({
       host: settings.host,
       keeper,
@@ -138,13 +143,16 @@
         list: query => audit.list({...query}),
       },
       versions: () => versionControl,
-      operatorTokens: settings.operators.map(({name, tokenSha256}) => ({
+      orders: () => orders,
+      operatorTokens: operators.map(({name, tokenSha256}) => ({
         name,
         sha256: tokenSha256,
       })),
-    }),
-  ];
-  peers.mount(routes);
+    });
+  let operatorRoutes = createOperatorRoutes(settings.operators);
+  const routes: Routes[] = [keeper.routes, billing.routes];
+  const mountAll = (): void => peers.mount([...routes, operatorRoutes]);
+  mountAll();
   const isServing = await keeper.waitUntilServing(START_WAIT_MS);
   if (!isServing) logger.warn('rules_not_confirmed', {});
   return {
@@ -160,13 +168,28 @@
     setVersionControl(versions) {
       versionControl = versions;
     },
+    startOrders(engines) {
+      orders = startOrderPlans({
+        store,
+        member,
+        engines,
+        audit,
+        logger,
+        readRevision: () => keeper.status().revision,
+      });
+    },
+    setOperators(operators) {
+      operatorRoutes = createOperatorRoutes(operators);
+      mountAll();
+    },
     mount(added) {
       routes.push(added);
-      peers.mount(routes);
+      mountAll();
     },
     async stop() {
       claimKeeper.stop();
       await claimCollection.stop();
+      await orders?.stop();
       await billing.stop();
       await keeper.stop();
       audit.stop();
--- a/packages/entry/test/support/test_deployment.ts
+++ b/packages/entry/test/support/test_deployment.ts
@@ -20,6 +20,9 @@
   'agency-b': 'key-of-agency-b',
 } as const;
 
+/** Token of the operator `mina` of a test deployment. */
+export const OPERATOR_TOKEN = 'token-of-mina';
+
 /** Rules that most tests start from. */
 export const TEST_RULES = `
 model name=quick version=v1 cost-per-mtok=1 quality=0.8 # test: base
@@ -39,6 +42,8 @@
   readonly entryCount?: number;
   readonly engines?: readonly EngineStandInOptions[];
   readonly rules?: string;
+  /** Folder for a settings file `<host>.yaml` that each entry watches. */
+  readonly settingsFolder?: string;
   /** Changes the settings of every entry. */
   readonly settings?: (settings: Settings) => Settings;
 }
@@ -97,7 +102,11 @@
       hostsUrl: `http://${hosts.address}`,
       rulesFile,
     });
-    return startEntry(options.settings?.(settings) ?? settings);
+    const changed = options.settings?.(settings) ?? settings;
+    if (options.settingsFolder === undefined) return startEntry(changed);
+    const settingsFile = join(options.settingsFolder, `${host}.yaml`);
+    writeFileSync(settingsFile, stringify(changed));
+    return startEntry(changed, {settingsFile});
   };
   const entries = await Promise.all(
     Array.from({length: options.entryCount ?? 1}, (_, index) =>
@@ -124,12 +133,15 @@
   };
 }
 
-/** Waits until a condition holds; fails after ten seconds. */
+const WAIT_TIMEOUT_MS = 10_000;
+
+/** Waits until a condition holds; fails after ten seconds by default. */
 export async function waitUntil(
   condition: () => boolean | Promise<boolean>,
   what: string,
+  timeoutMs = WAIT_TIMEOUT_MS,
 ): Promise<void> {
-  const giveUpAtMs = performance.now() + 10_000;
+  const giveUpAtMs = performance.now() + timeoutMs;
   while (!(await condition())) {
     if (performance.now() > giveUpAtMs) throw new Error(`never: ${what}`);
     await new Promise(resolve => setTimeout(resolve, 10));
@@ -160,6 +172,14 @@
         name,
         apiKeySha256: [createHash('sha256').update(key).digest('hex')],
       })),
+      operators: [
+        {
+          name: 'mina',
+          tokenSha256: createHash('sha256')
+            .update(OPERATOR_TOKEN)
+            .digest('hex'),
+        },
+      ],
       sessions: {
         keys: [
           {id: 'k1', secretBase64: Buffer.alloc(32, 7).toString('base64')},
