--- /dev/null
+++ b/packages/entry/src/control/keeper_events.ts
@@ -0,0 +1,97 @@
+import type {LogLevel, Logger} from '@anvilrudder/observability';
+import type {KeeperEvent} from './acceptance/index.js';
+import type {AuditTrail} from './audit/audit_trail.js';
+
+type KeeperEventKind = KeeperEvent['kind'];
+
+/** Level of the log event of each kind. */
+export const KEEPER_EVENT_LEVELS: Readonly<Record<KeeperEventKind, LogLevel>> =
+  {
+    headCreated: 'info',
+    changeProposed: 'info',
+    changeAccepted: 'info',
+    changeRefused: 'info',
+    membersChanged: 'info',
+    contentInvalid: 'error',
+    storeFailed: 'warn',
+    loopFailed: 'error',
+  };
+
+/** What the audit trail says of an event. */
+interface AuditedEvent {
+  readonly action: string;
+  readonly outcome: string;
+  /** True when the event puts a new revision of the rules in force. */
+  readonly changesRules: boolean;
+}
+
+const AUDITED_EVENTS: Readonly<Partial<Record<KeeperEventKind, AuditedEvent>>> =
+  {
+    headCreated: {
+      action: 'rules.apply',
+      outcome: 'created',
+      changesRules: true,
+    },
+    changeAccepted: {
+      action: 'rules.apply',
+      outcome: 'accepted',
+      changesRules: true,
+    },
+    changeRefused: {
+      action: 'rules.apply',
+      outcome: 'refused',
+      changesRules: false,
+    },
+    membersChanged: {
+      action: 'members.change',
+      outcome: 'members',
+      changesRules: false,
+    },
+  };
+
+/**
+ * Logs what the keeper did or saw.
+ *
+ * @example
+ * ```ts
+ * logKeeperEvent(logger, event);
+ * ```
+ */
+export function logKeeperEvent(logger: Logger, event: KeeperEvent): void {
+  const {kind, ...fields} = event;
+  const name = kind.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`);
+  logger[KEEPER_EVENT_LEVELS[kind]](name, {...fields});
+}
+
+/**
+ * Records an event that changed the rules or the members.
+ *
+ * @example
+ * ```ts
+ * recordKeeperEvent(audit, 'entry-1', event);
+ * ```
+ */
+export function recordKeeperEvent(
+  audit: AuditTrail,
+  host: string,
+  event: KeeperEvent,
+): void {
+  const audited = AUDITED_EVENTS[event.kind];
+  if (audited === undefined) return;
+  const {action, outcome, changesRules} = audited;
+  audit
+    .append({
+      id: `${event.changeId}/${outcome}`,
+      timeMs: Date.now(),
+      host,
+      action,
+      who: event.who,
+      why: event.why,
+      beforeRevision: changesRules
+        ? Math.max(0, event.revision - 1)
+        : event.revision,
+      afterRevision: event.revision,
+      outcome,
+    })
+    .catch(() => undefined);
+}
--- a/packages/entry/src/control/sharing/share_exchange.ts
+++ b/packages/entry/src/control/sharing/share_exchange.ts
@@ -13,6 +13,8 @@
 
 const PERIOD_MS = 1000;
 const JITTER = 0.2;
+/** Part of the period after which a peer is called again. */
+const DUE_PART = 0.75;
 const DEFAULT_FANOUT = 3;
 /** After so many periods peers are told everything again. */
 const REFRESH_PERIODS = 30;
@@ -64,8 +66,12 @@
 ): ShareExchange {
   const {directory, transports, collect, merge, random, logger} = options;
   const fanout = options.fanout ?? DEFAULT_FANOUT;
-  /** Revision of the evidence that a run of a peer is known to have. */
+  /** Revision of the own evidence that a run of a peer is known to have. */
   const acknowledged = new Map<string, number>();
+  /** Revision of a peer's evidence that was taken in. */
+  const seen = new Map<string, number>();
+  /** When facts were last exchanged with a run of a peer. */
+  const exchangedAtMs = new Map<string, number>();
   let periodCount = 0;
   let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
@@ -81,18 +87,38 @@
     const address = peer.peerAddress;
     const member = formatMember(peer);
     const facts = collect(resolveQuery(member));
+    const share = createShareClient(transports.resolve(address));
     try {
-      merge(await createShareClient(transports.resolve(address))(facts));
+      const theirs = await share(facts, seen.get(member) ?? 0);
+      takeIn(member, theirs);
       acknowledged.set(member, facts.evidence.revision);
     } catch (error) {
       logger.debug('share_failed', {address, reason: String(error)});
     }
   }
 
+  function takeIn(member: string, facts: SharedFacts): void {
+    merge(facts);
+    seen.set(member, facts.evidence.revision);
+    exchangedAtMs.set(member, performance.now());
+  }
+
+  // An exchange tells both sides, so that a peer that has just called needs
+  // no call in return.
+  function isDue(peer: MemberStatus): boolean {
+    const atMs = exchangedAtMs.get(formatMember(peer)) ?? -Infinity;
+    return performance.now() - atMs >= PERIOD_MS * DUE_PART;
+  }
+
   async function tellSome(): Promise<void> {
     periodCount += 1;
-    if (periodCount % REFRESH_PERIODS === 0) acknowledged.clear();
-    await Promise.all(sample(directory.listLive(), fanout, random).map(tell));
+    if (periodCount % REFRESH_PERIODS === 0) {
+      acknowledged.clear();
+      seen.clear();
+      exchangedAtMs.clear();
+    }
+    const due = directory.listLive().filter(isDue);
+    await Promise.all(sample(due, fanout, random).map(tell));
   }
 
   function schedule(): void {
@@ -109,9 +135,11 @@
     routes: router => {
       router.service(
         ShareService,
-        createShareHandlers(facts => {
-          merge(facts);
-          return collect(resolveQuery(facts.limitUse.member));
+        createShareHandlers((facts, seenRevision) => {
+          const {member} = facts.limitUse;
+          takeIn(member, facts);
+          acknowledged.set(member, seenRevision);
+          return collect(resolveQuery(member));
         }),
       );
     },
--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -1,21 +1,13 @@
 import {randomUUID} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {parseRules, type MemberId, type ObjectStore} from '@anvilrudder/core';
-import type {
-  LogLevel,
-  Logger,
-  MetricRegistry,
-} from '@anvilrudder/observability';
+import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import {HttpObjectStore, createCountingStore} from '@anvilrudder/platform';
 import type {BackendHost} from '../backends/backend_directory.js';
 import type {Settings} from '../config/settings_schema.js';
 import type {ClaimRunner} from '../entry_context.js';
 import {resolvePeerClientTls, type TlsSource} from '../tls/index.js';
-import {
-  createRulesKeeper,
-  type AcceptanceKeeper,
-  type KeeperEvent,
-} from './acceptance/index.js';
+import {createRulesKeeper, type AcceptanceKeeper} from './acceptance/index.js';
 import {createAuditTrail, type AuditTrail} from './audit/audit_trail.js';
 import {startBilling, type Billing} from './billing/start_billing.js';
 import {createClaimRunner} from './claim_runner.js';
@@ -24,6 +16,7 @@
 import {createDutyRunner, type DutyRunner} from './leases/duty_runner.js';
 import {createLeaseKeeper} from './leases/lease_keeper.js';
 import {createControlRoutes, type VersionControl} from './operators/index.js';
+import {logKeeperEvent, recordKeeperEvent} from './keeper_events.js';
 import {startOrderPlans, type OrderPlans} from './orders/order_plans.js';
 import type {EngineOrders} from './orders/rollout_runner.js';
 import {
@@ -264,52 +257,3 @@
   duty.start();
   return duty;
 }
-
-const AUDITED_OUTCOMES: Readonly<Partial<Record<KeeperEvent['kind'], string>>> =
-  {
-    headCreated: 'created',
-    changeAccepted: 'accepted',
-    changeRefused: 'refused',
-    membersChanged: 'members',
-  };
-
-const LOG_LEVELS: Readonly<Partial<Record<KeeperEvent['kind'], LogLevel>>> = {
-  storeFailed: 'warn',
-  contentInvalid: 'error',
-  loopFailed: 'error',
-};
-
-function logKeeperEvent(logger: Logger, event: KeeperEvent): void {
-  const {kind, ...fields} = event;
-  const write = LOG_LEVELS[kind] ?? 'info';
-  logger[write](toEventName(kind), {...fields});
-}
-
-function recordKeeperEvent(
-  audit: AuditTrail,
-  host: string,
-  event: KeeperEvent,
-): void {
-  const outcome = AUDITED_OUTCOMES[event.kind];
-  if (outcome === undefined) return;
-  audit
-    .append({
-      id: `${event.changeId}/${outcome}`,
-      timeMs: Date.now(),
-      host,
-      action: outcome === 'members' ? 'members.change' : 'rules.apply',
-      who: event.who,
-      why: event.why,
-      beforeRevision:
-        outcome === 'members'
-          ? event.revision
-          : Math.max(0, event.revision - 1),
-      afterRevision: event.revision,
-      outcome,
-    })
-    .catch(() => undefined);
-}
-
-function toEventName(kind: KeeperEvent['kind']): string {
-  return kind.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`);
-}
--- a/packages/entry/src/stages/generate.ts
+++ b/packages/entry/src/stages/generate.ts
@@ -87,8 +87,9 @@
   answer: AnswerWriter,
 ): Promise<RoutedOutcome> {
   const failed: ModelVersion[] = [];
+  let firstError: unknown;
   for (let attempt = 1; ; attempt += 1) {
-    const plan = resolveRoute(context, request, failed);
+    const plan = resolveNextRoute(context, request, failed, firstError);
     try {
       const outcome = await runPlan(context, request, plan, answer);
       return {plan, outcome};
@@ -100,10 +101,25 @@
         mayTakeAnotherRoute(error);
       if (!mayReroute) throw error;
       failed.push(...plan.steps);
+      firstError ??= error;
     }
   }
 }
 
+// Without a further route the caller is told why the first one failed.
+function resolveNextRoute(
+  context: EntryContext,
+  request: GenerateRequest,
+  failed: readonly ModelVersion[],
+  firstError: unknown,
+): RoutePlan {
+  try {
+    return resolveRoute(context, request, failed);
+  } catch (error) {
+    throw firstError ?? error;
+  }
+}
+
 const REROUTED_CODES: ReadonlySet<ErrorCode> = new Set([
   'version_withdrawn',
   'not_allowed',
--- a/packages/entry/test/docs/logs_and_metrics_page.test.ts
+++ b/packages/entry/test/docs/logs_and_metrics_page.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {KEEPER_EVENT_LEVELS} from '../../src/control/keeper_events.js';
 import {readCodeSpans, readTableRows} from './doc_tables.js';
 import {listSourceCalls, readUnion, type SourceCall} from './source_calls.js';
 
@@ -23,8 +24,9 @@
 
 /** Events whose name the caller of the logger is given. */
 function listComputedEvents(): readonly SourceCall[] {
+  const levels: Readonly<Record<string, string>> = KEEPER_EVENT_LEVELS;
   const keeper = readUnion(KEEPER_EVENTS, 'kind').map(kind => ({
-    method: 'info',
+    method: levels[kind],
     name: kind.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`),
     isComputed: true,
     keys: KEEPER_FIELDS,
@@ -48,7 +50,7 @@
       .filter(({isComputed}) => isComputed)
       .map(({name}) => name)
       .sort(),
-    ['event', 'toEventName(kind)'],
+    ['event'],
     'the names of a further computed event must be listed',
   );
   return [
--- a/packages/peers/src/share/share_rpc.ts
+++ b/packages/peers/src/share/share_rpc.ts
@@ -31,18 +31,19 @@
 /**
  * Creates the handlers of the share service.
  *
- * @param exchange takes in the caller's facts and gives the own ones.
+ * @param exchange takes in the caller's facts and the revision of the own
+ *   evidence that the caller has; gives the own facts.
  * @example
  * ```ts
  * router.service(ShareService, createShareHandlers(facts => merge(facts)));
  * ```
  */
 export function createShareHandlers(
-  exchange: (facts: SharedFacts) => SharedFacts,
+  exchange: (facts: SharedFacts, seenRevision: number) => SharedFacts,
 ): ServiceImpl<typeof ShareService> {
   return {
-    share: ({facts}) => ({
-      facts: encodeFacts(exchange(decodeFacts(facts))),
+    share: ({facts, seenRevision}) => ({
+      facts: encodeFacts(exchange(decodeFacts(facts), Number(seenRevision))),
     }),
   };
 }
@@ -53,15 +54,18 @@
  * @returns a function that rejects with a ConnectError without an answer.
  * @example
  * ```ts
- * const theirs = await createShareClient(transport)(ours);
+ * const theirs = await createShareClient(transport)(ours, seenRevision);
  * ```
  */
 export function createShareClient(
   transport: Transport,
-): (facts: SharedFacts) => Promise<SharedFacts> {
+): (facts: SharedFacts, seenRevision: number) => Promise<SharedFacts> {
   const client = createClient(ShareService, transport);
-  return async facts => {
-    const response = await client.share({facts: encodeFacts(facts)});
+  return async (facts, seenRevision) => {
+    const response = await client.share({
+      facts: encodeFacts(facts),
+      seenRevision: BigInt(seenRevision),
+    });
     return decodeFacts(response.facts);
   };
 }
