Wait for decided members before all hosts are replaced

The list of members in the status holds undecided ones as well. Ruled out: passing over hosts that are no members (a mistyped name would go unseen). Change: the precondition also asks for no undecided change; what is asserted stays.

--- a/packages/entry/test/faults/process_restarts.test.ts
+++ b/packages/entry/test/faults/process_restarts.test.ts
@@ -112,7 +112,10 @@
       const status = await connectOperator(entries[0].peerAddress).getStatus(
         {},
       );
-      return status.members.length === entries.length;
+      return (
+        status.members.length === entries.length &&
+        status.pendingChangeId === ''
+      );
     }, 'every entry is a member');
     await Promise.all(entries.map(entry => entry.kill()));
     const replaced = await Promise.all(
