Answer malformed requests with one typed error each, by a table

Cause: the entry's answers to hostile bytes, two lengths, two keys and huge bodies were not tested over a socket; JSON answers were sent in chunks. Change: a table of 14 cases over raw sockets; JSON answers carry their length.

--- a/packages/entry/src/server/answer_writer.ts
+++ b/packages/entry/src/server/answer_writer.ts
@@ -70,7 +70,10 @@
     },
     writeRawJson(httpStatus, text) {
       if (response.headersSent) return;
-      writeHead(httpStatus, {'Content-Type': 'application/json'});
+      writeHead(httpStatus, {
+        'Content-Type': 'application/json',
+        'Content-Length': String(Buffer.byteLength(text)),
+      });
       response.end(text);
     },
     writeText(httpStatus, text) {
--- /dev/null
+++ b/packages/entry/test/server/bad_input.test.ts
@@ -0,0 +1,165 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {after, before, test} from 'node:test';
+import {generate} from '../support/test_caller.js';
+import {
+  API_KEYS,
+  startTestDeployment,
+  type TestDeployment,
+} from '../support/test_deployment.js';
+
+interface BadInputCase {
+  readonly name: string;
+  readonly request: string;
+  readonly httpStatus: number;
+  readonly code: string;
+}
+
+const KEY = `Authorization: Bearer ${API_KEYS['school-a']}`;
+const JSON_TYPE = 'Content-Type: application/json';
+const HUGE_BODY_BYTES = 2_000_000;
+
+function createPost(
+  body: string,
+  headers: readonly string[] = [KEY, JSON_TYPE],
+  path = '/v1/generate',
+): string {
+  return [
+    `POST ${path} HTTP/1.1`,
+    'Host: entry',
+    'Connection: close',
+    ...headers,
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    '',
+    body,
+  ].join('\r\n');
+}
+
+const VALID = '{"kind":"chat","prompt":"x"}';
+
+const CASES: readonly BadInputCase[] = [
+  {
+    name: 'no API key',
+    request: createPost(VALID, [JSON_TYPE]),
+    httpStatus: 401,
+    code: 'unauthenticated',
+  },
+  {
+    name: 'a wrong API key',
+    request: createPost(VALID, ['Authorization: Bearer nobody', JSON_TYPE]),
+    httpStatus: 401,
+    code: 'unauthenticated',
+  },
+  {
+    name: 'two API keys',
+    request: createPost(VALID, [KEY, 'Authorization: Bearer other']),
+    httpStatus: 400,
+    code: 'invalid_request',
+  },
+  {
+    name: 'broken JSON',
+    request: createPost('{"kind":'),
+    httpStatus: 400,
+    code: 'invalid_json',
+  },
+  {
+    name: 'an unknown field',
+    request: createPost('{"kind":"chat","prompt":"x","modle":"quick"}'),
+    httpStatus: 400,
+    code: 'invalid_request',
+  },
+  {
+    name: 'an unknown kind',
+    request: createPost('{"kind":"nothing","prompt":"x"}'),
+    httpStatus: 404,
+    code: 'unknown_kind',
+  },
+  {
+    name: 'an unknown model',
+    request: createPost(
+      '{"kind":"chat","prompt":"x","model":"none","version":"v1"}',
+    ),
+    httpStatus: 404,
+    code: 'unknown_model',
+  },
+  {
+    name: 'a path that does not exist',
+    request: createPost(VALID, [KEY], '/v2/generate'),
+    httpStatus: 404,
+    code: 'not_found',
+  },
+  {
+    name: 'a method that the path does not take',
+    request:
+      'GET /v1/generate HTTP/1.1\r\nHost: e\r\nConnection: close\r\n\r\n',
+    httpStatus: 405,
+    code: 'method_not_allowed',
+  },
+  {
+    name: 'a body announced larger than the limit',
+    request: `POST /v1/generate HTTP/1.1\r\nHost: e\r\n${KEY}\r\nContent-Length: ${HUGE_BODY_BYTES}\r\n\r\n`,
+    httpStatus: 413,
+    code: 'body_too_large',
+  },
+  {
+    name: 'a length and a chunked encoding together',
+    request: `POST /v1/generate HTTP/1.1\r\nHost: e\r\n${KEY}\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /metrics HTTP/1.1\r\n\r\n`,
+    httpStatus: 400,
+    code: 'invalid_request',
+  },
+  {
+    name: 'two lengths that differ',
+    request: `POST /v1/generate HTTP/1.1\r\nHost: e\r\n${KEY}\r\nContent-Length: 5\r\nContent-Length: 50\r\n\r\nhello`,
+    httpStatus: 400,
+    code: 'invalid_request',
+  },
+  {
+    name: 'bytes that are no HTTP',
+    request: '\u0000\u0001 nonsense\r\n\r\n',
+    httpStatus: 400,
+    code: 'invalid_request',
+  },
+  {
+    name: 'a service that no rule names',
+    request: createPost('{}', [KEY], '/v1/services/nothing'),
+    httpStatus: 404,
+    code: 'unknown_kind',
+  },
+];
+
+let deployment: TestDeployment;
+
+before(async () => {
+  deployment = await startTestDeployment();
+});
+
+after(async () => {
+  await deployment.stop();
+});
+
+async function exchange(address: string, request: string): Promise<string> {
+  const [host, port] = address.split(':');
+  const socket = connect(Number(port), host);
+  await once(socket, 'connect');
+  socket.write(request);
+  const chunks: Buffer[] = [];
+  socket.on('data', chunk => chunks.push(chunk));
+  await once(socket, 'close');
+  return Buffer.concat(chunks).toString();
+}
+
+for (const {name, request, httpStatus, code} of CASES) {
+  test(`${name} gets a typed error and the entry goes on`, async () => {
+    const [entry] = deployment.entries;
+    const answer = await exchange(entry.callerAddress, request);
+    assert.match(answer, new RegExp(`^HTTP/1.1 ${httpStatus} `));
+    assert.equal(answer.match(/HTTP\/1\.1 /g)?.length, 1, answer);
+    const body = JSON.parse(answer.slice(answer.indexOf('\r\n\r\n') + 4)) as {
+      readonly error: {readonly code: string; readonly execution: string};
+    };
+    assert.equal(body.error.code, code);
+    assert.equal(body.error.execution, 'notRun');
+    assert.equal((await generate(entry.callerAddress)).isWhole, true);
+  });
+}
