Remove a look-up and a type that nothing uses any more

Cause: the engine pool took over the choice of engines, and the directory's own list of engines by version, and a type of roles, were left behind. Ruled out: joining the two checks of bearer digests (callers, operators) in the same step; they take different input and deserve a change of their own.

--- a/packages/entry/src/backends/backend_directory.ts
+++ b/packages/entry/src/backends/backend_directory.ts
@@ -1,7 +1,4 @@
-import {formatModelVersion, type ModelVersion} from '@anvilrudder/core';
-
-/** What a backend server does. */
-export type BackendRole = 'engine' | 'booking' | 'rating';
+import type {ModelVersion} from '@anvilrudder/core';
 
 /** One backend server of the host list. */
 export interface BackendHost {
@@ -48,7 +45,7 @@
  * ```ts
  * const directory = BackendDirectory.create();
  * directory.replaceHosts(await hostList.read());
- * directory.listServing({model: 'quick', version: 'v1'});
+ * directory.listRole('booking');
  * ```
  */
 export class BackendDirectory {
@@ -135,14 +132,6 @@
     };
   }
 
-  /** Engines that have the version loaded and take new work. */
-  listServing(wanted: ModelVersion): readonly BackendView[] {
-    const name = formatModelVersion(wanted);
-    return this.listRole('engine').filter(view =>
-      view.load?.loaded.some(each => formatModelVersion(each) === name),
-    );
-  }
-
   /** Servers of a role that take new work. */
   listRole(role: string): readonly BackendView[] {
     return this.listAll().filter(
