--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -22,7 +22,15 @@
 const TIMER_GLOBALS = ['setTimeout', 'setInterval', 'setImmediate', 'fetch'];
 
 export default defineConfig([
-  {ignores: ['**/dist/**', '**/gen/**', 'reports/**', 'node_modules/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      'target/**',
+      '**/gen/**',
+      'reports/**',
+      'node_modules/**',
+    ],
+  },
   ...gts,
   {
     files: ['**/*.mjs'],
@@ -41,7 +49,7 @@
     languageOptions: {
       sourceType: 'module',
       parserOptions: {
-        project: ['packages/*/tsconfig.json'],
+        project: ['packages/*/tsconfig.json', 'platform/tsconfig.json'],
         tsconfigRootDir: import.meta.dirname,
       },
     },
--- /dev/null
+++ b/packages/clients/src/http/connection_pool.ts
@@ -0,0 +1,252 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Socket} from 'node:net';
+import {buildConnector, Client, type Dispatcher} from 'undici';
+import {
+  HttpExchange,
+  type ExchangeOptions,
+  type HttpStream,
+} from './http_exchange.js';
+
+/** Settings of the connections to one backend server. */
+export interface ConnectionPoolOptions {
+  /** `ip:port`. */
+  readonly address: string;
+  /** Open connections at most. */
+  readonly maxConnections: number;
+  /** Time to open a connection. Default 700. */
+  readonly connectTimeoutMs?: number;
+  /**
+   * Time that an idle connection is kept when the server names none. Default
+   * 4000.
+   */
+  readonly keepAliveTimeoutMs?: number;
+  /** Told of each connection that is opened. */
+  readonly onConnect?: () => void;
+}
+
+/** One request on a connection of the pool. */
+export interface PooledRequest extends ExchangeOptions {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer | undefined;
+  /** Use a kept connection only when it was idle for no longer. */
+  readonly maxIdleMs: number;
+}
+
+const DEFAULTS = {
+  connectTimeoutMs: 700,
+  keepAliveTimeoutMs: 4000,
+  onConnect: () => undefined,
+} as const satisfies Partial<ConnectionPoolOptions>;
+
+/** Longest time that a server may ask to keep an idle connection. */
+const MAX_KEEP_ALIVE_MS = 30_000;
+/** A kept connection is closed this long before the server would. */
+const KEEP_ALIVE_MARGIN_MS = 1000;
+
+/** One connection, which carries one request at a time. */
+class PooledConnection {
+  private readonly client: Client;
+  private socketFailed = false;
+  isClosed = false;
+  idleSinceMs = 0;
+
+  private constructor(options: Required<ConnectionPoolOptions>) {
+    const connect = buildConnector({timeout: options.connectTimeoutMs});
+    this.client = new Client(`http://${options.address}`, {
+      pipelining: 1,
+      keepAliveTimeout: options.keepAliveTimeoutMs,
+      keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: (target, callback) => {
+        connect(target, (error, socket) => {
+          if (socket) this.watchSocket(socket);
+          if (error) callback(error, null);
+          else callback(null, socket as Socket);
+        });
+      },
+    });
+    this.client.on('connect', options.onConnect);
+    this.client.on('disconnect', () => this.close());
+    this.client.on('connectionError', () => this.close());
+  }
+
+  static create(options: Required<ConnectionPoolOptions>): PooledConnection {
+    return new PooledConnection(options);
+  }
+
+  /** False when a reset may have cut the answer that was being read. */
+  get hasSoundSocket(): boolean {
+    return !this.socketFailed;
+  }
+
+  dispatch(request: PooledRequest, handler: Dispatcher.DispatchHandler): void {
+    const {method, path, headers, body} = request;
+    this.client.dispatch({method, path, headers, body}, handler);
+  }
+
+  close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.client.destroy().catch(() => undefined);
+  }
+
+  // Runs before the client's own listener, which takes a reset at the end of
+  // an answer without a length for its end.
+  private watchSocket(socket: Socket): void {
+    socket.once('error', () => {
+      this.socketFailed = true;
+    });
+  }
+}
+
+/** Passes the events of a request on and tells when its connection is free. */
+function followRequest(
+  exchange: HttpExchange,
+  onFree: (isReusable: boolean) => void,
+): Dispatcher.DispatchHandler {
+  return {
+    onRequestStart: controller => exchange.onRequestStart(controller),
+    onResponseStart: (controller, status, headers) =>
+      exchange.onResponseStart(controller, status, headers),
+    onResponseData: (controller, chunk) =>
+      exchange.onResponseData(controller, chunk),
+    onResponseEnd: () => {
+      exchange.onResponseEnd();
+      onFree(true);
+    },
+    onResponseError: (controller, error) => {
+      exchange.onResponseError(controller, error);
+      onFree(false);
+    },
+  };
+}
+
+/**
+ * Kept connections to one backend server. Each request goes out at most once;
+ * its failure says how far it got.
+ */
+export class ConnectionPool {
+  private readonly idle: PooledConnection[] = [];
+  private openCount = 0;
+  private isClosed = false;
+
+  private constructor(
+    private readonly options: Required<ConnectionPoolOptions>,
+  ) {}
+
+  /**
+   * @example
+   * ```ts
+   * const pool = ConnectionPool.create({address: '10.0.0.1:80', maxConnections: 8});
+   * const stream = await pool.open({method: 'GET', path: '/', headers: {},
+   *   body: undefined, maxIdleMs: 1000, timeoutMs: 1000});
+   * ```
+   */
+  static create(options: ConnectionPoolOptions): ConnectionPool {
+    return new ConnectionPool({...DEFAULTS, ...options});
+  }
+
+  /** Connections that carry a request now. */
+  get busyCount(): number {
+    return this.openCount - this.idle.length;
+  }
+
+  /**
+   * Sends a request and returns once the head of the answer arrived.
+   *
+   * @throws TransportError when no head arrived; its phase is
+   *     `beforeFirstByte` when all connections are busy.
+   */
+  open(request: PooledRequest): Promise<HttpStream> {
+    const connection = this.takeIdle(request.maxIdleMs) ?? this.connect();
+    const exchange = HttpExchange.create({
+      ...request,
+      confirmEnd: () => connection?.hasSoundSocket ?? false,
+    });
+    if (connection === undefined) {
+      exchange.fail('connect', new Error('all connections are busy'));
+      return exchange.opened;
+    }
+    this.dispatch(connection, request, exchange);
+    return exchange.opened;
+  }
+
+  /** Closes the connections; requests in progress are cut. */
+  close(): void {
+    this.isClosed = true;
+    this.closeIdle();
+  }
+
+  /** Closes the connections that carry no request. */
+  closeIdle(): void {
+    for (const connection of this.idle.splice(0)) this.drop(connection);
+  }
+
+  private dispatch(
+    connection: PooledConnection,
+    request: PooledRequest,
+    exchange: HttpExchange,
+  ): void {
+    let isFree = false;
+    const release = (isReusable: boolean): void => {
+      if (isFree) return;
+      isFree = true;
+      this.release(connection, isReusable);
+    };
+    try {
+      connection.dispatch(request, followRequest(exchange, release));
+    } catch (error) {
+      exchange.fail('connect', error);
+      release(false);
+    }
+  }
+
+  private takeIdle(maxIdleMs: number): PooledConnection | undefined {
+    const nowMs = performance.now();
+    while (this.idle.length > 0) {
+      const connection = this.idle.at(-1);
+      if (connection === undefined) return undefined;
+      if (connection.isClosed) {
+        this.idle.pop();
+        this.drop(connection);
+        continue;
+      }
+      // The last one is the most recently used.
+      if (nowMs - connection.idleSinceMs > maxIdleMs) return undefined;
+      this.idle.pop();
+      return connection;
+    }
+    return undefined;
+  }
+
+  private connect(): PooledConnection | undefined {
+    if (this.isClosed) return undefined;
+    if (this.openCount >= this.options.maxConnections) this.closeOneIdle();
+    if (this.openCount >= this.options.maxConnections) return undefined;
+    this.openCount += 1;
+    return PooledConnection.create(this.options);
+  }
+
+  private closeOneIdle(): void {
+    const oldest = this.idle.shift();
+    if (oldest !== undefined) this.drop(oldest);
+  }
+
+  private release(connection: PooledConnection, isReusable: boolean): void {
+    if (!isReusable || this.isClosed || connection.isClosed) {
+      this.drop(connection);
+      return;
+    }
+    connection.idleSinceMs = performance.now();
+    this.idle.push(connection);
+  }
+
+  private drop(connection: PooledConnection): void {
+    this.openCount -= 1;
+    connection.close();
+  }
+}
--- a/packages/platform/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -19,6 +19,11 @@
    * returns false nothing is written.
    */
   readonly confirmSend?: () => boolean;
+  /**
+   * Called at the end of an answer that only the end of its connection
+   * delimits; when it returns false the answer counts as cut.
+   */
+  readonly confirmEnd?: () => boolean;
 }
 
 /** The head of an answer and its body as it arrives. */
@@ -48,6 +53,7 @@
   private isOver = false;
   private isDiscarding = false;
   private missingBytes: number | undefined;
+  private isUnframed = false;
   private controller: Dispatcher.DispatchController | undefined;
   private timer: NodeJS.Timeout | undefined;
   private readonly chunks: ChunkQueue;
@@ -99,6 +105,8 @@
     if (status < FIRST_FINAL_STATUS || this.isOver) return;
     this.phase = 'streaming';
     this.missingBytes = parseLength(headers['content-length']);
+    this.isUnframed =
+      this.missingBytes === undefined && !headers['transfer-encoding'];
     this.arm(this.options.idleTimeoutMs);
     this.resolveOpened({
       status,
@@ -120,6 +128,10 @@
 
   onResponseEnd(): void {
     if (this.isOver) return;
+    if (this.isUnframed && this.options.confirmEnd?.() === false) {
+      this.fail('cut');
+      return;
+    }
     this.close();
     this.chunks.finish();
   }
--- a/packages/platform/src/objects/watch_objects.ts
+++ b/packages/clients/src/objects/watch_objects.ts
@@ -19,6 +19,8 @@
   onEvent(event: WatchEvent): void;
   /** A call failed; the watch goes on after a backoff. */
   onError?(error: ObjectStoreFailureError): void;
+  /** A call succeeded after one or more had failed. */
+  onRecovered?(): void;
 }
 
 /** How a watch waits and ends. */
@@ -59,6 +61,7 @@
     while (!signal.aborted) {
       try {
         await this.step();
+        if (failures > 0) this.handlers.onRecovered?.();
         failures = 0;
       } catch (error) {
         if (!isObjectStoreError(error)) throw error;
@@ -80,10 +83,11 @@
       waitMs,
       signal,
     );
+    const since = this.version;
     for (const event of page.events) {
       if (signal.aborted) return;
-      if (event.version <= this.version) continue;
-      this.version = event.version;
+      if (event.version <= since) continue;
+      this.version = Math.max(this.version, event.version);
       this.handlers.onEvent(event);
     }
     this.version = Math.max(this.version, page.storeVersion);
--- a/packages/core/src/errors/error_codes.ts
+++ b/packages/core/src/errors/error_codes.ts
@@ -33,6 +33,18 @@
     isRetryable: false,
     description: 'The body exceeds the configured limit.',
   },
+  headers_too_large: {
+    httpStatus: 431,
+    execution: 'notRun',
+    isRetryable: false,
+    description: 'The headers exceed the configured limit.',
+  },
+  request_timeout: {
+    httpStatus: 408,
+    execution: 'notRun',
+    isRetryable: false,
+    description: 'The request did not arrive in time.',
+  },
   unauthenticated: {
     httpStatus: 401,
     execution: 'notRun',
--- /dev/null
+++ b/packages/core/src/forwarding/placement.ts
@@ -0,0 +1,141 @@
+import {hashToUint32} from '../utils/hash.js';
+import type {Random} from '../utils/random.js';
+import type {GenerationDemand, PromptPart} from './exchange_types.js';
+import {isEjected, readFailureShare} from './server_health.js';
+import type {ServerRecord} from './server_table.js';
+
+/** What a server is chosen for. */
+export interface PlacementRequest {
+  /** Servers that may run the request, ejected ones included. */
+  readonly candidates: readonly ServerRecord[];
+  /** Ids of servers that the request was sent to before. */
+  readonly tried: ReadonlySet<string>;
+  readonly failureDomain: string;
+  /** Hosts that send to the same servers, this one included. */
+  readonly hostCount: number;
+  /** Time that a crossing of failure domains must save. */
+  readonly crossingCostMs: number;
+  readonly generation: GenerationPlacement | undefined;
+  readonly nowMs: number;
+  readonly random: Random;
+}
+
+/** What placing a generation takes into account. */
+export interface GenerationPlacement {
+  readonly model: string;
+  readonly demand: GenerationDemand;
+  /** Time in which a server reads a token with the model. */
+  readonly readMsPerToken: number;
+}
+
+/** The chosen server and what the request costs it. */
+export interface PlacementChoice {
+  readonly record: ServerRecord;
+  readonly workMs: number;
+}
+
+/** Time that one more running request takes from the others of a server. */
+const RUNNING_COST_MS = 4;
+/** Other hosts probably sent a shared part to its home before. */
+const HOME_KNOWN_SHARE = 0.5;
+/** Servers that share the home of a prefix, most preferred first. */
+const HOME_COUNT = 2;
+/** Cost of a certain failure, in time that the request then lost. */
+const FAILURE_COST_MS = 2000;
+const PLAIN_REQUEST_MS = 20;
+
+/**
+ * Chooses the server with the least expected delay: the reading that waits
+ * there, the part of the prompt that it has to read, and its failures. Hosts
+ * agree on the home of a shared prefix by its hash, and leave it as its load
+ * grows, so that a hot prefix spreads over several servers.
+ *
+ * @returns undefined when no candidate may take the request.
+ * @example
+ * ```ts
+ * const choice = chooseServer({candidates: table.list('engine'), ...request});
+ * ```
+ */
+export function chooseServer(
+  request: PlacementRequest,
+): PlacementChoice | undefined {
+  const usable = listUsable(request);
+  if (usable.length === 0) return undefined;
+  const homes = findHomes(request, usable);
+  let best: PlacementChoice | undefined;
+  let bestCost = Infinity;
+  for (const record of usable) {
+    const workMs = computeWorkMs(
+      request,
+      record,
+      homes.indexOf(record.server.id),
+    );
+    const cost = computeCost(request, record, workMs);
+    if (cost >= bestCost) continue;
+    bestCost = cost;
+    best = {record, workMs};
+  }
+  return best;
+}
+
+// An ejected server is better than none, a tried one is not.
+function listUsable(request: PlacementRequest): readonly ServerRecord[] {
+  const {candidates, tried, nowMs} = request;
+  const untried = candidates.filter(({server}) => !tried.has(server.id));
+  const sound = untried.filter(({health}) => !isEjected(health, nowMs));
+  return sound.length > 0 ? sound : untried;
+}
+
+function findHomes(
+  {generation}: PlacementRequest,
+  usable: readonly ServerRecord[],
+): readonly string[] {
+  const shared = generation && findSharedPart(generation.demand.parts);
+  if (generation === undefined || shared === undefined) return [];
+  const key = `${generation.model}/${shared.id}`;
+  return usable
+    .map(({server}) => ({
+      id: server.id,
+      rank: hashToUint32(`${key}/${server.id}`),
+    }))
+    .sort((a, b) => b.rank - a.rank)
+    .slice(0, HOME_COUNT)
+    .map(({id}) => id);
+}
+
+/** The last part that other requests may share. */
+export function findSharedPart(
+  parts: readonly PromptPart[],
+): PromptPart | undefined {
+  return parts.at(-2) ?? parts.at(-1);
+}
+
+function computeWorkMs(
+  {generation}: PlacementRequest,
+  record: ServerRecord,
+  homeRank: number,
+): number {
+  if (generation === undefined) return PLAIN_REQUEST_MS;
+  const {model, demand, readMsPerToken} = generation;
+  const known = record.parts.countKnownTokens(model, demand.parts);
+  const unread = Math.max(0, demand.promptTokens - known);
+  const own = demand.parts.at(-1)?.tokens ?? 0;
+  const isHome = homeRank === 0 && known === 0;
+  const guessed = isHome ? Math.max(0, unread - own) * HOME_KNOWN_SHARE : 0;
+  return (unread - guessed) * readMsPerToken;
+}
+
+function computeCost(
+  request: PlacementRequest,
+  record: ServerRecord,
+  workMs: number,
+): number {
+  const {failureDomain, hostCount, crossingCostMs, nowMs, random} = request;
+  const {server, health, waitingWorkMs, inFlight} = record;
+  // The other hosts send about as much as this one.
+  const waiting = waitingWorkMs * (1 + (hostCount - 1) / 2);
+  const running = (inFlight * hostCount * RUNNING_COST_MS * 64) / server.slots;
+  const crossing = server.failureDomain === failureDomain ? 0 : crossingCostMs;
+  const failing = readFailureShare(health, nowMs) * FAILURE_COST_MS;
+  return waiting + running + workMs + crossing + failing + random();
+}
--- /dev/null
+++ b/packages/core/src/forwarding/server_table.ts
@@ -0,0 +1,140 @@
+import {
+  observeAttempt,
+  UNKNOWN_HEALTH,
+  type ServerHealth,
+} from './server_health.js';
+import type {AttemptEnd} from './attempt_outcome.js';
+import type {GenerationDemand, RegisteredServer} from './exchange_types.js';
+import {PartMemory} from './part_memory.js';
+
+/** What this host knows of one server. */
+export interface ServerRecord {
+  readonly server: RegisteredServer;
+  readonly health: ServerHealth;
+  /** Requests of this host at the server. */
+  readonly inFlight: number;
+  /** Reading of prompts that this host waits for there. */
+  readonly waitingWorkMs: number;
+  readonly parts: PartMemory;
+}
+
+interface MutableRecord {
+  server: RegisteredServer;
+  health: ServerHealth;
+  inFlight: number;
+  waitingWorkMs: number;
+  readonly parts: PartMemory;
+}
+
+/** One send to a server, from its start to its end. */
+export interface ServerVisit {
+  readonly server: RegisteredServer;
+  /** Reading that the server has to do before the first event. */
+  readonly workMs: number;
+}
+
+interface MutableVisit extends ServerVisit {
+  isWaiting: boolean;
+}
+
+/** The registered servers, and this host's own view of each. */
+export class ServerTable {
+  private readonly records = new Map<string, MutableRecord>();
+  private byService = new Map<string, MutableRecord[]>();
+
+  private constructor() {}
+
+  static create(): ServerTable {
+    return new ServerTable();
+  }
+
+  /** Adds or changes a server. */
+  put(server: RegisteredServer): void {
+    const known = this.records.get(server.id);
+    if (known !== undefined) known.server = server;
+    else {
+      this.records.set(server.id, {
+        server,
+        health: UNKNOWN_HEALTH,
+        inFlight: 0,
+        waitingWorkMs: 0,
+        parts: PartMemory.create(),
+      });
+    }
+    this.regroup();
+  }
+
+  /** Forgets a server that is gone; visits there end as usual. */
+  remove(id: string): void {
+    if (this.records.delete(id)) this.regroup();
+  }
+
+  get size(): number {
+    return this.records.size;
+  }
+
+  find(id: string): ServerRecord | undefined {
+    return this.records.get(id);
+  }
+
+  /** All servers of a service, leaving ones included. */
+  list(service: string): readonly ServerRecord[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  /** All registered ids. */
+  listIds(): readonly string[] {
+    return [...this.records.keys()];
+  }
+
+  /** Counts a request as sent; each visit ends in {@link end}. */
+  begin(
+    id: string,
+    workMs: number,
+    model: string,
+    demand: GenerationDemand | undefined,
+    nowMs: number,
+  ): ServerVisit | undefined {
+    const record = this.records.get(id);
+    if (record === undefined) return undefined;
+    record.inFlight += 1;
+    record.waitingWorkMs += workMs;
+    if (demand !== undefined) record.parts.record(model, demand.parts, nowMs);
+    const visit: MutableVisit = {
+      server: record.server,
+      workMs,
+      isWaiting: true,
+    };
+    return visit;
+  }
+
+  /** Notes that the server began to answer: its reading is done. */
+  markAnswering(visit: ServerVisit): void {
+    const open = visit as MutableVisit;
+    if (!open.isWaiting) return;
+    open.isWaiting = false;
+    const record = this.records.get(visit.server.id);
+    if (record === undefined) return;
+    record.waitingWorkMs = Math.max(0, record.waitingWorkMs - visit.workMs);
+  }
+
+  /** Takes in the end of a visit; undefined says nothing of the server. */
+  end(visit: ServerVisit, end: AttemptEnd | undefined, nowMs: number): void {
+    this.markAnswering(visit);
+    const record = this.records.get(visit.server.id);
+    if (record === undefined) return;
+    record.inFlight = Math.max(0, record.inFlight - 1);
+    if (end === undefined) return;
+    record.health = observeAttempt(record.health, end, nowMs);
+  }
+
+  private regroup(): void {
+    this.byService = new Map();
+    for (const record of this.records.values()) {
+      const {service} = record.server;
+      const group = this.byService.get(service);
+      if (group === undefined) this.byService.set(service, [record]);
+      else group.push(record);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/forwarding/session_versions.ts
@@ -0,0 +1,47 @@
+interface SessionEntry {
+  readonly version: string;
+  readonly lastMs: number;
+}
+
+/** Sessions remembered at most; the least recently used go first. */
+const MAX_SESSIONS = 20_000;
+
+/** The version that each session was last sent to, while it lasts. */
+export class SessionVersions {
+  private readonly entries = new Map<string, SessionEntry>();
+
+  private constructor(private readonly sessionMs: number) {}
+
+  /**
+   * @param sessionMs pause after which a session begins anew.
+   * @example
+   * ```ts
+   * const sessions = SessionVersions.create(5000);
+   * sessions.record('s', 'v1', nowMs);
+   * sessions.find('s', nowMs + 100); // 'v1'
+   * ```
+   */
+  static create(sessionMs: number): SessionVersions {
+    return new SessionVersions(sessionMs);
+  }
+
+  record(session: string, version: string, nowMs: number): void {
+    this.entries.delete(session);
+    this.entries.set(session, {version, lastMs: nowMs});
+    this.dropOld(nowMs);
+  }
+
+  find(session: string, nowMs: number): string | undefined {
+    const entry = this.entries.get(session);
+    if (entry === undefined) return undefined;
+    return nowMs - entry.lastMs > this.sessionMs ? undefined : entry.version;
+  }
+
+  private dropOld(nowMs: number): void {
+    for (const [session, {lastMs}] of this.entries) {
+      const isOld = nowMs - lastMs > this.sessionMs;
+      if (!isOld && this.entries.size <= MAX_SESSIONS) return;
+      this.entries.delete(session);
+    }
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from './errors/error_codes.js';
 export * from './errors/finding.js';
 export * from './errors/router_error.js';
+export * from './forwarding/index.js';
 export * from './leases/index.js';
 export * from './limits/index.js';
 export * from './membership/index.js';
--- a/packages/entry/src/backends/create_backend_clients.ts
+++ b/packages/entry/src/backends/create_backend_clients.ts
@@ -4,7 +4,7 @@
   HttpServiceClient,
   type EngineClient,
   type ServiceClient,
-} from '@anvilrudder/platform';
+} from '@anvilrudder/clients';
 import type {Settings} from '../config/settings_schema.js';
 import type {BackendReader} from './watch_backends.js';
 
--- a/packages/entry/src/backends/send_gate.ts
+++ b/packages/entry/src/backends/send_gate.ts
@@ -1,4 +1,4 @@
-import {isBackendError, type BackendError} from '@anvilrudder/platform';
+import {isBackendError, type BackendError} from '@anvilrudder/clients';
 
 /** A check made in the turn of the event loop that writes the first byte. */
 export interface SendGate {
--- a/packages/entry/src/control/claim_runner.ts
+++ b/packages/entry/src/control/claim_runner.ts
@@ -5,7 +5,7 @@
   type CallResult,
   type ServiceRule,
 } from '@anvilrudder/core';
-import type {ServiceAnswer} from '@anvilrudder/platform';
+import type {ServiceAnswer} from '@anvilrudder/clients';
 import type {ClaimRunner} from '../entry_context.js';
 import type {ServiceRequest} from '../stages/caller_request.js';
 import type {ClaimKeeper} from './claims/claim_keeper.js';
--- a/packages/entry/src/control/orders/engine_orders.ts
+++ b/packages/entry/src/control/orders/engine_orders.ts
@@ -1,4 +1,4 @@
-import type {EngineClient} from '@anvilrudder/platform';
+import type {EngineClient} from '@anvilrudder/clients';
 import type {BackendDirectory} from '../../backends/backend_directory.js';
 import type {EngineOrders} from './rollout_runner.js';
 
--- a/packages/entry/src/control/start_control.ts
+++ b/packages/entry/src/control/start_control.ts
@@ -2,7 +2,7 @@
 import {readFileSync} from 'node:fs';
 import {parseRules, type MemberId, type ObjectStore} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
-import {HttpObjectStore, createCountingStore} from '@anvilrudder/platform';
+import {HttpObjectStore, createCountingStore} from '@anvilrudder/clients';
 import type {BackendHost} from '../backends/backend_directory.js';
 import type {Settings} from '../config/settings_schema.js';
 import type {ClaimRunner} from '../entry_context.js';
--- a/packages/entry/src/decisions/rating_loop.ts
+++ b/packages/entry/src/decisions/rating_loop.ts
@@ -10,7 +10,7 @@
   RatingAcceptance,
   RatingPage,
   RatingRequest,
-} from '@anvilrudder/platform';
+} from '@anvilrudder/clients';
 
 const POLL_PERIOD_MS = 1000;
 const MAX_QUEUED = 100;
--- a/packages/entry/src/decisions/start_decisions.ts
+++ b/packages/entry/src/decisions/start_decisions.ts
@@ -5,7 +5,7 @@
   type Ruling,
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
-import {RatingClient} from '@anvilrudder/platform';
+import {RatingClient} from '@anvilrudder/clients';
 import type {SharedFacts} from '@anvilrudder/peers';
 import type {BackendDirectory} from '../backends/backend_directory.js';
 import type {Settings} from '../config/settings_schema.js';
--- a/packages/entry/src/entry_context.ts
+++ b/packages/entry/src/entry_context.ts
@@ -8,7 +8,7 @@
   EngineClient,
   ServiceAnswer,
   ServiceClient,
-} from '@anvilrudder/platform';
+} from '@anvilrudder/clients';
 import type {BackendDirectory} from './backends/backend_directory.js';
 import type {Settings} from './config/settings_schema.js';
 import type {AuditTrail} from './control/audit/audit_trail.js';
--- a/packages/entry/src/stages/attempt.ts
+++ b/packages/entry/src/stages/attempt.ts
@@ -3,7 +3,7 @@
   createBackendError,
   isBackendError,
   type DoneEvent,
-} from '@anvilrudder/platform';
+} from '@anvilrudder/clients';
 import {createSendGate} from '../backends/send_gate.js';
 import type {PickedServer} from '../decisions/engine_pool.js';
 import {PaceMeter} from '../decisions/pace_meter.js';
--- a/packages/entry/src/stages/call_service.ts
+++ b/packages/entry/src/stages/call_service.ts
@@ -9,7 +9,7 @@
   isBackendError,
   type BackendError,
   type ServiceAnswer,
-} from '@anvilrudder/platform';
+} from '@anvilrudder/clients';
 import {createSendGate, mayHaveRun} from '../backends/send_gate.js';
 import type {EntryContext} from '../entry_context.js';
 import type {AnswerWriter} from '../server/answer_writer.js';
--- a/packages/entry/src/stages/dispatch.ts
+++ b/packages/entry/src/stages/dispatch.ts
@@ -3,7 +3,7 @@
   formatModelVersion,
   type DispatchOutcome,
 } from '@anvilrudder/core';
-import {isBackendError, type BackendError} from '@anvilrudder/platform';
+import {isBackendError, type BackendError} from '@anvilrudder/clients';
 import type {PickedServer} from '../decisions/engine_pool.js';
 import type {EntryContext} from '../entry_context.js';
 import {runAttempt} from './attempt.js';
--- a/packages/entry/src/stages/step.ts
+++ b/packages/entry/src/stages/step.ts
@@ -1,5 +1,5 @@
 import type {ModelVersion} from '@anvilrudder/core';
-import type {BackendError} from '@anvilrudder/platform';
+import type {BackendError} from '@anvilrudder/clients';
 import type {GenerateRequest} from './caller_request.js';
 
 /** One model version of a plan, to be run for a request. */
--- a/packages/entry/test/config/settings_reloader.test.ts
+++ b/packages/entry/test/config/settings_reloader.test.ts
@@ -7,7 +7,7 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {test, type TestContext} from 'node:test';
-import {HttpObjectStore} from '@anvilrudder/platform';
+import {HttpObjectStore} from '@anvilrudder/clients';
 import {ControlService} from '@anvilrudder/peers';
 import {createClient} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
--- a/packages/entry/test/support/process_deployment.ts
+++ b/packages/entry/test/support/process_deployment.ts
@@ -3,7 +3,7 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {HttpObjectStore} from '@anvilrudder/platform';
+import {HttpObjectStore} from '@anvilrudder/clients';
 import {
   startBookingStandIn,
   startEngineStandIn,
--- a/packages/experiments/src/capacity/capacity_load_reports.ts
+++ b/packages/experiments/src/capacity/capacity_load_reports.ts
@@ -1,4 +1,4 @@
-import {HttpEngineClient} from '@anvilrudder/platform';
+import {HttpEngineClient} from '@anvilrudder/clients';
 import {
   fitColumns,
   type CapacityCommand,
--- /dev/null
+++ b/packages/gateway/src/config/settings.ts
@@ -0,0 +1,157 @@
+import type {Finding} from '@anvilrudder/core';
+import {LineCounter, isNode, parseDocument, type Document} from 'yaml';
+
+/** An address to listen on. */
+export interface ListenAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** The settings of one gateway process. */
+export interface GatewaySettings {
+  readonly host: string;
+  readonly failureDomain: string;
+  readonly listen: {
+    readonly callers: ListenAddress;
+    readonly readiness: ListenAddress;
+    readonly metrics: ListenAddress;
+  };
+  /** `ip:port` of the object store. */
+  readonly storeAddress: string;
+  /** Time between two signs of life of a backend server. */
+  readonly heartbeatMs: number;
+  /** Time in which a planned stop has to be over. */
+  readonly stopGraceMs: number;
+  readonly repeats: {
+    readonly ratio: number;
+    readonly extra: number;
+    readonly windowMs: number;
+  };
+  readonly rollouts: {
+    /** Share of a service's requests that an unproven version may get. */
+    readonly exposureShare: number;
+    readonly exposureSlack: number;
+    /** Requests of a session that follow each other within it stay together. */
+    readonly sessionMs: number;
+  };
+}
+
+/** Outcome of checking a settings file. */
+export interface ParsedGatewaySettings {
+  /** Undefined when a finding is an error. */
+  readonly settings: GatewaySettings | undefined;
+  readonly findings: readonly Finding[];
+}
+
+type FieldPath = readonly string[];
+
+/** Reads fields and collects what is wrong with them. */
+class FieldReader {
+  readonly findings: Finding[] = [];
+
+  constructor(
+    private readonly document: Document,
+    private readonly lines: LineCounter,
+  ) {}
+
+  readText(path: FieldPath): string {
+    const value: unknown = this.document.getIn(path);
+    if (typeof value === 'string' && value !== '') return value;
+    this.report(path, 'must be a text');
+    return '';
+  }
+
+  readNumber(path: FieldPath, least: number): number {
+    const value: unknown = this.document.getIn(path);
+    if (typeof value === 'number' && value >= least) return value;
+    this.report(path, `must be a number of at least ${least}`);
+    return least;
+  }
+
+  readAddress(path: FieldPath): ListenAddress {
+    const match = /^([0-9.]+):(\d{1,5})$/.exec(this.readText(path));
+    const port = Number(match?.[2] ?? NaN);
+    if (match !== null && port < 65_536) return {address: match[1], port};
+    this.report(path, 'must be an address such as 10.0.0.1:80');
+    return {address: '', port: 0};
+  }
+
+  private report(path: FieldPath, problem: string): void {
+    const name = path.join('.');
+    if (this.findings.some(({message}) => message.startsWith(`${name} `))) {
+      return;
+    }
+    this.findings.push({
+      place: this.findPlace(path),
+      severity: 'error',
+      code: 'invalid_field',
+      message: `${name} ${problem}`,
+    });
+  }
+
+  // The place of the nearest node that exists in the file.
+  private findPlace(path: FieldPath): Finding['place'] {
+    for (let length = path.length; length > 0; length -= 1) {
+      const node = this.document.getIn(path.slice(0, length), true);
+      if (!isNode(node) || !node.range) continue;
+      const {line, col} = this.lines.linePos(node.range[0]);
+      return {line: Math.max(1, line), column: Math.max(1, col)};
+    }
+    return {line: 1, column: 1};
+  }
+}
+
+/**
+ * Parses and checks the text of a settings file. All findings are reported
+ * together, each with its line and column; unknown fields are ignored.
+ *
+ * @example
+ * ```ts
+ * const {settings, findings} = parseGatewaySettings(text);
+ * ```
+ */
+export function parseGatewaySettings(text: string): ParsedGatewaySettings {
+  const lines = new LineCounter();
+  const document = parseDocument(text, {lineCounter: lines});
+  if (document.errors.length > 0) {
+    const findings = document.errors.map(error => {
+      const {line, col} = lines.linePos(error.pos[0]);
+      return {
+        place: {line: Math.max(1, line), column: Math.max(1, col)},
+        severity: 'error' as const,
+        code: 'invalid_yaml',
+        message: error.message.split('\n')[0],
+      };
+    });
+    return {settings: undefined, findings};
+  }
+  const reader = new FieldReader(document as Document, lines);
+  const settings = readSettings(reader);
+  const {findings} = reader;
+  return {settings: findings.length === 0 ? settings : undefined, findings};
+}
+
+function readSettings(reader: FieldReader): GatewaySettings {
+  return {
+    host: reader.readText(['host']),
+    failureDomain: reader.readText(['failureDomain']),
+    listen: {
+      callers: reader.readAddress(['listen', 'callers']),
+      readiness: reader.readAddress(['listen', 'readiness']),
+      metrics: reader.readAddress(['listen', 'metrics']),
+    },
+    storeAddress: reader.readText(['storeAddress']),
+    heartbeatMs: reader.readNumber(['heartbeatMs'], 1),
+    stopGraceMs: reader.readNumber(['stopGraceMs'], 0),
+    repeats: {
+      ratio: reader.readNumber(['repeats', 'ratio'], 0),
+      extra: reader.readNumber(['repeats', 'extra'], 0),
+      windowMs: reader.readNumber(['repeats', 'windowMs'], 1),
+    },
+    rollouts: {
+      exposureShare: reader.readNumber(['rollouts', 'exposureShare'], 0),
+      exposureSlack: reader.readNumber(['rollouts', 'exposureSlack'], 0),
+      sessionMs: reader.readNumber(['rollouts', 'sessionMs'], 0),
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/control/follow_store.ts
@@ -0,0 +1,115 @@
+import type {
+  ObjectStore,
+  RegisteredServer,
+  RolloutOrder,
+  RoutingSnapshot,
+} from '@anvilrudder/core';
+import type {Logger, MetricRegistry} from '@anvilrudder/observability';
+import type {RolloutKeeper} from './rollout_keeper.js';
+import type {RoutingState} from './routing_state.js';
+import type {ServerDirectory} from './server_directory.js';
+import {
+  watchSource,
+  type DecodedObject,
+  type WatchedKind,
+} from './watch_source.js';
+
+/** The kinds of object that a gateway follows. */
+export interface FollowedKinds {
+  readonly routing: WatchedKind<RoutingSnapshot>;
+  readonly servers: WatchedKind<RegisteredServer>;
+  readonly rollouts: WatchedKind<RolloutOrder>;
+}
+
+/** What following the store needs. */
+export interface FollowStoreOptions {
+  readonly store: ObjectStore;
+  readonly kinds: FollowedKinds;
+  readonly routing: RoutingState;
+  readonly directory: ServerDirectory;
+  readonly rollouts: RolloutKeeper;
+  readonly logger: Logger;
+  readonly metrics: MetricRegistry;
+  readonly signal: AbortSignal;
+  readonly random: () => number;
+}
+
+/** Tells whether the first state of all kinds has arrived. */
+export interface StoreFollower {
+  readonly isSynced: () => boolean;
+}
+
+/**
+ * Keeps routing and servers in step with the store.
+ *
+ * @example
+ * ```ts
+ * const follower = followStore(options);
+ * follower.isSynced(); // false until the first lists arrived
+ * ```
+ */
+export function followStore(options: FollowStoreOptions): StoreFollower {
+  const {kinds, routing, directory, rollouts, logger} = options;
+  let hasServers = false;
+  let hasRollouts = false;
+  const applyRouting = ({value}: DecodedObject<RoutingSnapshot>): void => {
+    if (value !== undefined) routing.apply(value);
+  };
+  const applyOrder = (object: DecodedObject<RolloutOrder>): void => {
+    const {value, version} = object;
+    if (value !== undefined) rollouts.putOrder(value, version);
+  };
+  const watches = [
+    watchSource(
+      kinds.routing,
+      {
+        onAll: objects => objects.forEach(applyRouting),
+        onPut: applyRouting,
+        onRemoved: name => logger.warn('routing_removed', {name}),
+      },
+      options,
+    ),
+    watchSource(
+      kinds.servers,
+      {
+        onAll: objects => {
+          directory.replaceAll(listReadable(objects));
+          hasServers = true;
+        },
+        onPut: ({name, value}) => {
+          if (value === undefined) directory.remove(name);
+          else directory.put(value);
+        },
+        onRemoved: name => directory.remove(name),
+        onLost: () => directory.markLost(),
+        onRegained: () => directory.markRegained(),
+      },
+      options,
+    ),
+    watchSource(
+      kinds.rollouts,
+      {
+        onAll: objects => {
+          objects.forEach(applyOrder);
+          hasRollouts = true;
+        },
+        onPut: applyOrder,
+        onRemoved: name => rollouts.removeOrder(name),
+      },
+      options,
+    ),
+  ];
+  for (const watch of watches) {
+    watch.catch((error: unknown) => {
+      logger.error('watch_fault', {message: String(error)});
+      throw error;
+    });
+  }
+  return {
+    isSynced: () => hasServers && hasRollouts && routing.current !== undefined,
+  };
+}
+
+function listReadable<T>(objects: readonly DecodedObject<T>[]): readonly T[] {
+  return objects.flatMap(({value}) => (value === undefined ? [] : [value]));
+}
--- /dev/null
+++ b/packages/gateway/src/control/server_directory.ts
@@ -0,0 +1,114 @@
+import type {RegisteredServer, ServerTable} from '@anvilrudder/core';
+import type {Logger} from '@anvilrudder/observability';
+import type {ServerPools} from './server_pools.js';
+
+/** When a server that is no longer registered counts as gone. */
+export interface DirectoryOptions {
+  /** Time without the registry after which its entries may have lapsed. */
+  readonly lapseAfterMs: number;
+  /** Time in which living servers register again after such an outage. */
+  readonly returnMs: number;
+}
+
+/**
+ * Keeps the table of servers in step with the registry. A server that leaves
+ * gets nothing new at once; one that vanished while the registry was away has
+ * some time to register again.
+ */
+export class ServerDirectory {
+  private readonly doubtful = new Map<string, NodeJS.Timeout>();
+  private lostMs: number | undefined;
+  private doubtUntilMs = -Infinity;
+
+  private constructor(
+    private readonly table: ServerTable,
+    private readonly pools: ServerPools,
+    private readonly logger: Logger,
+    private readonly options: DirectoryOptions,
+  ) {}
+
+  /**
+   * @example
+   * ```ts
+   * const directory = ServerDirectory.create(table, pools, logger, options);
+   * directory.put(server);
+   * ```
+   */
+  static create(
+    table: ServerTable,
+    pools: ServerPools,
+    logger: Logger,
+    options: DirectoryOptions,
+  ): ServerDirectory {
+    return new ServerDirectory(table, pools, logger, options);
+  }
+
+  /** Replaces all servers by those that are registered now. */
+  replaceAll(servers: readonly RegisteredServer[]): void {
+    const ids = new Set(servers.map(({id}) => id));
+    for (const server of servers) this.put(server);
+    for (const id of this.table.listIds()) {
+      if (!ids.has(id)) this.remove(id);
+    }
+  }
+
+  /** Adds or changes a server. */
+  put(server: RegisteredServer): void {
+    clearTimeout(this.doubtful.get(server.id));
+    this.doubtful.delete(server.id);
+    const before = this.table.find(server.id)?.server;
+    this.table.put(server);
+    const isChanged =
+      before === undefined ||
+      before.isLeaving !== server.isLeaving ||
+      before.address !== server.address;
+    if (!isChanged) return;
+    this.logger.info('server_registered', {
+      server: server.id,
+      service: server.service,
+      address: server.address,
+      version: server.softwareVersion,
+      leaving: server.isLeaving,
+    });
+  }
+
+  /** Takes in that a server is no longer registered. */
+  remove(id: string): void {
+    if (this.table.find(id) === undefined || this.doubtful.has(id)) return;
+    const waitMs = this.doubtUntilMs - performance.now();
+    if (waitMs <= 0) {
+      this.forget(id);
+      return;
+    }
+    this.logger.info('server_doubtful', {
+      server: id,
+      waitMs: Math.round(waitMs),
+    });
+    const timer = setTimeout(() => {
+      this.doubtful.delete(id);
+      this.forget(id);
+    }, waitMs);
+    this.doubtful.set(id, timer);
+  }
+
+  /** The registry does not answer. */
+  markLost(): void {
+    this.lostMs ??= performance.now();
+  }
+
+  /** The registry answers again; entries may have lapsed meanwhile. */
+  markRegained(): void {
+    if (this.lostMs === undefined) return;
+    const nowMs = performance.now();
+    const awayMs = nowMs - this.lostMs;
+    this.lostMs = undefined;
+    if (awayMs < this.options.lapseAfterMs) return;
+    this.doubtUntilMs = nowMs + this.options.returnMs;
+  }
+
+  private forget(id: string): void {
+    this.table.remove(id);
+    this.pools.retire(id);
+    this.logger.info('server_gone', {server: id});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/control/server_pools.ts
@@ -0,0 +1,44 @@
+import {ConnectionPool} from '@anvilrudder/clients';
+import type {RegisteredServer} from '@anvilrudder/core';
+import type {MetricRegistry} from '@anvilrudder/observability';
+
+interface OpenPool {
+  readonly address: string;
+  readonly pool: ConnectionPool;
+}
+
+/** The kept connections to each registered server. */
+export class ServerPools {
+  private readonly pools = new Map<string, OpenPool>();
+
+  private constructor(private readonly metrics: MetricRegistry) {}
+
+  static create(metrics: MetricRegistry): ServerPools {
+    return new ServerPools(metrics);
+  }
+
+  /** The pool of a server; a server that moved gets a new one. */
+  of(server: RegisteredServer, maxConnections: number): ConnectionPool {
+    const known = this.pools.get(server.id);
+    if (known?.address === server.address) return known.pool;
+    known?.pool.close();
+    const pool = ConnectionPool.create({
+      address: server.address,
+      maxConnections,
+      onConnect: () => this.metrics.count('backend_connections_total'),
+    });
+    this.pools.set(server.id, {address: server.address, pool});
+    return pool;
+  }
+
+  /** Closes the idle connections to a server that is gone or leaving. */
+  retire(id: string): void {
+    this.pools.get(id)?.pool.close();
+    this.pools.delete(id);
+  }
+
+  closeAll(): void {
+    for (const {pool} of this.pools.values()) pool.close();
+    this.pools.clear();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,7 @@
+export * from './config/settings.js';
+export * from './control/follow_store.js';
+export type {DeclarationCodec} from './control/rollout_board.js';
+export type {WatchedKind} from './control/watch_source.js';
+export * from './ports.js';
+export * from './start_gateway.js';
+export {copyEndToEndHeaders} from './stages/answer_headers.js';
--- /dev/null
+++ b/packages/gateway/src/server/caller_server.ts
@@ -0,0 +1,76 @@
+import {createServer, type Server} from 'node:http';
+import type {Socket} from 'node:net';
+import type {CallerLimits} from '@anvilrudder/core';
+import type {GatewayContext} from '../gateway_context.js';
+import {forward} from '../stages/forward.js';
+import {writeOwnAnswer} from './own_answer.js';
+import {RouterError} from '@anvilrudder/core';
+
+/** The parser's own bound; the configured one lies below it. */
+const PARSER_HEADER_BYTES = 65_536;
+/** Period in which connections are checked for a late header. */
+const CHECK_INTERVAL_MS = 500;
+const HEADER_SEPARATOR_BYTES = 4;
+const TOO_LARGE_HEAD =
+  'HTTP/1.1 431 Request Header Fields Too Large\r\n' +
+  'content-length: 0\r\nconnection: close\r\n\r\n';
+const BAD_REQUEST_HEAD =
+  'HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n';
+const TIMEOUT_HEAD =
+  'HTTP/1.1 408 Request Timeout\r\n' +
+  'content-length: 0\r\nconnection: close\r\n\r\n';
+
+const HEAD_BY_PARSER_ERROR: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: TOO_LARGE_HEAD,
+  ERR_HTTP_REQUEST_TIMEOUT: TIMEOUT_HEAD,
+};
+
+/** Creates the server that callers connect to. */
+export function createCallerServer(context: GatewayContext): Server {
+  const server = createServer(
+    {
+      maxHeaderSize: PARSER_HEADER_BYTES,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      requestTimeout: 0,
+      noDelay: true,
+    },
+    (message, response) => {
+      const limits = context.routing.current?.snapshot.limits;
+      const headerBytes = countHeaderBytes(message.rawHeaders);
+      if (limits !== undefined && headerBytes > limits.maxHeaderBytes) {
+        writeOwnAnswer(
+          response,
+          RouterError.create('The headers are too large.', {
+            code: 'headers_too_large',
+          }),
+          {requestId: '', headers: {}, isLast: true},
+        );
+        return;
+      }
+      void forward(context, message, response);
+    },
+  );
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    context.metrics.count('malformed_requests_total');
+    context.logger.info('caller_input_refused', {code: error.code});
+    if (!socket.writable || socket.bytesWritten > 0) {
+      socket.destroy();
+      return;
+    }
+    socket.end(HEAD_BY_PARSER_ERROR[error.code ?? ''] ?? BAD_REQUEST_HEAD);
+  });
+  return server;
+}
+
+/** Brings the limits of a new configuration into force. */
+export function applyCallerLimits(server: Server, limits: CallerLimits): void {
+  server.headersTimeout = limits.headerTimeoutMs;
+  server.keepAliveTimeout = limits.idleTimeoutMs;
+}
+
+function countHeaderBytes(rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce(
+    (sum, text) => sum + text.length + HEADER_SEPARATOR_BYTES / 2,
+    0,
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -0,0 +1,81 @@
+import {
+  chooseServer,
+  hashToUnit,
+  pickDestination,
+  type ForwardRoute,
+  type ForwardService,
+  type PlacementChoice,
+} from '@anvilrudder/core';
+import type {GatewayContext} from '../gateway_context.js';
+import type {OpenExchange} from './open_exchange.js';
+
+/** Where the next send of an exchange goes. */
+export interface SendTarget extends PlacementChoice {
+  readonly service: ForwardService;
+  readonly model: string | undefined;
+}
+
+/** Time that a server in another failure domain must save. */
+const CROSSING_COST_MS = 8;
+
+/**
+ * Chooses the server of the next send under the newest configuration.
+ *
+ * @returns undefined when no server may take the request.
+ * @example
+ * ```ts
+ * const target = chooseTarget(context, exchange, 'small');
+ * ```
+ */
+export function chooseTarget(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  model: string | undefined,
+): SendTarget | undefined {
+  const {request} = exchange.admitted;
+  const route = resolveRoute(context, exchange);
+  const key = readStickyKey(exchange);
+  const name = pickDestination(route.destinations, hashToUnit(key));
+  const service = name && context.routing.current?.findService(name);
+  if (!service) return undefined;
+  const records = context.servers.list(service.name);
+  const open = records.filter(({server}) => !server.isLeaving);
+  const {generation} = request;
+  const choice = chooseServer({
+    candidates: context.versions.select(service.name, open, {
+      session: request.session,
+      sticky: key,
+      before: exchange.softwareVersion,
+    }),
+    tried: exchange.tried,
+    failureDomain: context.settings.failureDomain,
+    hostCount: 1,
+    crossingCostMs: CROSSING_COST_MS,
+    generation: generation && {
+      model: model ?? generation.model ?? '',
+      demand: generation,
+      readMsPerToken: context.speeds.read(model ?? generation.model ?? ''),
+    },
+    nowMs: performance.now(),
+    random: context.random,
+  });
+  return choice && {...choice, service, model};
+}
+
+/** Requests with the same key take the same branch of a split. */
+function readStickyKey({admitted}: OpenExchange): string {
+  const {session, generation, id} = admitted.request;
+  return session ?? generation?.parts.at(-1)?.id ?? id ?? '';
+}
+
+// A route that is gone by now still serves the requests that it admitted.
+function resolveRoute(
+  context: GatewayContext,
+  {admitted}: OpenExchange,
+): ForwardRoute {
+  const {route, routingVersion, request} = admitted;
+  const table = context.routing.current;
+  if (table === undefined || table.version === routingVersion) return route;
+  const path = request.path.split('?', 1)[0];
+  return table.findRoute(request.hostName, path) ?? route;
+}
--- /dev/null
+++ b/packages/gateway/src/stages/forward.ts
@@ -0,0 +1,153 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  ERROR_DEFINITIONS,
+  normalizeError,
+  type CallerLimits,
+  type RouterError,
+} from '@anvilrudder/core';
+import type {GatewayContext} from '../gateway_context.js';
+import type {ForwardedRequest} from '../ports.js';
+import {writeOwnAnswer} from '../server/own_answer.js';
+import {readRequestBody} from '../server/read_request_body.js';
+import {admitRequest, type AdmittedRoute} from './admit.js';
+import {dispatchRequest} from './dispatch.js';
+import {OpenExchange} from './open_exchange.js';
+
+/** Bounds on callers before the first configuration arrived. */
+const INITIAL_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 1_048_576,
+  headerTimeoutMs: 5000,
+  idleTimeoutMs: 15_000,
+};
+
+/**
+ * Serves one request: admits it, sends it on, passes its answer back and
+ * writes one line on what became of it.
+ *
+ * @example
+ * ```ts
+ * server.on('request', (message, response) => forward(context, message, response));
+ * ```
+ */
+export async function forward(
+  context: GatewayContext,
+  message: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const arrivedMs = performance.now();
+  if (context.isStopping()) response.shouldKeepAlive = false;
+  const request = context.codec.decodeRequest(message);
+  const table = context.routing.current;
+  let admitted: AdmittedRoute | undefined;
+  let exchange: OpenExchange | undefined;
+  let failure: RouterError | undefined;
+  try {
+    admitted = admitRequest(table, request);
+    const limits = table?.snapshot.limits ?? INITIAL_LIMITS;
+    const body = await readRequestBody(message, {
+      maxBytes: limits.maxBodyBytes,
+      idleTimeoutMs: limits.idleTimeoutMs,
+    });
+    exchange = OpenExchange.create({
+      ...admitted,
+      request,
+      routingVersion: table?.version ?? 0,
+      arrivedMs,
+      body,
+      response,
+    });
+    await dispatchRequest(context, exchange);
+  } catch (error) {
+    failure = normalizeError(error);
+    if (failure.code === 'internal') logFault(context, request, error);
+    answerError(context, message, response, request, failure);
+  } finally {
+    exchange?.close();
+    settle(context, {
+      request,
+      admitted,
+      exchange,
+      failure,
+      response,
+      arrivedMs,
+    });
+  }
+}
+
+function answerError(
+  context: GatewayContext,
+  message: IncomingMessage,
+  response: ServerResponse,
+  request: ForwardedRequest,
+  error: RouterError,
+): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  if (response.destroyed) return;
+  writeOwnAnswer(response, error, {
+    requestId: request.id ?? '',
+    headers: context.codec.encodeOwnAnswer(request.id),
+    // What is left of an unread body would be taken for the next request.
+    isLast: !message.complete || !response.shouldKeepAlive,
+  });
+}
+
+function logFault(
+  context: GatewayContext,
+  request: ForwardedRequest,
+  error: unknown,
+): void {
+  context.logger.error('request_fault', {
+    request: request.id,
+    message: error instanceof Error ? error.stack : String(error),
+  });
+}
+
+interface SettledRequest {
+  readonly request: ForwardedRequest;
+  readonly admitted: AdmittedRoute | undefined;
+  readonly exchange: OpenExchange | undefined;
+  readonly failure: RouterError | undefined;
+  readonly response: ServerResponse;
+  readonly arrivedMs: number;
+}
+
+function settle(context: GatewayContext, settled: SettledRequest): void {
+  const {request, admitted, exchange, failure, response, arrivedMs} = settled;
+  const totalMs = performance.now() - arrivedMs;
+  const outcome = failure?.code ?? exchange?.stopped ?? 'answered';
+  const status =
+    failure === undefined
+      ? response.statusCode
+      : ERROR_DEFINITIONS[failure.code].httpStatus;
+  context.metrics.count('requests_total', {outcome});
+  context.metrics.recordMs('request_seconds', {outcome}, totalMs);
+  context.logger.info('request_settled', {
+    request: request.id,
+    organisation: admitted?.organisation?.name,
+    route: admitted?.route.name,
+    kind: admitted?.route.kind,
+    routing: context.routing.current?.version,
+    outcome,
+    execution: failure?.execution,
+    status,
+    attempts: exchange?.attempts,
+    server: exchange?.server,
+    version: exchange?.softwareVersion,
+    model: exchange?.model,
+    confidence: exchange?.confidence,
+    escalations: exchange?.escalations || undefined,
+    resumptions: exchange?.resumptions || undefined,
+    firstMs: roundMs(exchange?.firstMs),
+    totalMs: roundMs(totalMs),
+    limitMs: admitted?.route.timeLimitMs,
+    deadlineMs: request.deadlineMs,
+  });
+}
+
+function roundMs(valueMs: number | undefined): number | undefined {
+  return valueMs === undefined ? undefined : Math.round(valueMs);
+}
--- /dev/null
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -0,0 +1,96 @@
+import {once} from 'node:events';
+import {isTransportError} from '@anvilrudder/clients';
+import type {GatewayContext} from '../gateway_context.js';
+import {copyEndToEndHeaders} from './answer_headers.js';
+import {EventSplitter} from './event_splitter.js';
+import type {OpenExchange} from './open_exchange.js';
+import type {ServerAnswer} from './send_attempt.js';
+
+/** How the relay of one server's stream ended. */
+export type RelayEnd = 'whole' | 'broken' | 'stopped';
+
+/** How the relay went. */
+export interface RelayResult {
+  readonly end: RelayEnd;
+  /** Mean time between pieces of the stream; undefined for few of them. */
+  readonly paceMs: number | undefined;
+}
+
+/** Fewest pieces whose pace says something. */
+const MIN_PACED_PIECES = 4;
+
+/**
+ * Passes the events of one server on, each as it becomes whole. The head is
+ * written with the first event; a resumed stream keeps that of its first
+ * server.
+ *
+ * @example
+ * ```ts
+ * const {end} = await relayEvents(context, exchange, answer);
+ * ```
+ */
+export async function relayEvents(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  answer: ServerAnswer,
+): Promise<RelayResult> {
+  const {response} = exchange.admitted;
+  const splitter = EventSplitter.create();
+  let pieces = 0;
+  let firstMs = 0;
+  let lastMs = 0;
+  const finish = (end: RelayEnd): RelayResult => ({
+    end,
+    paceMs:
+      pieces < MIN_PACED_PIECES ? undefined : (lastMs - firstMs) / (pieces - 1),
+  });
+  try {
+    for await (const chunk of answer.stream.chunks) {
+      const {bytes, lastId} = splitter.push(chunk);
+      if (bytes.length === 0) continue;
+      if (exchange.stopped !== undefined) return finish('stopped');
+      lastMs = performance.now();
+      if (pieces === 0) firstMs = lastMs;
+      pieces += 1;
+      if (!response.headersSent) writeStreamHead(exchange, answer);
+      if (lastId !== undefined) exchange.lastEventId = lastId;
+      if (!response.write(bytes)) await waitForDrain(exchange);
+    }
+  } catch (error) {
+    if (!isTransportError(error)) throw error;
+    context.logger.debug('stream_cut', {
+      request: exchange.admitted.request.id,
+      server: answer.visit.server.id,
+      failure: error.failure,
+    });
+    return finish(exchange.stopped === undefined ? 'broken' : 'stopped');
+  }
+  if (exchange.stopped !== undefined) return finish('stopped');
+  return finish(splitter.hasRest ? 'broken' : 'whole');
+}
+
+/** Ends a stream that arrived whole. */
+export function endStream(exchange: OpenExchange, answer: ServerAnswer): void {
+  const {response} = exchange.admitted;
+  if (!response.headersSent) writeStreamHead(exchange, answer);
+  response.end();
+}
+
+function writeStreamHead(exchange: OpenExchange, answer: ServerAnswer): void {
+  const {response, arrivedMs} = exchange.admitted;
+  const headers = copyEndToEndHeaders(answer.stream.headers);
+  delete headers['content-length'];
+  response.writeHead(answer.stream.status, headers);
+  exchange.firstMs = performance.now() - arrivedMs;
+}
+
+async function waitForDrain(exchange: OpenExchange): Promise<void> {
+  const {response} = exchange.admitted;
+  if (response.destroyed) return;
+  try {
+    await once(response, 'drain', {signal: exchange.signal});
+  } catch (error) {
+    // The exchange was stopped; the reader of the events sees that next.
+    if (exchange.stopped === undefined) throw error;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -0,0 +1,169 @@
+import {
+  isTransportError,
+  type HttpStream,
+  type TransportError,
+} from '@anvilrudder/clients';
+import {
+  isProvenNotRun,
+  type AttemptEnd,
+  type ServerVisit,
+} from '@anvilrudder/core';
+import type {GatewayContext} from '../gateway_context.js';
+import type {AnswerHead} from '../ports.js';
+import type {SendTarget} from './choose_target.js';
+import type {OpenExchange} from './open_exchange.js';
+
+/** The answer of a server to one send. */
+export interface ServerAnswer {
+  readonly stream: HttpStream;
+  readonly head: AnswerHead;
+  readonly visit: ServerVisit;
+  readonly target: SendTarget;
+  /** On the monotonic clock. */
+  readonly sentMs: number;
+}
+
+/** How one send went. */
+export interface AttemptResult {
+  readonly end: AttemptEnd;
+  /** Present when the head of an answer came; its body may still come. */
+  readonly answer: ServerAnswer | undefined;
+}
+
+const MISDIRECTED = 421;
+const FIRST_FAILURE_STATUS = 500;
+
+/** An older kept connection may be closing just when it is used. */
+const MAX_IDLE_MS = {repeatable: 3000, atMostOnce: 800} as const;
+
+/** Most and least urgent classes that servers know. */
+const LEAST_URGENCY = 9;
+
+/**
+ * Sends the request to a server and waits for the head of the answer. What is
+ * learnt of the server is noted once its answer ends, or here without one.
+ *
+ * @example
+ * ```ts
+ * const {end} = await sendAttempt(context, exchange, target);
+ * ```
+ */
+export async function sendAttempt(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  target: SendTarget,
+): Promise<AttemptResult> {
+  const {request, body} = exchange.admitted;
+  const {record, workMs, service, model} = target;
+  const {server} = record;
+  const nowMs = performance.now();
+  const visit = context.servers.begin(
+    server.id,
+    workMs,
+    model ?? request.generation?.model ?? '',
+    request.generation,
+    nowMs,
+  );
+  if (visit === undefined) return {end: 'unsent', answer: undefined};
+  exchange.attempts += 1;
+  exchange.tried.add(server.id);
+  exchange.server = server.id;
+  exchange.softwareVersion = server.softwareVersion;
+  exchange.model = model;
+  const pool = context.pools.of(server, service.maxConnections);
+  const hadRun = exchange.mayHaveRun;
+  if (request.session !== undefined) {
+    context.versions.recordSend(request.session, server.softwareVersion);
+  }
+  try {
+    const stream = await pool.open({
+      method: request.method,
+      path: request.path,
+      headers: context.codec.encodeSend(createOrder(exchange, target)),
+      body,
+      maxIdleMs: exchange.isRepeatable
+        ? MAX_IDLE_MS.repeatable
+        : MAX_IDLE_MS.atMostOnce,
+      timeoutMs: Math.max(1, exchange.remainingMs),
+      signal: exchange.signal,
+      confirmSend: () => {
+        exchange.mayHaveRun = true;
+        return true;
+      },
+    });
+    const head = context.codec.decodeAnswer(stream.headers);
+    const end = classifyHead(request.id, stream.status, head);
+    if (isProvenNotRun(end)) exchange.mayHaveRun = hadRun;
+    context.servers.markAnswering(visit);
+    return {end, answer: {stream, head, visit, target, sentMs: nowMs}};
+  } catch (error) {
+    if (!isTransportError(error)) throw error;
+    const end = classifyFailure(error);
+    if (end === 'unsent') exchange.mayHaveRun = hadRun;
+    const isOwnStop = exchange.stopped !== undefined;
+    endVisit(context, exchange, visit, isOwnStop ? undefined : end);
+    return {end, answer: undefined};
+  }
+}
+
+/**
+ * Notes how a send ended; undefined when it says nothing of its server.
+ *
+ * @param paceMs time for each event, or for a whole plain answer.
+ */
+export function endVisit(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  visit: ServerVisit,
+  end: AttemptEnd | undefined,
+  paceMs?: number,
+): void {
+  context.servers.end(visit, end, performance.now());
+  if (end === undefined) return;
+  context.versions.recordOutcome({
+    service: visit.server.service,
+    version: visit.server.softwareVersion,
+    route: `${exchange.admitted.route.name}/${exchange.model ?? ''}`,
+    end,
+    paceMs,
+  });
+}
+
+function createOrder(exchange: OpenExchange, target: SendTarget) {
+  const {request, organisation} = exchange.admitted;
+  return {
+    request,
+    serverId: target.record.server.id,
+    remainingMs: Math.max(1, Math.floor(exchange.remainingMs)),
+    organisation: organisation?.name,
+    model: target.model,
+    urgency: request.generation && resolveUrgency(exchange),
+    lastEventId: exchange.lastEventId,
+  };
+}
+
+// A request that has waited for another server's answer goes first.
+function resolveUrgency(exchange: OpenExchange): number {
+  const {route, organisation} = exchange.admitted;
+  const rank = organisation?.priority ?? route.priority;
+  const waited = exchange.escalations + exchange.resumptions > 0 ? 1 : 0;
+  return Math.max(0, Math.min(LEAST_URGENCY, 2 * rank + 1 - waited));
+}
+
+function classifyHead(
+  requestId: string | undefined,
+  status: number,
+  head: AnswerHead,
+): AttemptEnd {
+  if (head.requestId !== requestId) return 'garbled';
+  if (status === MISDIRECTED) return 'replaced';
+  if (head.isNotRun) return 'rejected';
+  if (status >= FIRST_FAILURE_STATUS) return 'failed';
+  const isSuccess = status >= 200 && status < 300;
+  if (isSuccess && (!head.isSigned || head.isEncoded)) return 'garbled';
+  return 'answered';
+}
+
+function classifyFailure(error: TransportError): AttemptEnd {
+  return error.phase === 'beforeFirstByte' ? 'unsent' : 'lost';
+}
--- /dev/null
+++ b/packages/gateway/src/start_gateway.ts
@@ -0,0 +1,142 @@
+import {once} from 'node:events';
+import type {Server} from 'node:http';
+import {
+  ReadSpeed,
+  ServerTable,
+  type ObjectStore,
+  type Random,
+} from '@anvilrudder/core';
+import type {Logger, MetricRegistry} from '@anvilrudder/observability';
+import type {GatewaySettings, ListenAddress} from './config/settings.js';
+import {followStore, type FollowedKinds} from './control/follow_store.js';
+import {RepeatBudgets} from './control/repeat_budgets.js';
+import {RoutingState} from './control/routing_state.js';
+import {ServerDirectory} from './control/server_directory.js';
+import {ServerPools} from './control/server_pools.js';
+import {
+  createStoredBoard,
+  type DeclarationCodec,
+} from './control/rollout_board.js';
+import {RolloutKeeper} from './control/rollout_keeper.js';
+import type {GatewayContext} from './gateway_context.js';
+import type {CallerCodec} from './ports.js';
+import {applyCallerLimits, createCallerServer} from './server/caller_server.js';
+import {
+  createMetricsServer,
+  createReadinessServer,
+} from './server/status_servers.js';
+import {stopCallers} from './server/stop_callers.js';
+
+/** What the gateway is given from outside. */
+export interface GatewayParts {
+  readonly settings: GatewaySettings;
+  readonly logger: Logger;
+  readonly metrics: MetricRegistry;
+  readonly codec: CallerCodec;
+  readonly store: ObjectStore;
+  readonly kinds: FollowedKinds;
+  readonly declarations: DeclarationCodec;
+  readonly random: Random;
+}
+
+/** A running gateway. */
+export interface RunningGateway {
+  readonly context: GatewayContext;
+  /** Serves what has begun, takes nothing new, and closes. */
+  stop(): Promise<void>;
+}
+
+/** An outage of the store that is shorter lets no entry lapse. */
+const LAPSE_AFTER_MS = 1000;
+/** Living servers are registered again this long after an outage. */
+const RETURN_MS = 1900;
+const ROLLOUT_TICK_MS = 200;
+/** Reading before any was measured. */
+const INITIAL_READ_MS_PER_TOKEN = 0.02;
+
+/**
+ * Starts the servers of a gateway.
+ *
+ * @example
+ * ```ts
+ * const gateway = await startGateway(parts);
+ * await gateway.stop();
+ * ```
+ */
+export async function startGateway(
+  parts: GatewayParts,
+): Promise<RunningGateway> {
+  const {settings, logger, metrics} = parts;
+  let isStopping = false;
+  const routing = RoutingState.create(logger);
+  const servers = ServerTable.create();
+  const pools = ServerPools.create(metrics);
+  const rollouts = RolloutKeeper.create({
+    servers,
+    board: createStoredBoard(parts.store, parts.declarations, logger),
+    logger,
+    bounds: settings.rollouts,
+    sessionMs: settings.rollouts.sessionMs,
+    random: parts.random,
+  });
+  const context: GatewayContext = {
+    ...parts,
+    routing,
+    servers,
+    pools,
+    versions: rollouts,
+    budgets: RepeatBudgets.create(settings.repeats),
+    speeds: ReadSpeed.create({initialMsPerToken: INITIAL_READ_MS_PER_TOKEN}),
+    isStopping: () => isStopping,
+  };
+  const watching = new AbortController();
+  const callers = createCallerServer(context);
+  const directory = ServerDirectory.create(servers, pools, logger, {
+    lapseAfterMs: LAPSE_AFTER_MS,
+    returnMs: RETURN_MS,
+  });
+  const follower = followStore({
+    ...parts,
+    routing,
+    directory,
+    rollouts,
+    signal: watching.signal,
+  });
+  const ticking = setInterval(() => rollouts.tick(), ROLLOUT_TICK_MS);
+  const readiness = createReadinessServer(
+    () => !isStopping && follower.isSynced(),
+  );
+  const metricsServer = createMetricsServer(metrics);
+  routing.onChange(({snapshot}) => applyCallerLimits(callers, snapshot.limits));
+  await listen(callers, settings.listen.callers);
+  await listen(readiness, settings.listen.readiness);
+  await listen(metricsServer, settings.listen.metrics);
+  logger.info('gateway_started', {
+    callers: formatAddress(settings.listen.callers),
+    readiness: formatAddress(settings.listen.readiness),
+    metrics: formatAddress(settings.listen.metrics),
+  });
+  const stop = async (): Promise<void> => {
+    isStopping = true;
+    logger.info('gateway_stopping', {graceMs: settings.stopGraceMs});
+    await stopCallers(callers, settings.stopGraceMs);
+    watching.abort();
+    clearInterval(ticking);
+    pools.closeAll();
+    for (const server of [readiness, metricsServer]) {
+      server.close();
+      server.closeAllConnections();
+    }
+    logger.info('gateway_stopped');
+  };
+  return {context, stop};
+}
+
+async function listen(server: Server, where: ListenAddress): Promise<void> {
+  server.listen(where.port, where.address);
+  await once(server, 'listening');
+}
+
+function formatAddress({address, port}: ListenAddress): string {
+  return `${address}:${port}`;
+}
--- a/packages/load/src/run/booking_check.ts
+++ b/packages/load/src/run/booking_check.ts
@@ -3,7 +3,7 @@
   HttpTransport,
   isJsonObject,
   parseJsonObject,
-} from '@anvilrudder/platform';
+} from '@anvilrudder/clients';
 
 /** What the caller was told of one idempotency key, all copies together. */
 export interface ConfirmationRecord {
--- a/packages/load/src/run/run_load.ts
+++ b/packages/load/src/run/run_load.ts
@@ -1,5 +1,5 @@
 import type {Execution} from '@anvilrudder/core';
-import {delay} from '@anvilrudder/platform';
+import {delay} from '@anvilrudder/clients';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {createArrivals, type RandomSource} from '../arrivals/arrivals.js';
--- a/packages/load/src/targets/engine_target.ts
+++ b/packages/load/src/targets/engine_target.ts
@@ -1,4 +1,4 @@
-import {HttpEngineClient, isBackendError} from '@anvilrudder/platform';
+import {HttpEngineClient, isBackendError} from '@anvilrudder/clients';
 import type {LoadOptions} from '../run/load_options.js';
 import type {PlannedGeneration} from '../workload/workload.js';
 import type {Outcome, RequestObserver, Target} from './target.js';
--- a/packages/load/src/targets/entry_answer.ts
+++ b/packages/load/src/targets/entry_answer.ts
@@ -6,7 +6,7 @@
   readString,
   type JsonObject,
   type ServerSentEvent,
-} from '@anvilrudder/platform';
+} from '@anvilrudder/clients';
 import type {OpenSession} from '../workload/session_pool.js';
 import type {PlannedGeneration} from '../workload/workload.js';
 import type {Outcome, RequestObserver} from './target.js';
--- a/packages/load/src/targets/entry_target.ts
+++ b/packages/load/src/targets/entry_target.ts
@@ -4,7 +4,7 @@
   isTransportError,
   type HttpRequest,
   type HttpStream,
-} from '@anvilrudder/platform';
+} from '@anvilrudder/clients';
 import type {RandomSource} from '../arrivals/arrivals.js';
 import type {LoadOptions} from '../run/load_options.js';
 import {SessionPool, type OpenSession} from '../workload/session_pool.js';
