--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -94,8 +94,8 @@
     this.client.destroy().catch(() => undefined);
   }
 
-  // Runs before the client's own listener, which takes a reset at the end of
-  // an answer without a length for its end.
+  // Runs before the client's own listener, which takes a reset for the end of
+  // an answer behind which the connection would close.
   private watchSocket(socket: Socket): void {
     socket.once('error', () => {
       this.socketFailed = true;
--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -20,8 +20,9 @@
    */
   readonly confirmSend?: () => boolean;
   /**
-   * Called at the end of an answer that only the end of its connection
-   * delimits; when it returns false the answer counts as cut.
+   * Called at the end of an answer; when it returns false the answer counts as
+   * cut. The client takes a reset for the end of an answer behind which the
+   * connection would close.
    */
   readonly confirmEnd?: () => boolean;
 }
@@ -53,7 +54,6 @@
   private isOver = false;
   private isDiscarding = false;
   private missingBytes: number | undefined;
-  private isUnframed = false;
   private controller: Dispatcher.DispatchController | undefined;
   private timer: NodeJS.Timeout | undefined;
   private readonly chunks: ChunkQueue;
@@ -105,8 +105,6 @@
     if (status < FIRST_FINAL_STATUS || this.isOver) return;
     this.phase = 'streaming';
     this.missingBytes = parseLength(headers['content-length']);
-    this.isUnframed =
-      this.missingBytes === undefined && !headers['transfer-encoding'];
     this.arm(this.options.idleTimeoutMs);
     this.resolveOpened({
       status,
@@ -128,7 +126,7 @@
 
   onResponseEnd(): void {
     if (this.isOver) return;
-    if (this.isUnframed && this.options.confirmEnd?.() === false) {
+    if (this.options.confirmEnd?.() === false) {
       this.fail('cut');
       return;
     }
--- a/packages/clients/src/objects/watch_objects.ts
+++ b/packages/clients/src/objects/watch_objects.ts
@@ -108,8 +108,10 @@
     this.handlers.onSnapshot(snapshot.objects);
   }
 
+  // A watch that went on from its old place may hear nothing of what happened
+  // while it was away, so every failure leads to a new list.
   private handleError(error: ObjectStoreFailureError): void {
-    if (error.failure === 'historyGone') this.isSynced = false;
+    this.isSynced = false;
     this.handlers.onError?.(error);
   }
 }
@@ -132,8 +134,7 @@
 
 /**
  * Watches the objects below a prefix until the signal is aborted. Failures are
- * followed by a jittered backoff; after a gap in the history the objects are
- * listed anew. The promise rejects with what a handler throws. What is reported never goes back to an earlier version. Objects
+ * followed by a jittered backoff, after which the objects are listed anew. The promise rejects with what a handler throws. What is reported never goes back to an earlier version. Objects
  * of later pages of a snapshot may be reported again as events.
  *
  * @example
--- a/packages/core/src/forwarding/rollout_plan.ts
+++ b/packages/core/src/forwarding/rollout_plan.ts
@@ -11,6 +11,8 @@
   readonly durationMs: number;
   /** Undefined until a host has taken it up. */
   readonly state: RolloutState | undefined;
+  /** Time since the order when the state was written, by its writer. */
+  readonly elapsedMs: number | undefined;
 }
 
 /** What a host does with the two versions now. */
@@ -58,26 +60,35 @@
     nowMs: number,
     bounds: RolloutBounds,
   ): RolloutPlan {
-    return new RolloutPlan(order, nowMs, bounds);
+    return new RolloutPlan(order, nowMs - (order.elapsedMs ?? 0), bounds);
   }
 
-  /** The same course under a newer state of the same order. */
-  withOrder(order: RolloutOrder): RolloutPlan {
-    return new RolloutPlan(order, this.startedMs, this.bounds);
+  /**
+   * The same course under a newer state of the same order. A host that began
+   * later than others takes the start from them.
+   */
+  withOrder(order: RolloutOrder, nowMs: number): RolloutPlan {
+    const startedMs = nowMs - (order.elapsedMs ?? 0);
+    const earliestMs = Math.min(this.startedMs, startedMs);
+    return new RolloutPlan(order, earliestMs, this.bounds);
+  }
+
+  elapsedMs(nowMs: number): number {
+    return nowMs - this.startedMs;
   }
 
   phase(nowMs: number): RolloutPhase {
     const {state, durationMs} = this.order;
     if (state === 'succeeded' || state === 'rolledBack') return state;
-    const elapsedMs = nowMs - this.startedMs;
-    return elapsedMs >= SHIFT_AT * durationMs ? 'shifting' : 'sampling';
+    const isShifting = this.elapsedMs(nowMs) >= SHIFT_AT * durationMs;
+    return isShifting ? 'shifting' : 'sampling';
   }
 
   /** True when success is due, so that it is known before the deadline. */
   isSuccessDue(nowMs: number): boolean {
     const {durationMs} = this.order;
     const marginMs = Math.max(MIN_END_MARGIN_MS, END_MARGIN_SHARE * durationMs);
-    return nowMs - this.startedMs >= durationMs - marginMs;
+    return this.elapsedMs(nowMs) >= durationMs - marginMs;
   }
 
   /** True for keys whose new sessions try the new version while sampling. */
--- a/packages/core/src/forwarding/version_evidence.ts
+++ b/packages/core/src/forwarding/version_evidence.ts
@@ -1,10 +1,13 @@
 import {computeErrorEvidence} from '../rollouts/sequential_test.js';
 
+/** The two sides of a roll-out. */
+export type RolloutSide = 'old' | 'new';
+
 /** What one answer says of the version that gave it. */
 export interface VersionSample {
   /** Requests of the same route are compared with each other. */
   readonly route: string;
-  readonly version: string;
+  readonly side: RolloutSide;
   readonly hasFailed: boolean;
   /** Time for each event, or for the whole answer of a plain service. */
   readonly paceMs: number | undefined;
@@ -20,7 +23,7 @@
   logPaceMean: number;
 }
 
-/** Why a version counts as bad. */
+/** Why the new version counts as bad. */
 export type BadReason = 'failures' | 'slowness';
 
 /** Likelihood ratio, as a logarithm, at which a version counts as bad. */
@@ -34,61 +37,61 @@
 /** Old answers before the pace of new ones is judged. */
 const MIN_PACED = 5;
 const PACE_WEIGHT = 0.05;
+const LEAST_PACE_MS = 0.01;
 
 /**
- * What this host has seen of the versions of one service, by route: a version
- * may be bad on one route alone.
+ * What this host has seen of the two versions in a roll-out, by route: a
+ * version may be bad on one route alone.
  */
 export class VersionEvidence {
   private readonly counts = new Map<string, RouteCounts>();
   private readonly routes = new Set<string>();
 
-  private constructor(readonly baseline: string) {}
+  private constructor() {}
 
   /**
-   * @param baseline the version that others are compared with.
    * @example
    * ```ts
-   * const evidence = VersionEvidence.create('v1');
-   * evidence.record({route: 'a', version: 'v2', hasFailed: true, paceMs: undefined});
-   * evidence.findBadReason('v2');
+   * const evidence = VersionEvidence.create();
+   * evidence.record({route: 'a', side: 'new', hasFailed: true, paceMs: undefined});
+   * evidence.findBadReason();
    * ```
    */
-  static create(baseline: string): VersionEvidence {
-    return new VersionEvidence(baseline);
+  static create(): VersionEvidence {
+    return new VersionEvidence();
   }
 
-  record({route, version, hasFailed, paceMs}: VersionSample): void {
+  record({route, side, hasFailed, paceMs}: VersionSample): void {
     this.routes.add(route);
-    const counts = this.countsOf(route, version);
+    const counts = this.countsOf(route, side);
     counts.requests += 1;
     if (hasFailed) counts.failures += 1;
-    if (paceMs !== undefined) this.recordPace(route, version, paceMs);
+    if (paceMs !== undefined) this.recordPace(route, side, paceMs);
   }
 
-  /** Answers of a version on all routes. */
-  countRequests(version: string): number {
+  /** Answers of one side on all routes. */
+  countRequests(side: RolloutSide): number {
     return [...this.routes].reduce(
-      (sum, route) => sum + (this.find(route, version)?.requests ?? 0),
+      (sum, route) => sum + (this.find(route, side)?.requests ?? 0),
       0,
     );
   }
 
-  /** Why a version is bad, as far as this host can tell. */
-  findBadReason(version: string): BadReason | undefined {
-    return this.findReason(version, BAD_LOG_RATIO);
+  /** Why the new version is bad, as far as this host can tell. */
+  findBadReason(): BadReason | undefined {
+    return this.findReason(BAD_LOG_RATIO);
   }
 
-  /** True when a version may be bad, so that retries had better avoid it. */
-  isSuspect(version: string): boolean {
-    return this.findReason(version, SUSPECT_LOG_RATIO) !== undefined;
+  /** True when it may be bad, so that retries had better avoid it. */
+  isSuspect(): boolean {
+    return this.findReason(SUSPECT_LOG_RATIO) !== undefined;
   }
 
-  private findReason(version: string, limit: number): BadReason | undefined {
+  private findReason(limit: number): BadReason | undefined {
     for (const route of this.routes) {
-      const candidate = this.find(route, version);
+      const candidate = this.find(route, 'new');
       if (candidate === undefined) continue;
-      const baseline = this.find(route, this.baseline);
+      const baseline = this.find(route, 'old');
       const failures = computeErrorEvidence({
         candidateRequests: candidate.requests,
         candidateErrors: candidate.failures,
@@ -110,26 +113,26 @@
   }
 
   // Slow is what exceeds the old version's usual pace, for both versions.
-  private recordPace(route: string, version: string, paceMs: number): void {
-    const logPace = Math.log(Math.max(paceMs, 0.01));
-    const baseline = this.countsOf(route, this.baseline);
-    const counts = this.countsOf(route, version);
+  private recordPace(route: string, side: RolloutSide, paceMs: number): void {
+    const logPace = Math.log(Math.max(paceMs, LEAST_PACE_MS));
+    const baseline = this.countsOf(route, 'old');
+    const counts = this.countsOf(route, side);
     if (baseline.paced >= MIN_PACED) {
       counts.paced += 1;
       const excess = logPace - baseline.logPaceMean;
       if (excess > Math.log(SLOW_FACTOR)) counts.slow += 1;
-    } else if (version === this.baseline) counts.paced += 1;
-    if (version !== this.baseline) return;
+    } else if (side === 'old') counts.paced += 1;
+    if (side === 'new') return;
     const weight = Math.max(PACE_WEIGHT, 1 / baseline.paced);
     baseline.logPaceMean += weight * (logPace - baseline.logPaceMean);
   }
 
-  private find(route: string, version: string): RouteCounts | undefined {
-    return this.counts.get(`${route}|${version}`);
+  private find(route: string, side: RolloutSide): RouteCounts | undefined {
+    return this.counts.get(`${route}|${side}`);
   }
 
-  private countsOf(route: string, version: string): RouteCounts {
-    const key = `${route}|${version}`;
+  private countsOf(route: string, side: RolloutSide): RouteCounts {
+    const key = `${route}|${side}`;
     const known = this.counts.get(key);
     if (known !== undefined) return known;
     const counts = {
--- a/packages/gateway/src/control/rollout_board.ts
+++ b/packages/gateway/src/control/rollout_board.ts
@@ -7,6 +7,8 @@
   readonly service: string;
   readonly target: string;
   readonly state: RolloutState;
+  /** Time since the order. */
+  readonly elapsedMs: number;
 }
 
 /** Outcome of telling it. */
--- a/packages/gateway/src/control/rollout_keeper.ts
+++ b/packages/gateway/src/control/rollout_keeper.ts
@@ -6,9 +6,9 @@
   type RolloutBounds,
   type RolloutOrder,
   type RolloutPhase,
+  type RolloutSide,
   type RolloutState,
   type ServerRecord,
-  type ServerTable,
 } from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
 import type {RolloutBoard} from './rollout_board.js';
@@ -16,7 +16,6 @@
 
 /** What a keeper works with. */
 export interface RolloutKeeperOptions {
-  readonly servers: ServerTable;
   readonly board: RolloutBoard;
   readonly logger: Logger;
   readonly bounds: RolloutBounds;
@@ -28,7 +27,6 @@
   plan: RolloutPlan;
   revision: number;
   readonly evidence: VersionEvidence;
-  readonly baseline: string;
   lastPhase: RolloutPhase | undefined;
   isWriting: boolean;
   /** Earliest time of the next write of the state. */
@@ -43,6 +41,16 @@
   garbled: true,
 };
 
+/** Where new work goes whoever asks. */
+const SIDE_BY_PHASE: Readonly<Record<RolloutPhase, RolloutSide | undefined>> = {
+  sampling: undefined,
+  shifting: 'new',
+  succeeded: 'new',
+  rolledBack: 'old',
+};
+
+/** Period in which the store is told how far a roll-out is. */
+const PROGRESS_PERIOD_MS = 3000;
 /** Writers of the same state spread over this time, so that one suffices. */
 const WRITE_SPREAD_MS = 400;
 const WRITE_RETRY_MS = 500;
@@ -71,16 +79,14 @@
     const known = this.rollouts.get(service);
     const nowMs = performance.now();
     if (known !== undefined && known.plan.order.target === target) {
-      known.plan = known.plan.withOrder(order);
+      known.plan = known.plan.withOrder(order, nowMs);
       known.revision = revision;
       return;
     }
-    const baseline = this.findBaseline(service, target);
     this.rollouts.set(service, {
       plan: RolloutPlan.create(order, nowMs, this.options.bounds),
       revision,
-      evidence: VersionEvidence.create(baseline),
-      baseline,
+      evidence: VersionEvidence.create(),
       lastPhase: undefined,
       isWriting: false,
       writeAfterMs: nowMs + this.options.random() * WRITE_SPREAD_MS,
@@ -88,8 +94,8 @@
     this.options.logger.info('rollout_ordered', {
       service,
       target,
-      baseline,
       durationMs: order.durationMs,
+      elapsedMs: order.elapsedMs,
       state: order.state,
     });
   }
@@ -110,14 +116,7 @@
       }
       return records;
     }
-    const rollout = this.rollouts.get(service);
-    const wanted =
-      rollout === undefined
-        ? this.settled.get(service)
-        : this.chooseVersion(rollout, key);
-    const chosen = records.filter(
-      ({server}) => server.softwareVersion === wanted,
-    );
+    const chosen = this.filterVersion(service, records, key);
     return chosen.length > 0 ? chosen : records;
   }
 
@@ -130,7 +129,9 @@
     if (hasFailed === undefined) return;
     const {version, route, paceMs} = outcome;
     const rollout = this.rollouts.get(outcome.service);
-    rollout?.evidence.record({route, version, hasFailed, paceMs});
+    if (rollout === undefined) return;
+    const side = findSide(rollout, version);
+    rollout.evidence.record({route, side, hasFailed, paceMs});
   }
 
   /** Judges each roll-out and declares what has become of it. */
@@ -146,19 +147,34 @@
     }
   }
 
-  private chooseVersion(rollout: FollowedRollout, key: VersionKey): string {
-    const {plan, baseline, evidence} = rollout;
-    const {target} = plan.order;
+  private filterVersion(
+    service: string,
+    records: readonly ServerRecord[],
+    key: VersionKey,
+  ): readonly ServerRecord[] {
+    const rollout = this.rollouts.get(service);
+    if (rollout === undefined) {
+      const settled = this.settled.get(service);
+      return records.filter(({server}) => server.softwareVersion === settled);
+    }
+    const wanted = this.chooseSide(rollout, key);
+    return records.filter(
+      ({server}) => findSide(rollout, server.softwareVersion) === wanted,
+    );
+  }
+
+  private chooseSide(rollout: FollowedRollout, key: VersionKey): RolloutSide {
+    const {plan, evidence} = rollout;
     const nowMs = performance.now();
-    const phase = plan.phase(nowMs);
-    if (phase === 'rolledBack') return baseline;
-    if (phase !== 'sampling') return target;
-    if (evidence.isSuspect(target) && key.before !== undefined) return baseline;
-    if (key.before !== undefined) return key.before;
-    const {session} = key;
+    const fixed = SIDE_BY_PHASE[plan.phase(nowMs)];
+    if (fixed !== undefined) return fixed;
+    const {before, session, sticky} = key;
+    if (before !== undefined) {
+      return evidence.isSuspect() ? 'old' : findSide(rollout, before);
+    }
     const last = session && this.sessions.find(session, nowMs);
-    if (last !== undefined) return last;
-    return plan.isSampled(session ?? key.sticky) ? target : baseline;
+    if (last !== undefined) return findSide(rollout, last);
+    return plan.isSampled(session ?? sticky) ? 'new' : 'old';
   }
 
   private findDueState(
@@ -168,11 +184,11 @@
   ): RolloutState | undefined {
     if (phase === 'succeeded' || phase === 'rolledBack') return undefined;
     const {plan, evidence} = rollout;
-    const {target, state} = plan.order;
-    const reason = evidence.findBadReason(target);
-    if (reason !== undefined) return 'rolledBack';
+    if (evidence.findBadReason() !== undefined) return 'rolledBack';
     if (phase === 'shifting' && plan.isSuccessDue(nowMs)) return 'succeeded';
-    return state === undefined ? 'running' : undefined;
+    const toldMs = plan.order.elapsedMs ?? -Infinity;
+    const isStale = plan.elapsedMs(nowMs) - toldMs >= PROGRESS_PERIOD_MS;
+    return isStale ? 'running' : undefined;
   }
 
   private async declare(
@@ -180,38 +196,33 @@
     state: RolloutState,
   ): Promise<void> {
     const {logger, board, random} = this.options;
-    const {service, target} = rollout.plan.order;
+    const {order} = rollout.plan;
+    const {service, target} = order;
+    const elapsedMs = Math.round(rollout.plan.elapsedMs(performance.now()));
     rollout.isWriting = true;
     const result = await board.writeState(
-      {service, target, state},
+      {service, target, state, elapsedMs},
       rollout.revision,
     );
     rollout.isWriting = false;
-    rollout.writeAfterMs = performance.now() + WRITE_RETRY_MS * (1 + random());
+    const nowMs = performance.now();
+    rollout.writeAfterMs = nowMs + WRITE_RETRY_MS * (1 + random());
     logger.info('rollout_declared', {
       service,
       target,
       state,
       result: result.status,
-      reason: rollout.evidence.findBadReason(target),
-      answers: rollout.evidence.countRequests(target),
-      baselineAnswers: rollout.evidence.countRequests(rollout.baseline),
+      elapsedMs,
+      reason: rollout.evidence.findBadReason(),
+      newAnswers: rollout.evidence.countRequests('new'),
+      oldAnswers: rollout.evidence.countRequests('old'),
     });
     if (result.status !== 'written') return;
     // The watch brings the same state later.
-    rollout.plan = rollout.plan.withOrder({...rollout.plan.order, state});
+    rollout.plan = rollout.plan.withOrder({...order, state, elapsedMs}, nowMs);
     rollout.revision = result.version;
   }
 
-  private findBaseline(service: string, target: string): string {
-    const settled = this.settled.get(service);
-    if (settled !== undefined && settled !== target) return settled;
-    const other = this.options.servers
-      .list(service)
-      .find(({server}) => server.softwareVersion !== target);
-    return other?.server.softwareVersion ?? target;
-  }
-
   private logPhase(rollout: FollowedRollout, phase: RolloutPhase): void {
     const {service, target} = rollout.plan.order;
     rollout.lastPhase = phase;
@@ -220,12 +231,16 @@
       service,
       target,
       phase,
-      answers: rollout.evidence.countRequests(target),
-      baselineAnswers: rollout.evidence.countRequests(rollout.baseline),
+      newAnswers: rollout.evidence.countRequests('new'),
+      oldAnswers: rollout.evidence.countRequests('old'),
     });
   }
 }
 
+function findSide(rollout: FollowedRollout, version: string): RolloutSide {
+  return version === rollout.plan.order.target ? 'new' : 'old';
+}
+
 function isOneVersion(records: readonly ServerRecord[]): boolean {
   const first = records[0]?.server.softwareVersion;
   return records.every(({server}) => server.softwareVersion === first);
--- a/packages/gateway/src/control/watch_source.ts
+++ b/packages/gateway/src/control/watch_source.ts
@@ -82,6 +82,11 @@
       },
       onError: error => {
         metrics.count('store_failures_total', {failure: error.failure});
+        logger.info('store_call_failed', {
+          kind: kind.prefix,
+          failure: error.failure,
+          message: error.message,
+        });
         handlers.onLost?.();
         if (lostMs !== undefined) return;
         lostMs = performance.now();
--- a/packages/gateway/src/stages/answer_headers.ts
+++ b/packages/gateway/src/stages/answer_headers.ts
@@ -1,4 +1,9 @@
-import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
+import type {
+  IncomingHttpHeaders,
+  OutgoingHttpHeaders,
+  ServerResponse,
+} from 'node:http';
+import type {HttpStream} from '@anvilrudder/clients';
 
 /** Headers that concern one connection only. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
@@ -39,3 +44,19 @@
   if (connection === undefined) return [];
   return connection.split(',').map(name => name.trim().toLowerCase());
 }
+
+/** True for an answer that only the end of its connection delimits. */
+export function isDelimitedByClose({headers}: HttpStream): boolean {
+  const hasLength = headers['content-length'] !== undefined;
+  return !hasLength && headers['transfer-encoding'] === undefined;
+}
+
+/**
+ * Delimits an answer by the end of its connection, as its server did. The
+ * router cannot vouch for more than the server did.
+ */
+export function endByClose(response: ServerResponse): void {
+  response.shouldKeepAlive = false;
+  response.useChunkedEncodingByDefault = false;
+  response.removeHeader('transfer-encoding');
+}
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -6,7 +6,11 @@
   type AttemptEnd,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
-import {copyEndToEndHeaders} from './answer_headers.js';
+import {
+  copyEndToEndHeaders,
+  endByClose,
+  isDelimitedByClose,
+} from './answer_headers.js';
 import {chooseTarget, type SendTarget} from './choose_target.js';
 import type {OpenExchange} from './open_exchange.js';
 import {readWholeAnswer} from './read_answer.js';
@@ -181,7 +185,8 @@
   if (exchange.stopped !== undefined) throw giveUp(context, exchange);
   const {response, arrivedMs, request} = exchange.admitted;
   const headers = copyEndToEndHeaders(answer.stream.headers);
-  if (request.method !== 'HEAD') headers['content-length'] = body.length;
+  if (isDelimitedByClose(answer.stream)) endByClose(response);
+  else if (request.method !== 'HEAD') headers['content-length'] = body.length;
   exchange.firstMs = performance.now() - arrivedMs;
   response.writeHead(answer.stream.status, headers);
   response.end(body);
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -1,7 +1,11 @@
 import {once} from 'node:events';
 import {isTransportError} from '@anvilrudder/clients';
 import type {GatewayContext} from '../gateway_context.js';
-import {copyEndToEndHeaders} from './answer_headers.js';
+import {
+  copyEndToEndHeaders,
+  endByClose,
+  isDelimitedByClose,
+} from './answer_headers.js';
 import {EventSplitter} from './event_splitter.js';
 import type {OpenExchange} from './open_exchange.js';
 import type {ServerAnswer} from './send_attempt.js';
@@ -80,6 +84,7 @@
   const {response, arrivedMs} = exchange.admitted;
   const headers = copyEndToEndHeaders(answer.stream.headers);
   delete headers['content-length'];
+  if (isDelimitedByClose(answer.stream)) endByClose(response);
   response.writeHead(answer.stream.status, headers);
   exchange.firstMs = performance.now() - arrivedMs;
 }
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -72,7 +72,6 @@
   const servers = ServerTable.create();
   const pools = ServerPools.create(metrics);
   const rollouts = RolloutKeeper.create({
-    servers,
     board: createStoredBoard(parts.store, parts.declarations, logger),
     logger,
     bounds: settings.rollouts,
