--- a/packages/clients/test/objects/watch_objects.test.ts
+++ b/packages/clients/test/objects/watch_objects.test.ts
@@ -168,14 +168,33 @@
 
 test('a change that was reported before is not reported again', async () => {
   const run = await runScripted({
-    lists: ['timeout', createPage(3, 'a')],
+    lists: ['timeout', createPage(3, 'a'), createPage(3, 'a')],
     watches: [createEvents(3, 'again'), createEvents(2, 'older'), 'cut'],
   });
-  assert.deepEqual(run.values, ['a']);
+  assert.deepEqual(run.values, ['a', 'a']);
   assert.deepEqual(run.failures, ['timeout', 'cut']);
   assert.deepEqual(run.watchedAfter, [3, 3, 3, 3]);
 });
 
+test('a watch lists anew after a cut, as its old place may hear nothing', async () => {
+  const run = await runScripted({
+    lists: [createPage(3, 'a'), createPage(9, 'b')],
+    watches: ['cut', createEvents(10, 'c')],
+  });
+  assert.deepEqual(run.values, ['a', 'b', 'c']);
+  assert.deepEqual(run.watchedAfter, [3, 9, 10]);
+});
+
+test('a removal that bears an older version is reported', async () => {
+  const removal = {key: 'k', version: 7, value: undefined};
+  const later = {key: 'k', version: 6, value: 'b'};
+  const run = await runScripted({
+    lists: [createPage(3, 'a')],
+    watches: [{events: [removal, later], storeVersion: 7}],
+  });
+  assert.deepEqual(run.values, ['a', undefined, 'b']);
+});
+
 test('what a handler throws ends the watch', async () => {
   const fault = new Error('handler');
   const watching = watchKey(
--- a/packages/core/src/forwarding/placement.ts
+++ b/packages/core/src/forwarding/placement.ts
@@ -6,10 +6,8 @@
 
 /** What a server is chosen for. */
 export interface PlacementRequest {
-  /** Servers that may run the request, ejected ones included. */
+  /** Servers that may run the request and did not yet, ejected ones included. */
   readonly candidates: readonly ServerRecord[];
-  /** Ids of servers that the request was sent to before. */
-  readonly tried: ReadonlySet<string>;
   readonly failureDomain: string;
   /** Hosts that send to the same servers, this one included. */
   readonly hostCount: number;
@@ -78,12 +76,11 @@
   return best;
 }
 
-// An ejected server is better than none, a tried one is not.
+// An ejected server is better than none.
 function listUsable(request: PlacementRequest): readonly ServerRecord[] {
-  const {candidates, tried, nowMs} = request;
-  const untried = candidates.filter(({server}) => !tried.has(server.id));
-  const sound = untried.filter(({health}) => !isEjected(health, nowMs));
-  return sound.length > 0 ? sound : untried;
+  const {candidates, nowMs} = request;
+  const sound = candidates.filter(({health}) => !isEjected(health, nowMs));
+  return sound.length > 0 ? sound : candidates;
 }
 
 function findHomes(
--- /dev/null
+++ b/packages/core/test/forwarding/attempt_outcome.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  decideNextStep,
+  isProvenNotRun,
+  mayRunAgain,
+  shouldEscalate,
+  type AttemptEnd,
+  type NextStep,
+} from '../../src/index.js';
+
+interface Case {
+  readonly end: AttemptEnd;
+  readonly once: NextStep;
+  readonly again: NextStep;
+  readonly spent: NextStep;
+}
+
+const CASES: readonly Case[] = [
+  {end: 'answered', once: 'relay', again: 'relay', spent: 'relay'},
+  {end: 'failed', once: 'relay', again: 'elsewhere', spent: 'relay'},
+  {end: 'rejected', once: 'elsewhere', again: 'elsewhere', spent: 'giveUp'},
+  {end: 'replaced', once: 'elsewhere', again: 'elsewhere', spent: 'giveUp'},
+  {end: 'unsent', once: 'elsewhere', again: 'elsewhere', spent: 'giveUp'},
+  {end: 'lost', once: 'giveUp', again: 'elsewhere', spent: 'giveUp'},
+  {end: 'garbled', once: 'giveUp', again: 'elsewhere', spent: 'giveUp'},
+];
+
+for (const {end, once, again, spent} of CASES) {
+  test(`after "${end}" a request that may run once: ${once}, again: ${again}`, () => {
+    assert.equal(decideNextStep(end, false, true), once);
+    assert.equal(decideNextStep(end, true, true), again);
+    assert.equal(decideNextStep(end, true, false), spent);
+  });
+}
+
+test('only what surely did not run is proven not run', () => {
+  const proven = CASES.map(({end}) => end).filter(isProvenNotRun);
+  assert.deepEqual(proven, ['rejected', 'replaced', 'unsent']);
+});
+
+test('a stream runs again only where it can be resumed', () => {
+  assert.equal(mayRunAgain('stream', true), true);
+  assert.equal(mayRunAgain('stream', false), false);
+  assert.equal(mayRunAgain('atMostOnce', true), false);
+  assert.equal(mayRunAgain('idempotent', false), true);
+});
+
+const CALM = {
+  spentShare: 0,
+  expectedFirstMs: 200,
+  goalLeftMs: 1500,
+  timeLeftMs: 10_000,
+};
+
+test('an unsure answer is given up while the larger model is quick', () => {
+  assert.equal(shouldEscalate({...CALM, confidence: 20}), true);
+  assert.equal(shouldEscalate({...CALM, confidence: 90}), false);
+  assert.equal(shouldEscalate({...CALM, confidence: undefined}), false);
+});
+
+test('the later the larger model would answer, the surer the answer that stays', () => {
+  const late = {...CALM, expectedFirstMs: 6000};
+  assert.equal(shouldEscalate({...late, confidence: 45}), false);
+  assert.equal(shouldEscalate({...late, confidence: 5}), true);
+  const hopeless = {...CALM, expectedFirstMs: 12_000};
+  assert.equal(shouldEscalate({...hopeless, confidence: 0}), false);
+});
+
+test('scarce repeats go to the least sure answers', () => {
+  const scarce = {...CALM, spentShare: 0.9};
+  assert.equal(shouldEscalate({...scarce, confidence: 40}), false);
+  assert.equal(shouldEscalate({...scarce, confidence: 5}), true);
+});
--- /dev/null
+++ b/packages/core/test/forwarding/repeat_budget.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as fc from 'fast-check';
+import {RepeatBudget} from '../../src/index.js';
+
+const WINDOW_MS = 10_000;
+
+test('repeats keep to the ratio of first sends', () => {
+  const budget = RepeatBudget.create({
+    ratio: 0.5,
+    extra: 0,
+    windowMs: WINDOW_MS,
+  });
+  for (let count = 0; count < 10; count += 1) budget.recordFirst(0);
+  const taken = Array.from({length: 10}, () => budget.tryTake(1));
+  assert.equal(taken.filter(Boolean).length, 5);
+});
+
+test('what was spent comes back when the window has passed', () => {
+  const budget = RepeatBudget.create({ratio: 0, extra: 1, windowMs: WINDOW_MS});
+  assert.equal(budget.tryTake(0), true);
+  assert.equal(budget.tryTake(WINDOW_MS - 1), false);
+  assert.equal(budget.tryTake(WINDOW_MS * 1.1), true);
+});
+
+test('a reserve is kept for more urgent repeats', () => {
+  const budget = RepeatBudget.create({ratio: 0, extra: 3, windowMs: WINDOW_MS});
+  assert.equal(budget.tryTake(0, 2), true);
+  assert.equal(budget.tryTake(0, 2), false);
+  assert.equal(budget.tryTake(0), true);
+});
+
+test('no window of any position holds more repeats than its bound', () => {
+  const step = fc.record({
+    waitMs: fc.integer({min: 0, max: 900}),
+    isFirst: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(step, {maxLength: 300}), steps => {
+      const ratio = 0.9;
+      const budget = RepeatBudget.create({
+        ratio,
+        extra: 3,
+        windowMs: WINDOW_MS,
+      });
+      const firstsMs: number[] = [];
+      const repeatsMs: number[] = [];
+      let nowMs = 0;
+      for (const {waitMs, isFirst} of steps) {
+        nowMs += waitMs;
+        if (isFirst) {
+          budget.recordFirst(nowMs);
+          firstsMs.push(nowMs);
+        } else if (budget.tryTake(nowMs)) repeatsMs.push(nowMs);
+      }
+      const count = (times: readonly number[], endMs: number): number =>
+        times.filter(ms => ms <= endMs && ms > endMs - WINDOW_MS).length;
+      // First sends may count from one bucket before the window.
+      const countEarly = (times: readonly number[], endMs: number): number =>
+        times.filter(ms => ms <= endMs && ms > endMs - WINDOW_MS * 1.1).length;
+      for (const endMs of repeatsMs) {
+        const bound = ratio * countEarly(firstsMs, endMs) + 3;
+        assert.ok(count(repeatsMs, endMs) <= bound + 1e-9);
+      }
+    }),
+  );
+});
--- a/packages/gateway/src/server/stop_callers.ts
+++ b/packages/gateway/src/server/stop_callers.ts
@@ -6,7 +6,7 @@
  * Time in which the load balancer notices that this host is not ready, and
  * sends its callers elsewhere.
  */
-const BALANCER_NOTICE_MS = 3000;
+const BALANCER_NOTICE_MS = 2400;
 /** Kept back of the grace time for the end of the process. */
 const END_MARGIN_MS = 500;
 const IDLE_CHECK_MS = 100;
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -39,7 +39,9 @@
   const service = name && context.routing.current?.findService(name);
   if (!service) return undefined;
   const records = context.servers.list(service.name);
-  const open = records.filter(({server}) => !server.isLeaving);
+  const open = records.filter(
+    ({server}) => !server.isLeaving && !exchange.tried.has(server.id),
+  );
   const {generation} = request;
   const choice = chooseServer({
     candidates: context.versions.select(service.name, open, {
@@ -47,7 +49,6 @@
       sticky: key,
       before: exchange.softwareVersion,
     }),
-    tried: exchange.tried,
     failureDomain: context.settings.failureDomain,
     hostCount: 1,
     crossingCostMs: CROSSING_COST_MS,
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -16,16 +16,17 @@
 const PROMISE_TAG = /^\[([a-z-]+)\]/;
 
 function listTests() {
-  return readdirSync(join(ROOT, 'packages'))
-    .flatMap(name => {
-      const folder = join(ROOT, 'packages', name, 'dist', 'test');
+  const packages = readdirSync(join(ROOT, 'packages')).map(name =>
+    join(ROOT, 'packages', name),
+  );
+  return [...packages, join(ROOT, 'platform')]
+    .flatMap(home => {
+      const folder = join(home, 'dist', 'test');
       if (!existsSync(folder)) return [];
       return readdirSync(folder, {recursive: true})
         .filter(file => file.endsWith('.test.js'))
         .filter(file =>
-          existsSync(
-            join(ROOT, 'packages', name, 'test', file.replace(/js$/, 'ts')),
-          ),
+          existsSync(join(home, 'test', file.replace(/js$/, 'ts'))),
         )
         .map(file => join(folder, file));
     })
