--- a/packages/clients/src/objects/watch_objects.ts
+++ b/packages/clients/src/objects/watch_objects.ts
@@ -35,6 +35,11 @@
 }
 
 const DEFAULT_WAIT_MS = 30_000;
+/**
+ * First wait after a failure; it doubles with each call that succeeds. A watch
+ * that began while the store was unsound may hear nothing until it ends.
+ */
+const FIRST_WAIT_MS = 500;
 const DEFAULT_BACKOFF: BackoffOptions = {baseMs: 100, maxMs: 10_000};
 
 interface Snapshot {
@@ -46,13 +51,16 @@
 class ObjectWatch {
   private isSynced = false;
   private version = 0;
+  private waitMs: number;
 
   constructor(
     private readonly store: ObjectStore,
     private readonly prefix: string,
     private readonly handlers: WatchHandlers,
     private readonly options: WatchOptions,
-  ) {}
+  ) {
+    this.waitMs = options.waitMs ?? DEFAULT_WAIT_MS;
+  }
 
   async run(): Promise<void> {
     const {signal, random} = this.options;
@@ -80,9 +88,10 @@
     const page = await this.store.watch(
       this.prefix,
       this.version,
-      waitMs,
+      this.waitMs,
       signal,
     );
+    this.waitMs = Math.min(waitMs, 2 * this.waitMs);
     const since = this.version;
     for (const event of page.events) {
       if (signal.aborted) return;
@@ -111,7 +120,9 @@
   // A watch that went on from its old place may hear nothing of what happened
   // while it was away, so every failure leads to a new list.
   private handleError(error: ObjectStoreFailureError): void {
+    const {waitMs = DEFAULT_WAIT_MS} = this.options;
     this.isSynced = false;
+    this.waitMs = Math.min(waitMs, FIRST_WAIT_MS);
     this.handlers.onError?.(error);
   }
 }
@@ -134,8 +145,10 @@
 
 /**
  * Watches the objects below a prefix until the signal is aborted. Failures are
- * followed by a jittered backoff, after which the objects are listed anew. The promise rejects with what a handler throws. What is reported never goes back to an earlier version. Objects
- * of later pages of a snapshot may be reported again as events.
+ * followed by a jittered backoff, after which the objects are listed anew and
+ * waits begin short. The promise rejects with what a handler throws. What is
+ * reported never goes back to an earlier version. Objects of later pages of a
+ * snapshot may be reported again as events.
  *
  * @example
  * ```ts
--- a/packages/clients/test/objects/watch_objects.test.ts
+++ b/packages/clients/test/objects/watch_objects.test.ts
@@ -101,6 +101,7 @@
   readonly values: readonly (string | undefined)[];
   readonly failures: readonly string[];
   readonly watchedAfter: readonly number[];
+  readonly waitsMs: readonly number[];
 }
 
 /** Runs a watch of the key `k` to the end of the scripted answers. */
@@ -109,6 +110,7 @@
   const values: (string | undefined)[] = [];
   const failures: string[] = [];
   const watchedAfter: number[] = [];
+  const waitsMs: number[] = [];
   const lists = [...script.lists];
   const watches = [...script.watches];
   const take = <T extends object>(steps: Step<T>[]): Promise<T> => {
@@ -122,8 +124,9 @@
   const store: ObjectStore = {
     ...createScriptedStore([]),
     list: () => take(lists),
-    watch: (_prefix, after) => {
+    watch: (_prefix, after, waitMs) => {
       watchedAfter.push(after);
+      waitsMs.push(waitMs);
       return take(watches);
     },
   };
@@ -136,7 +139,7 @@
     },
     {signal: abort.signal, random: () => 0},
   );
-  return {values, failures, watchedAfter};
+  return {values, failures, watchedAfter, waitsMs};
 }
 
 function createPage(storeVersion: number, value: string): ObjectPage {
@@ -185,6 +188,20 @@
   assert.deepEqual(run.watchedAfter, [3, 9, 10]);
 });
 
+test('waits begin short after a failure and grow while the store is sound', async () => {
+  const watches = Array.from({length: 9}, (_, index) =>
+    index === 0 ? 'cut' : createEvents(index + 3, 'x'),
+  );
+  const run = await runScripted({
+    lists: [createPage(3, 'a'), createPage(3, 'a')],
+    watches,
+  });
+  assert.deepEqual(
+    run.waitsMs.slice(0, 9),
+    [30_000, 500, 1000, 2000, 4000, 8000, 16_000, 30_000, 30_000],
+  );
+});
+
 test('a removal that bears an older version is reported', async () => {
   const removal = {key: 'k', version: 7, value: undefined};
   const later = {key: 'k', version: 6, value: 'b'};
