Escalate by value, learn the reading speed, let short reading go first

Cause: icebreakers with 1,500 tokens waited up to 5 s for a first event behind prompts of 50,000 tokens that a larger model read at the same server; the time to a larger model's answer was guessed from a speed that was never learnt. Ruled out: the loop of the host (0.002 cores), connections.

--- a/packages/core/src/forwarding/model_ladder.ts
+++ b/packages/core/src/forwarding/model_ladder.ts
@@ -11,15 +11,22 @@
   readonly timeLeftMs: number;
 }
 
-/** Confidence below which an answer is given up for a larger model's. */
-const BASE_THRESHOLD = 50;
-/** Expected time over the goal at which no answer is given up any more. */
-const HOPELESS_FACTOR = 6;
+/** Value of an answer behind the expected time, against one within it. */
+const LATE_VALUE = 0.3;
+/** Value of a wrong answer, against a right one. */
+const WRONG_VALUE = 0.05;
+/** Price of a larger model's run, as a part of the value of its answer. */
+const RUN_PRICE = 0.42;
+/** Spread of the time to a first event around what is expected, as a ratio. */
+const TIME_SPREAD = 0.5;
+/** Share of the budget of repeats from which on they count as scarce. */
 const SCARCE_SHARE = 0.7;
+const FULL_CONFIDENCE = 100;
 
 /**
  * Decides whether the answer of a smaller model is dropped for that of a
- * larger one: the lower its confidence, the longer the larger model may take.
+ * larger one: when the larger one's, which may come late and has its price, is
+ * worth more than the smaller one's, which is here and may be wrong.
  *
  * @example
  * ```ts
@@ -28,19 +35,31 @@
  * ```
  */
 export function shouldEscalate(input: EscalationInput): boolean {
-  const {confidence, expectedFirstMs, timeLeftMs} = input;
+  const {confidence, expectedFirstMs, timeLeftMs, goalLeftMs} = input;
   if (confidence === undefined) return false;
   if (expectedFirstMs > timeLeftMs) return false;
-  return confidence < computeThreshold(input);
+  const isOnTime = goalLeftMs > 0;
+  const small = valueOf(confidence / FULL_CONFIDENCE, isOnTime ? 1 : 0);
+  return small < computeLargeValue(input);
 }
 
-/** Confidence below which escalating is worth its price at this moment. */
-export function computeThreshold(input: EscalationInput): number {
+function valueOf(rightShare: number, onTimeShare: number): number {
+  const quality = rightShare + (1 - rightShare) * WRONG_VALUE;
+  return quality * (onTimeShare + (1 - onTimeShare) * LATE_VALUE);
+}
+
+function computeLargeValue(input: EscalationInput): number {
   const {spentShare, expectedFirstMs, goalLeftMs} = input;
-  const lateness = Math.max(0, expectedFirstMs / Math.max(1, goalLeftMs) - 1);
-  const onTime = Math.max(0, 1 - lateness / HOPELESS_FACTOR);
+  const onTimeShare = estimateOnTimeShare(expectedFirstMs, goalLeftMs);
   const scarce = Math.max(0, spentShare - SCARCE_SHARE) / (1 - SCARCE_SHARE);
-  return BASE_THRESHOLD * onTime * (1 - scarce);
+  return (valueOf(1, onTimeShare) - RUN_PRICE) * (1 - scarce);
+}
+
+/** Chance that a first event comes within the goal. */
+function estimateOnTimeShare(expectedMs: number, goalLeftMs: number): number {
+  if (goalLeftMs <= 0) return 0;
+  const excess = Math.log(Math.max(1, expectedMs) / goalLeftMs) / TIME_SPREAD;
+  return 1 / (1 + Math.exp(2 * excess));
 }
 
 /**
--- a/packages/core/src/forwarding/placement.ts
+++ b/packages/core/src/forwarding/placement.ts
@@ -29,6 +29,8 @@
 /** The chosen server and what the request costs it. */
 export interface PlacementChoice {
   readonly record: ServerRecord;
+  /** Tokens of the prompt that the server probably has to read. */
+  readonly unreadTokens: number;
   readonly workMs: number;
 }
 
@@ -63,15 +65,13 @@
   let best: PlacementChoice | undefined;
   let bestCost = Infinity;
   for (const record of usable) {
-    const workMs = computeWorkMs(
-      request,
-      record,
-      homes.indexOf(record.server.id),
-    );
+    const homeRank = homes.indexOf(record.server.id);
+    const unreadTokens = countUnreadTokens(request, record, homeRank);
+    const workMs = computeWorkMs(request, unreadTokens);
     const cost = computeCost(request, record, workMs);
     if (cost >= bestCost) continue;
     bestCost = cost;
-    best = {record, workMs};
+    best = {record, unreadTokens, workMs};
   }
   return best;
 }
@@ -107,19 +107,26 @@
   return parts.at(-2) ?? parts.at(-1);
 }
 
-function computeWorkMs(
+function countUnreadTokens(
   {generation}: PlacementRequest,
   record: ServerRecord,
   homeRank: number,
 ): number {
-  if (generation === undefined) return PLAIN_REQUEST_MS;
-  const {model, demand, readMsPerToken} = generation;
+  if (generation === undefined) return 0;
+  const {model, demand} = generation;
   const known = record.parts.countKnownTokens(model, demand.parts);
   const unread = Math.max(0, demand.promptTokens - known);
+  if (homeRank !== 0 || known > 0) return unread;
   const own = demand.parts.at(-1)?.tokens ?? 0;
-  const isHome = homeRank === 0 && known === 0;
-  const guessed = isHome ? Math.max(0, unread - own) * HOME_KNOWN_SHARE : 0;
-  return (unread - guessed) * readMsPerToken;
+  return unread - Math.max(0, unread - own) * HOME_KNOWN_SHARE;
+}
+
+function computeWorkMs(
+  {generation}: PlacementRequest,
+  unreadTokens: number,
+): number {
+  if (generation === undefined) return PLAIN_REQUEST_MS;
+  return unreadTokens * generation.readMsPerToken;
 }
 
 function computeCost(
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -36,8 +36,12 @@
 /** An older kept connection may be closing just when it is used. */
 const MAX_IDLE_MS = {repeatable: 3000, atMostOnce: 800} as const;
 
-/** Most and least urgent classes that servers know. */
+/** The least urgent class that servers know; 0 is the most urgent. */
 const LEAST_URGENCY = 9;
+const RESUMED_URGENCY = 0;
+const FIRST_URGENCY = 1;
+/** Upper bounds of reading that share a class of urgency. */
+const READING_CLASSES_MS: readonly number[] = [60, 200, 600, 1500];
 
 /**
  * Sends the request to a server and waits for the head of the answer. What is
@@ -95,6 +99,7 @@
     const end = classifyHead(request.id, stream.status, head);
     if (isProvenNotRun(end)) exchange.mayHaveRun = hadRun;
     context.servers.markAnswering(visit);
+    if (end === 'answered') observeReading(context, exchange, target, nowMs);
     return {end, answer: {stream, head, visit, target, sentMs: nowMs}};
   } catch (error) {
     if (!isTransportError(error)) throw error;
@@ -129,6 +134,19 @@
   });
 }
 
+function observeReading(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  target: SendTarget,
+  sentMs: number,
+): void {
+  const {generation} = exchange.admitted.request;
+  if (generation === undefined) return;
+  const model = target.model ?? generation.model ?? '';
+  const firstMs = performance.now() - sentMs;
+  context.speeds.observe(model, target.unreadTokens, firstMs);
+}
+
 function createOrder(exchange: OpenExchange, target: SendTarget) {
   const {request, organisation} = exchange.admitted;
   return {
@@ -137,17 +155,21 @@
     remainingMs: Math.max(1, Math.floor(exchange.remainingMs)),
     organisation: organisation?.name,
     model: target.model,
-    urgency: request.generation && resolveUrgency(exchange),
+    urgency: request.generation && resolveUrgency(exchange, target.workMs),
     lastEventId: exchange.lastEventId,
   };
 }
 
-// A request that has waited for another server's answer goes first.
-function resolveUrgency(exchange: OpenExchange): number {
+// Short reading goes first: it delays long reading little, and waits long
+// behind it otherwise. A resumed stream has a caller in the middle of an answer.
+function resolveUrgency(exchange: OpenExchange, workMs: number): number {
+  if (exchange.resumptions > 0) return RESUMED_URGENCY;
   const {route, organisation} = exchange.admitted;
   const rank = organisation?.priority ?? route.priority;
-  const waited = exchange.escalations + exchange.resumptions > 0 ? 1 : 0;
-  return Math.max(0, Math.min(LEAST_URGENCY, 2 * rank + 1 - waited));
+  const length = READING_CLASSES_MS.findIndex(limitMs => workMs < limitMs);
+  const lengthClass = length < 0 ? READING_CLASSES_MS.length : length;
+  const urgency = FIRST_URGENCY + lengthClass + Math.min(1, rank);
+  return Math.min(LEAST_URGENCY, urgency);
 }
 
 function classifyHead(
