Tell the other hosts of long reading; correct forecasts by what became of them

Cause: four hosts that each saw a quarter of the load sent prompts of seconds to the same server; forecasts of a first event were three times too long once the others' reading was in them (expected 400 to 1,000 ms, seen 178 ms at the median), as the reading speed took waiting for reading. The extra repeats are shared between the hosts that the store lists.

--- a/packages/core/src/forwarding/placement.ts
+++ b/packages/core/src/forwarding/placement.ts
@@ -2,7 +2,7 @@
 import type {Random} from '../utils/random.js';
 import type {GenerationDemand, PromptPart} from './exchange_types.js';
 import {isEjected, readFailureShare} from './server_health.js';
-import type {ServerRecord} from './server_table.js';
+import {readWaitingMs, type ServerRecord} from './server_table.js';
 
 /** What a server is chosen for. */
 export interface PlacementRequest {
@@ -135,9 +135,8 @@
   workMs: number,
 ): number {
   const {failureDomain, hostCount, crossingCostMs, nowMs, random} = request;
-  const {server, health, waitingWorkMs, inFlight} = record;
-  // The other hosts send about as much as this one.
-  const waiting = waitingWorkMs * (1 + (hostCount - 1) / 2);
+  const {server, health, inFlight} = record;
+  const waiting = readWaitingMs(record, nowMs);
   const running = (inFlight * hostCount * RUNNING_COST_MS * 64) / server.slots;
   const crossing = server.failureDomain === failureDomain ? 0 : crossingCostMs;
   const failing = readFailureShare(health, nowMs) * FAILURE_COST_MS;
--- a/packages/core/src/forwarding/server_table.ts
+++ b/packages/core/src/forwarding/server_table.ts
@@ -15,6 +15,8 @@
   readonly inFlight: number;
   /** Reading of prompts that this host waits for there. */
   readonly waitingWorkMs: number;
+  /** When the reading that all hosts sent there is probably done. */
+  readonly backlogEndMs: number;
   readonly parts: PartMemory;
 }
 
@@ -23,6 +25,7 @@
   health: ServerHealth;
   inFlight: number;
   waitingWorkMs: number;
+  backlogEndMs: number;
   readonly parts: PartMemory;
 }
 
@@ -58,6 +61,7 @@
         health: UNKNOWN_HEALTH,
         inFlight: 0,
         waitingWorkMs: 0,
+        backlogEndMs: -Infinity,
         parts: PartMemory.create(),
       });
     }
@@ -99,6 +103,7 @@
     if (record === undefined) return undefined;
     record.inFlight += 1;
     record.waitingWorkMs += workMs;
+    addBacklog(record, workMs, nowMs);
     if (demand !== undefined) record.parts.record(model, demand.parts, nowMs);
     const visit: MutableVisit = {
       server: record.server,
@@ -108,6 +113,12 @@
     return visit;
   }
 
+  /** Takes in that another host sent a request to a server. */
+  noteRemoteWork(id: string, workMs: number, nowMs: number): void {
+    const record = this.records.get(id);
+    if (record !== undefined) addBacklog(record, workMs, nowMs);
+  }
+
   /** Notes that the server began to answer: its reading is done. */
   markAnswering(visit: ServerVisit): void {
     const open = visit as MutableVisit;
@@ -138,3 +149,16 @@
     }
   }
 }
+
+function addBacklog(
+  record: MutableRecord,
+  workMs: number,
+  nowMs: number,
+): void {
+  record.backlogEndMs = Math.max(record.backlogEndMs, nowMs) + workMs;
+}
+
+/** Reading that waits at a server, as far as this host can tell. */
+export function readWaitingMs(record: ServerRecord, nowMs: number): number {
+  return Math.max(0, record.waitingWorkMs, record.backlogEndMs - nowMs);
+}
--- a/packages/gateway/src/config/settings.ts
+++ b/packages/gateway/src/config/settings.ts
@@ -15,6 +15,8 @@
     readonly callers: ListenAddress;
     readonly readiness: ListenAddress;
     readonly metrics: ListenAddress;
+    /** Datagrams of the other hosts. */
+    readonly hosts: ListenAddress;
   };
   /** `ip:port` of the object store. */
   readonly storeAddress: string;
@@ -139,6 +141,7 @@
       callers: reader.readAddress(['listen', 'callers']),
       readiness: reader.readAddress(['listen', 'readiness']),
       metrics: reader.readAddress(['listen', 'metrics']),
+      hosts: reader.readAddress(['listen', 'hosts']),
     },
     storeAddress: reader.readText(['storeAddress']),
     heartbeatMs: reader.readNumber(['heartbeatMs'], 1),
--- a/packages/gateway/src/control/follow_store.ts
+++ b/packages/gateway/src/control/follow_store.ts
@@ -5,6 +5,7 @@
   RoutingSnapshot,
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
+import type {HostEntry} from './host_registry.js';
 import type {RolloutKeeper} from './rollout_keeper.js';
 import type {RoutingState} from './routing_state.js';
 import type {ServerDirectory} from './server_directory.js';
@@ -19,6 +20,7 @@
   readonly routing: WatchedKind<RoutingSnapshot>;
   readonly servers: WatchedKind<RegisteredServer>;
   readonly rollouts: WatchedKind<RolloutOrder>;
+  readonly hosts: WatchedKind<HostEntry>;
 }
 
 /** What following the store needs. */
--- /dev/null
+++ b/packages/gateway/src/control/host_registry.ts
@@ -0,0 +1,122 @@
+import {
+  delay,
+  isObjectStoreError,
+  parseJsonObject,
+  readString,
+  type JsonObject,
+} from '@anvilrudder/clients';
+import type {ObjectStore} from '@anvilrudder/core';
+import type {Logger} from '@anvilrudder/observability';
+import type {WatchedKind} from './watch_source.js';
+
+/** What a host tells the others of itself. */
+export interface HostEntry {
+  /** `ip:port` for datagrams. */
+  readonly address: string;
+}
+
+/** What a registry works with. */
+export interface HostRegistryOptions {
+  readonly store: ObjectStore;
+  readonly kind: WatchedKind<HostEntry>;
+  readonly host: string;
+  readonly address: string;
+  readonly logger: Logger;
+  readonly random: () => number;
+}
+
+/** Time after the start by which the hosts of a start have registered. */
+const FIRST_LIST_MS = 3000;
+const LIST_PERIOD_MS = 15_000;
+const RETRY_MS = 2000;
+
+/** Decodes the entry of a host. */
+export function readHostEntry(entry: JsonObject): HostEntry | undefined {
+  const address = readString(entry, 'address');
+  return address === undefined ? undefined : {address};
+}
+
+/**
+ * The hosts that serve the same callers, as the store lists them. They are
+ * listed now and then: a host that is missed for some seconds costs little.
+ */
+export class HostRegistry {
+  private others: readonly string[] = [];
+  private isRegistered = false;
+
+  private constructor(private readonly options: HostRegistryOptions) {}
+
+  static create(options: HostRegistryOptions): HostRegistry {
+    return new HostRegistry(options);
+  }
+
+  /** Hosts that are known, this one included. */
+  get count(): number {
+    return this.others.length + 1;
+  }
+
+  /** False until the others have been listed. */
+  get isKnown(): boolean {
+    return this.isRegistered;
+  }
+
+  /** `ip:port` of each other host. */
+  get addresses(): readonly string[] {
+    return this.others;
+  }
+
+  /** Registers this host and lists the others until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {random} = this.options;
+    let waitMs = random() * RETRY_MS;
+    let isWritten = false;
+    while (!signal.aborted) {
+      await delay(waitMs, signal);
+      if (signal.aborted) return;
+      try {
+        if (!isWritten) {
+          await this.register();
+          isWritten = true;
+          waitMs = FIRST_LIST_MS * (0.5 + random());
+          continue;
+        }
+        await this.list();
+        waitMs = LIST_PERIOD_MS * (0.5 + random());
+      } catch (error) {
+        if (!isObjectStoreError(error)) throw error;
+        waitMs = RETRY_MS * (0.5 + random());
+        this.options.logger.info('hosts_unlisted', {failure: error.failure});
+      }
+    }
+  }
+
+  private async register(): Promise<void> {
+    const {store, kind, host, address} = this.options;
+    const key = `${kind.prefix}${host}`;
+    const value = JSON.stringify({address});
+    const result = await store.put(key, value, {kind: 'absent'});
+    if (result.status === 'written') return;
+    // A restarted host finds the entry of its earlier run.
+    await store.put(key, value, {kind: 'any'});
+  }
+
+  private async list(): Promise<void> {
+    const {store, kind, address, logger} = this.options;
+    const found: string[] = [];
+    let after: string | undefined;
+    do {
+      const page = await store.list(kind.prefix, after);
+      for (const {key, value} of page.objects) {
+        const json = parseJsonObject(value);
+        const name = key.slice(kind.prefix.length);
+        const entry = json && kind.decode(name, json);
+        if (entry && entry.address !== address) found.push(entry.address);
+      }
+      after = page.nextAfter;
+    } while (after !== undefined);
+    const isChanged = found.join() !== this.others.join();
+    this.others = found;
+    this.isRegistered = true;
+    if (isChanged) logger.info('hosts_listed', {others: found.length});
+  }
+}
--- a/packages/gateway/src/control/repeat_budgets.ts
+++ b/packages/gateway/src/control/repeat_budgets.ts
@@ -1,20 +1,40 @@
 import {RepeatBudget, type RepeatBudgetOptions} from '@anvilrudder/core';
 
+/** Where the number of hosts that share the extra repeats comes from. */
+export interface HostCount {
+  readonly count: number;
+  readonly isKnown: boolean;
+}
+
+/** Kept back, as a host that has just come may not be counted yet. */
+const SHARED_PART = 0.7;
+
 /** One budget of repeats for each service. */
 export class RepeatBudgets {
   private readonly budgets = new Map<string, RepeatBudget>();
 
-  private constructor(private readonly options: RepeatBudgetOptions) {}
+  private constructor(
+    private readonly options: RepeatBudgetOptions,
+    private readonly hosts: HostCount,
+  ) {}
 
-  static create(options: RepeatBudgetOptions): RepeatBudgets {
-    return new RepeatBudgets(options);
+  /**
+   * @param options of all hosts together.
+   */
+  static create(options: RepeatBudgetOptions, hosts: HostCount): RepeatBudgets {
+    return new RepeatBudgets(options, hosts);
   }
 
   of(service: string): RepeatBudget {
     const known = this.budgets.get(service);
-    if (known !== undefined) return known;
-    const budget = RepeatBudget.create(this.options);
+    const budget = known ?? RepeatBudget.create(this.options);
+    budget.setExtra(this.resolveExtra());
     this.budgets.set(service, budget);
     return budget;
   }
+
+  private resolveExtra(): number {
+    const {count, isKnown} = this.hosts;
+    return isKnown ? (SHARED_PART * this.options.extra) / count : 0;
+  }
 }
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,6 +1,8 @@
 import type {Random, ReadSpeed, ServerTable} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {GatewaySettings} from './config/settings.js';
+import type {HostRegistry} from './control/host_registry.js';
+import type {LoadExchange} from './control/load_exchange.js';
 import type {RepeatBudgets} from './control/repeat_budgets.js';
 import type {RoutingState} from './control/routing_state.js';
 import type {ServerPools} from './control/server_pools.js';
@@ -17,6 +19,8 @@
   readonly servers: ServerTable;
   readonly pools: ServerPools;
   readonly budgets: RepeatBudgets;
+  readonly hosts: HostRegistry;
+  readonly loads: LoadExchange;
   readonly speeds: ReadSpeed;
   readonly versions: VersionGate;
   readonly random: Random;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 export * from './config/settings.js';
 export * from './control/follow_store.js';
+export {readHostEntry, type HostEntry} from './control/host_registry.js';
 export type {DeclarationCodec} from './control/rollout_board.js';
 export type {WatchedKind} from './control/watch_source.js';
 export * from './ports.js';
--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -35,6 +35,12 @@
       noDelay: true,
     },
     (message, response) => {
+      // The connection was closed behind its last answer; what still came on
+      // it is not read, so that its caller may send it elsewhere.
+      if (!message.socket.writable) return;
+      response.once('finish', () => {
+        if (context.isStopping()) message.socket.end();
+      });
       const limits = context.routing.current?.snapshot.limits;
       const headerBytes = countHeaderBytes(message.rawHeaders);
       if (limits !== undefined && headerBytes > limits.maxHeaderBytes) {
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -2,6 +2,7 @@
   chooseServer,
   hashToUnit,
   pickDestination,
+  readWaitingMs,
   type ForwardRoute,
   type ForwardService,
   type PlacementChoice,
@@ -13,6 +14,8 @@
 export interface SendTarget extends PlacementChoice {
   readonly service: ForwardService;
   readonly model: string | undefined;
+  /** Plain forecast of the time to a first event. */
+  readonly forecastMs: number | undefined;
 }
 
 /** Time that a server in another failure domain must save. */
@@ -43,6 +46,7 @@
     ({server}) => !server.isLeaving && !exchange.tried.has(server.id),
   );
   const {generation} = request;
+  const nowMs = performance.now();
   const choice = chooseServer({
     candidates: context.versions.select(service.name, open, {
       session: request.session,
@@ -50,17 +54,26 @@
       before: exchange.softwareVersion,
     }),
     failureDomain: context.settings.failureDomain,
-    hostCount: 1,
+    hostCount: context.hosts.count,
     crossingCostMs: CROSSING_COST_MS,
     generation: generation && {
       model: model ?? generation.model ?? '',
       demand: generation,
       readMsPerToken: context.speeds.read(model ?? generation.model ?? ''),
     },
-    nowMs: performance.now(),
+    nowMs,
     random: context.random,
   });
-  return choice && {...choice, service, model};
+  if (choice === undefined) return undefined;
+  const forecastMs = generation && forecastFirstEvent(choice, nowMs);
+  return {...choice, service, model, forecastMs};
+}
+
+function forecastFirstEvent(
+  {record, workMs}: PlacementChoice,
+  nowMs: number,
+): number {
+  return workMs + readWaitingMs(record, nowMs);
 }
 
 /** Requests with the same key take the same branch of a split. */
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -140,14 +140,17 @@
   const larger = planRepeat(context, exchange, model);
   if (larger === undefined) return undefined;
   const nowMs = performance.now();
+  const expectedFirstMs = context.speeds.forecastMs(larger.forecastMs ?? 0);
   const isWorthIt = shouldEscalate({
     confidence: head.confidence,
     spentShare: context.budgets.of(larger.service.name).readSpentShare(nowMs),
-    expectedFirstMs: larger.workMs + larger.record.waitingWorkMs,
+    expectedFirstMs,
     goalLeftMs: route.latencyGoalMs - (nowMs - arrivedMs),
     timeLeftMs: exchange.remainingMs,
   });
+  exchange.expectedFirstMs = expectedFirstMs;
   if (!isWorthIt) return undefined;
+  exchange.escalatedMs = nowMs - arrivedMs;
   takeRepeat(context, larger);
   return larger;
 }
--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -140,6 +140,8 @@
     model: exchange?.model,
     confidence: exchange?.confidence,
     escalations: exchange?.escalations || undefined,
+    escalatedMs: roundMs(exchange?.escalatedMs),
+    expectedFirstMs: roundMs(exchange?.expectedFirstMs),
     resumptions: exchange?.resumptions || undefined,
     firstMs: roundMs(exchange?.firstMs),
     totalMs: roundMs(totalMs),
--- a/packages/gateway/src/stages/open_exchange.ts
+++ b/packages/gateway/src/stages/open_exchange.ts
@@ -37,6 +37,10 @@
   softwareVersion: string | undefined;
   confidence: number | undefined;
   escalations = 0;
+  /** Time to the first event that the larger model was expected to take. */
+  expectedFirstMs: number | undefined;
+  /** Time from the arrival to the escalation. */
+  escalatedMs: number | undefined;
   resumptions = 0;
   firstMs: number | undefined;
   lastEventId: string | undefined;
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -69,6 +69,7 @@
     nowMs,
   );
   if (visit === undefined) return {end: 'unsent', answer: undefined};
+  context.loads.announce(server.id, workMs);
   exchange.attempts += 1;
   exchange.tried.add(server.id);
   exchange.server = server.id;
@@ -145,6 +146,8 @@
   const model = target.model ?? generation.model ?? '';
   const firstMs = performance.now() - sentMs;
   context.speeds.observe(model, target.unreadTokens, firstMs);
+  if (target.forecastMs === undefined) return;
+  context.speeds.observeForecast(target.forecastMs, firstMs);
 }
 
 function createOrder(exchange: OpenExchange, target: SendTarget) {
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -9,6 +9,8 @@
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {GatewaySettings, ListenAddress} from './config/settings.js';
 import {followStore, type FollowedKinds} from './control/follow_store.js';
+import {HostRegistry} from './control/host_registry.js';
+import {LoadExchange} from './control/load_exchange.js';
 import {RepeatBudgets} from './control/repeat_budgets.js';
 import {RoutingState} from './control/routing_state.js';
 import {ServerDirectory} from './control/server_directory.js';
@@ -78,13 +80,27 @@
     sessionMs: settings.rollouts.sessionMs,
     random: parts.random,
   });
+  const hosts = HostRegistry.create({
+    ...parts,
+    kind: parts.kinds.hosts,
+    host: settings.host,
+    address: formatAddress(settings.listen.hosts),
+  });
+  const loads = LoadExchange.create({
+    ...parts,
+    listen: settings.listen.hosts,
+    hosts,
+    servers,
+  });
   const context: GatewayContext = {
     ...parts,
     routing,
     servers,
     pools,
     versions: rollouts,
-    budgets: RepeatBudgets.create(settings.repeats),
+    budgets: RepeatBudgets.create(settings.repeats, hosts),
+    hosts,
+    loads,
     speeds: ReadSpeed.create({initialMsPerToken: INITIAL_READ_MS_PER_TOKEN}),
     isStopping: () => isStopping,
   };
@@ -102,6 +118,9 @@
     signal: watching.signal,
   });
   const ticking = setInterval(() => rollouts.tick(), ROLLOUT_TICK_MS);
+  hosts.run(watching.signal).catch((error: unknown) => {
+    logger.error('host_registry_fault', {message: String(error)});
+  });
   const readiness = createReadinessServer(
     () => !isStopping && follower.isSynced(),
   );
@@ -122,6 +141,7 @@
     watching.abort();
     clearInterval(ticking);
     pools.closeAll();
+    loads.close();
     for (const server of [readiness, metricsServer]) {
       server.close();
       server.closeAllConnections();
