--- a/packages/core/src/forwarding/model_ladder.ts
+++ b/packages/core/src/forwarding/model_ladder.ts
@@ -16,7 +16,7 @@
 /** Value of a wrong answer, against a right one. */
 const WRONG_VALUE = 0.05;
 /** Price of a larger model's run, as a part of the value of its answer. */
-const RUN_PRICE = 0.42;
+const RUN_PRICE = 0.47;
 /** Spread of the time to a first event around what is expected, as a ratio. */
 const TIME_SPREAD = 0.5;
 /** Share of the budget of repeats from which on they count as scarce. */
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -40,8 +40,8 @@
 const LEAST_URGENCY = 9;
 const RESUMED_URGENCY = 0;
 const FIRST_URGENCY = 1;
-/** Upper bounds of reading that share a class of urgency. */
-const READING_CLASSES_MS: readonly number[] = [60, 200, 600, 1500];
+/** Reading that delays others hardly at all goes before the rest. */
+const SHORT_READING_MS = 120;
 
 /**
  * Sends the request to a server and waits for the head of the answer. What is
@@ -169,8 +169,7 @@
   if (exchange.resumptions > 0) return RESUMED_URGENCY;
   const {route, organisation} = exchange.admitted;
   const rank = organisation?.priority ?? route.priority;
-  const length = READING_CLASSES_MS.findIndex(limitMs => workMs < limitMs);
-  const lengthClass = length < 0 ? READING_CLASSES_MS.length : length;
+  const lengthClass = workMs < SHORT_READING_MS ? 0 : 1;
   const urgency = FIRST_URGENCY + lengthClass + Math.min(1, rank);
   return Math.min(LEAST_URGENCY, urgency);
 }
