--- a/packages/core/src/forwarding/repeat_budget.ts
+++ b/packages/core/src/forwarding/repeat_budget.ts
@@ -39,6 +39,11 @@
     return new RepeatBudget(options);
   }
 
+  /** Changes the bounds; what was spent stays spent. */
+  configure(options: RepeatBudgetOptions): void {
+    this.options = {...options, extra: this.options.extra};
+  }
+
   /** Changes this host's part of the repeats that need no first send. */
   setExtra(extra: number): void {
     this.options = {...this.options, extra};
--- a/packages/gateway/src/control/repeat_budgets.ts
+++ b/packages/gateway/src/control/repeat_budgets.ts
@@ -14,7 +14,7 @@
   private readonly budgets = new Map<string, RepeatBudget>();
 
   private constructor(
-    private readonly options: RepeatBudgetOptions,
+    private options: RepeatBudgetOptions,
     private readonly hosts: HostCount,
   ) {}
 
@@ -25,6 +25,12 @@
     return new RepeatBudgets(options, hosts);
   }
 
+  /** Changes the bounds of all hosts together. */
+  configure(options: RepeatBudgetOptions): void {
+    this.options = options;
+    for (const budget of this.budgets.values()) budget.configure(options);
+  }
+
   of(service: string): RepeatBudget {
     const known = this.budgets.get(service);
     const budget = known ?? RepeatBudget.create(this.options);
--- a/packages/gateway/src/control/rollout_keeper.ts
+++ b/packages/gateway/src/control/rollout_keeper.ts
@@ -65,7 +65,10 @@
   private readonly settled = new Map<string, string>();
   private readonly sessions: SessionVersions;
 
+  private bounds: RolloutBounds;
+
   private constructor(private readonly options: RolloutKeeperOptions) {
+    this.bounds = options.bounds;
     this.sessions = SessionVersions.create(options.sessionMs);
   }
 
@@ -73,6 +76,11 @@
     return new RolloutKeeper(options);
   }
 
+  /** Changes the bounds of roll-outs that are ordered from now on. */
+  configure(bounds: RolloutBounds): void {
+    this.bounds = bounds;
+  }
+
   /** Takes in an order or its new state. */
   putOrder(order: RolloutOrder, revision: number): void {
     const {service, target} = order;
@@ -84,7 +92,7 @@
       return;
     }
     this.rollouts.set(service, {
-      plan: RolloutPlan.create(order, nowMs, this.options.bounds),
+      plan: RolloutPlan.create(order, nowMs, this.bounds),
       revision,
       evidence: VersionEvidence.create(),
       lastPhase: undefined,
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -44,6 +44,8 @@
 /** A running gateway. */
 export interface RunningGateway {
   readonly context: GatewayContext;
+  /** Brings changed settings into force, as far as a running host can. */
+  reload(settings: GatewaySettings): void;
   /** Serves what has begun, takes nothing new, and closes. */
   stop(): Promise<void>;
 }
@@ -134,10 +136,22 @@
     readiness: formatAddress(settings.listen.readiness),
     metrics: formatAddress(settings.listen.metrics),
   });
+  let stopGraceMs = settings.stopGraceMs;
+  const reload = (changed: GatewaySettings): void => {
+    stopGraceMs = changed.stopGraceMs;
+    context.budgets.configure(changed.repeats);
+    rollouts.configure(changed.rollouts);
+    logger.info('settings_reloaded', {
+      needsRestart: !isSameListening(settings, changed),
+      repeatRatio: changed.repeats.ratio,
+      exposureShare: changed.rollouts.exposureShare,
+      stopGraceMs,
+    });
+  };
   const stop = async (): Promise<void> => {
     isStopping = true;
-    logger.info('gateway_stopping', {graceMs: settings.stopGraceMs});
-    await stopCallers(callers, settings.stopGraceMs);
+    logger.info('gateway_stopping', {graceMs: stopGraceMs});
+    await stopCallers(callers, stopGraceMs);
     watching.abort();
     clearInterval(ticking);
     pools.closeAll();
@@ -148,7 +162,7 @@
     }
     logger.info('gateway_stopped');
   };
-  return {context, stop};
+  return {context, reload, stop};
 }
 
 async function listen(server: Server, where: ListenAddress): Promise<void> {
@@ -159,3 +173,11 @@
 function formatAddress({address, port}: ListenAddress): string {
   return `${address}:${port}`;
 }
+
+/** Addresses and the store are taken up by the next start only. */
+function isSameListening(a: GatewaySettings, b: GatewaySettings): boolean {
+  return (
+    a.storeAddress === b.storeAddress &&
+    JSON.stringify(a.listen) === JSON.stringify(b.listen)
+  );
+}
