--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -11,3 +11,4 @@
 export * from './server_table.js';
 export * from './session_versions.js';
 export * from './version_evidence.js';
+export * from './write_speed.js';
--- a/packages/gateway/src/control/rollout_keeper.ts
+++ b/packages/gateway/src/control/rollout_keeper.ts
@@ -28,6 +28,8 @@
   revision: number;
   readonly evidence: VersionEvidence;
   lastPhase: RolloutPhase | undefined;
+  /** This host has found the new version bad, told or not. */
+  isCondemned: boolean;
   isWriting: boolean;
   /** Earliest time of the next write of the state. */
   writeAfterMs: number;
@@ -96,6 +98,7 @@
       revision,
       evidence: VersionEvidence.create(),
       lastPhase: undefined,
+      isCondemned: false,
       isWriting: false,
       writeAfterMs: nowMs + this.options.random() * WRITE_SPREAD_MS,
     });
@@ -174,7 +177,10 @@
   private chooseSide(rollout: FollowedRollout, key: VersionKey): RolloutSide {
     const {plan, evidence} = rollout;
     const nowMs = performance.now();
-    const fixed = SIDE_BY_PHASE[plan.phase(nowMs)];
+    const phase = plan.phase(nowMs);
+    // The store may be away when a version turns out to be bad.
+    if (rollout.isCondemned && phase !== 'succeeded') return 'old';
+    const fixed = SIDE_BY_PHASE[phase];
     if (fixed !== undefined) return fixed;
     const {before, session, sticky} = key;
     if (before !== undefined) {
@@ -192,7 +198,8 @@
   ): RolloutState | undefined {
     if (phase === 'succeeded' || phase === 'rolledBack') return undefined;
     const {plan, evidence} = rollout;
-    if (evidence.findBadReason() !== undefined) return 'rolledBack';
+    rollout.isCondemned ||= evidence.findBadReason() !== undefined;
+    if (rollout.isCondemned) return 'rolledBack';
     if (phase === 'shifting' && plan.isSuccessDue(nowMs)) return 'succeeded';
     const toldMs = plan.order.elapsedMs ?? -Infinity;
     const isStale = plan.elapsedMs(nowMs) - toldMs >= PROGRESS_PERIOD_MS;
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,4 +1,9 @@
-import type {Random, ReadSpeed, ServerTable} from '@anvilrudder/core';
+import type {
+  Random,
+  ReadSpeed,
+  ServerTable,
+  WriteSpeed,
+} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {GatewaySettings} from './config/settings.js';
 import type {HostRegistry} from './control/host_registry.js';
@@ -22,6 +27,7 @@
   readonly hosts: HostRegistry;
   readonly loads: LoadExchange;
   readonly speeds: ReadSpeed;
+  readonly writeSpeeds: WriteSpeed;
   readonly versions: VersionGate;
   readonly random: Random;
   /** True once a planned stop has begun. */
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -1,9 +1,10 @@
 import {isTransportError} from '@anvilrudder/clients';
 import {
   decideNextStep,
-  findLargerModel,
+  listLargerModels,
   shouldEscalate,
   type AttemptEnd,
+  type LargerModel,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {
@@ -135,24 +136,38 @@
   if (route.models.length === 0 || target.model === undefined) return undefined;
   if (request.generation?.model !== undefined) return undefined;
   exchange.confidence = head.confidence;
-  const model = findLargerModel(route.models, target.model);
-  if (model === undefined || !exchange.isRepeatable) return undefined;
-  const larger = planRepeat(context, exchange, model);
-  if (larger === undefined) return undefined;
+  if (!exchange.isRepeatable) return undefined;
+  for (const larger of listLargerModels(route.models, target.model)) {
+    const next = planRepeat(context, exchange, larger.model);
+    if (next === undefined) continue;
+    if (!isWorthEscalating(context, exchange, next, larger)) continue;
+    exchange.escalatedMs = performance.now() - arrivedMs;
+    takeRepeat(context, next);
+    return next;
+  }
+  return undefined;
+}
+
+function isWorthEscalating(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  next: SendTarget,
+  {model, rightShare}: LargerModel,
+): boolean {
+  const {route, request, arrivedMs} = exchange.admitted;
   const nowMs = performance.now();
-  const expectedFirstMs = context.speeds.forecastMs(larger.forecastMs ?? 0);
-  const isWorthIt = shouldEscalate({
-    confidence: head.confidence,
-    spentShare: context.budgets.of(larger.service.name).readSpentShare(nowMs),
+  const tokens = request.generation?.maxOutputTokens ?? 0;
+  const expectedFirstMs = context.speeds.forecastMs(next.forecastMs ?? 0);
+  exchange.expectedFirstMs = expectedFirstMs;
+  return shouldEscalate({
+    confidence: exchange.confidence,
+    spentShare: context.budgets.of(next.service.name).readSpentShare(nowMs),
     expectedFirstMs,
+    expectedRestMs: context.writeSpeeds.estimateMs(model, tokens),
+    largeRightShare: rightShare,
     goalLeftMs: route.latencyGoalMs - (nowMs - arrivedMs),
     timeLeftMs: exchange.remainingMs,
   });
-  exchange.expectedFirstMs = expectedFirstMs;
-  if (!isWorthIt) return undefined;
-  exchange.escalatedMs = nowMs - arrivedMs;
-  takeRepeat(context, larger);
-  return larger;
 }
 
 /** Cuts an answer of which the caller has received nothing. */
@@ -204,10 +219,15 @@
 ): Promise<SendTarget | undefined> {
   let answer = first;
   for (;;) {
-    const {end, paceMs} = await relayEvents(context, exchange, answer);
+    const {end, paceMs, durationMs} = await relayEvents(
+      context,
+      exchange,
+      answer,
+    );
     const seen = ATTEMPT_END_BY_RELAY[end];
     endVisit(context, exchange, answer.visit, seen, paceMs);
     if (end === 'whole') {
+      observeWriting(context, exchange, durationMs);
       endStream(exchange, answer);
       return undefined;
     }
@@ -229,6 +249,19 @@
   }
 }
 
+// A stream that began elsewhere tells of a part of its tokens only.
+function observeWriting(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  durationMs: number,
+): void {
+  const {generation, lastEventId} = exchange.admitted.request;
+  if (generation === undefined || lastEventId !== undefined) return;
+  if (exchange.resumptions > 0) return;
+  const model = exchange.model ?? generation.model ?? '';
+  context.writeSpeeds.observe(model, generation.maxOutputTokens, durationMs);
+}
+
 async function resumeStream(
   context: GatewayContext,
   exchange: OpenExchange,
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -18,6 +18,8 @@
   readonly end: RelayEnd;
   /** Mean time between pieces of the stream; undefined for few of them. */
   readonly paceMs: number | undefined;
+  /** From the first piece to the last. */
+  readonly durationMs: number;
 }
 
 /** Fewest pieces whose pace says something. */
@@ -45,6 +47,7 @@
   let lastMs = 0;
   const finish = (end: RelayEnd): RelayResult => ({
     end,
+    durationMs: lastMs - firstMs,
     paceMs:
       pieces < MIN_PACED_PIECES ? undefined : (lastMs - firstMs) / (pieces - 1),
   });
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -3,6 +3,7 @@
 import {
   ReadSpeed,
   ServerTable,
+  WriteSpeed,
   type ObjectStore,
   type Random,
 } from '@anvilrudder/core';
@@ -104,6 +105,7 @@
     hosts,
     loads,
     speeds: ReadSpeed.create({initialMsPerToken: INITIAL_READ_MS_PER_TOKEN}),
+    writeSpeeds: WriteSpeed.create(),
     isStopping: () => isStopping,
   };
   const watching = new AbortController();
