--- a/packages/core/src/forwarding/repeat_budget.ts
+++ b/packages/core/src/forwarding/repeat_budget.ts
@@ -87,6 +87,12 @@
     return true;
   }
 
+  /** Returns a repeat that was taken and never sent. */
+  giveBack(nowMs: number): void {
+    const bucket = this.openBucket(nowMs);
+    bucket.repeats = Math.max(0, bucket.repeats - 1);
+  }
+
   private openBucket(nowMs: number): Bucket {
     this.dropOld(nowMs);
     const index = this.indexOf(nowMs);
--- a/packages/core/src/forwarding/server_health.ts
+++ b/packages/core/src/forwarding/server_health.ts
@@ -78,7 +78,10 @@
   const failureShare = before + FAILURE_WEIGHT * (observed - before);
   const consecutiveSilent = IS_SILENT[end] ? health.consecutiveSilent + 1 : 0;
   const next = {...health, failureShare, consecutiveSilent, observedMs: nowMs};
-  if (consecutiveSilent >= SILENT_BEFORE_EJECTION) return eject(next, nowMs);
+  const isAway = end === 'unsent' || end === 'replaced';
+  if (isAway || consecutiveSilent >= SILENT_BEFORE_EJECTION) {
+    return eject(next, nowMs);
+  }
   return end === 'answered' ? {...next, ejectionCount: 0} : next;
 }
 
--- a/packages/core/test/forwarding/placement.test.ts
+++ b/packages/core/test/forwarding/placement.test.ts
@@ -127,6 +127,18 @@
   assert.equal(after?.record.server.id, home);
 });
 
+test('a server that cannot be reached gets nothing for a while', () => {
+  const table = createTable(2);
+  const demand = createDemand('prefix', 'own');
+  const home =
+    chooseServer(createRequest(table, demand))?.record.server.id ?? '';
+  const visit = table.begin(home, 0, 'm', undefined, 10);
+  assert.ok(visit);
+  table.end(visit, 'unsent', 10);
+  const next = chooseServer(createRequest(table, demand, 20));
+  assert.notEqual(next?.record.server.id, home);
+});
+
 test('an ejected server is better than none', () => {
   const table = createTable(1);
   for (let count = 0; count < 4; count += 1) {
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -92,6 +92,7 @@
   answer: ServerAnswer | undefined,
 ): Promise<SendTarget | undefined> {
   logAttempt(context, exchange, target, end, answer);
+  if (end === 'unsent') returnRepeat(context, exchange, target);
   const again = planRepeat(context, exchange, target.model);
   const step = decideNextStep(end, exchange.isRepeatable, again !== undefined);
   if (step === 'elsewhere' && again !== undefined) {
@@ -127,6 +128,16 @@
   context.metrics.count('repeats_total', {service: target.service.name});
 }
 
+// A send that never reached its server is no repeat.
+function returnRepeat(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  {service}: SendTarget,
+): void {
+  if (exchange.attempts === 0) return;
+  context.budgets.of(service.name).giveBack(performance.now());
+}
+
 function planEscalation(
   context: GatewayContext,
   exchange: OpenExchange,
@@ -275,6 +286,7 @@
     exchange.resumptions += 1;
     const {end, answer} = await sendAttempt(context, exchange, target);
     logAttempt(context, exchange, target, end, answer);
+    if (end === 'unsent') returnRepeat(context, exchange, target);
     if (exchange.stopped !== undefined) {
       if (answer) dropAnswer(context, exchange, answer, undefined);
       return undefined;
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -105,7 +105,11 @@
   } catch (error) {
     if (!isTransportError(error)) throw error;
     const end = classifyFailure(error);
-    if (end === 'unsent') exchange.mayHaveRun = hadRun;
+    if (end === 'unsent') {
+      exchange.mayHaveRun = hadRun;
+      // Nothing reached the server, so the send counts for nothing.
+      exchange.attempts -= 1;
+    }
     const isOwnStop = exchange.stopped !== undefined;
     endVisit(context, exchange, visit, isOwnStop ? undefined : end);
     return {end, answer: undefined};
