--- a/packages/cli/src/tables/top_table.ts
+++ b/packages/cli/src/tables/top_table.ts
@@ -4,7 +4,13 @@
   runAudit,
 } from '../commands/audit.js';
 import {runExplain, runExplainFile} from '../commands/explain.js';
-import {ENTRY_ARGS, connect, type CommandTable} from './command_spec.js';
+import {runTrace} from '../commands/trace.js';
+import {
+  ENTRY_ARGS,
+  JSON_ARG,
+  connect,
+  type CommandTable,
+} from './command_spec.js';
 
 /** Commands at the top level. */
 export const TOP_COMMANDS: CommandTable = {
@@ -61,4 +67,25 @@
         : runExplainFile(request, file, io);
     },
   },
+  trace: {
+    description: 'Assemble the lines of one request from log files',
+    args: {
+      ...JSON_ARG,
+      id: {type: 'positional', description: 'Request id', required: true},
+      log: {
+        type: 'string',
+        valueHint: 'file',
+        description: 'Log file of a process; may be repeated',
+      },
+    },
+    run: async (options, io) =>
+      runTrace(
+        {
+          requestId: options.readRequired('id'),
+          logFiles: options.readList('log'),
+          isJson: options.readFlag('json'),
+        },
+        io,
+      ),
+  },
 };
