--- a/packages/core/src/forwarding/version_evidence.ts
+++ b/packages/core/src/forwarding/version_evidence.ts
@@ -1,4 +1,5 @@
 import {computeErrorEvidence} from '../rollouts/sequential_test.js';
+import {clamp} from '../utils/math.js';
 
 /** The two sides of a roll-out. */
 export type RolloutSide = 'old' | 'new';
@@ -9,18 +10,24 @@
   readonly route: string;
   readonly side: RolloutSide;
   readonly hasFailed: boolean;
-  /** Time for each event, or for the whole answer of a plain service. */
-  readonly paceMs: number | undefined;
+  /**
+   * Logarithm of the time that the answer took over the time that was
+   * expected; undefined where nothing was expected.
+   */
+  readonly slowness: number | undefined;
 }
 
 /** Counts of one version on one route. */
 interface RouteCounts {
   requests: number;
   failures: number;
-  paced: number;
-  slow: number;
-  /** Mean of the logarithm of the pace. */
-  logPaceMean: number;
+}
+
+/** Moments of the slowness of one version. */
+interface SlownessMoments {
+  count: number;
+  sum: number;
+  squareSum: number;
 }
 
 /** Why the new version counts as bad. */
@@ -31,13 +38,14 @@
 /** The same for suspecting one, which costs little when it is wrong. */
 const SUSPECT_LOG_RATIO = Math.log(5);
 const FAILURE_TOLERANCE = 0.04;
-const SLOW_TOLERANCE = 0.1;
-/** Pace over the mean of the old version that counts as slow. */
-const SLOW_FACTOR = 3;
-/** Old answers before the pace of new ones is judged. */
-const MIN_PACED = 5;
-const PACE_WEIGHT = 0.05;
-const LEAST_PACE_MS = 0.01;
+/** Slowness over the old version's, as a logarithm, that is borne. */
+const SLOWNESS_TOLERANCE = Math.log(1.3);
+/** Standard errors beyond it at which a version counts as slow. */
+const SLOWNESS_ERRORS = 3.7;
+const MIN_SLOWNESS_COUNT = 6;
+const PRIOR_VARIANCE = 0.4;
+const PRIOR_COUNT = 4;
+const SLOWNESS_RANGE = {least: -2, most: 3} as const;
 
 /**
  * What this host has seen of the two versions in a roll-out, by route: a
@@ -46,6 +54,10 @@
 export class VersionEvidence {
   private readonly counts = new Map<string, RouteCounts>();
   private readonly routes = new Set<string>();
+  private readonly slowness: Readonly<Record<RolloutSide, SlownessMoments>> = {
+    old: {count: 0, sum: 0, squareSum: 0},
+    new: {count: 0, sum: 0, squareSum: 0},
+  };
 
   private constructor() {}
 
@@ -53,7 +65,7 @@
    * @example
    * ```ts
    * const evidence = VersionEvidence.create();
-   * evidence.record({route: 'a', side: 'new', hasFailed: true, paceMs: undefined});
+   * evidence.record({route: 'a', side: 'new', hasFailed: true, slowness: undefined});
    * evidence.findBadReason();
    * ```
    */
@@ -61,12 +73,12 @@
     return new VersionEvidence();
   }
 
-  record({route, side, hasFailed, paceMs}: VersionSample): void {
+  record({route, side, hasFailed, slowness}: VersionSample): void {
     this.routes.add(route);
     const counts = this.countsOf(route, side);
     counts.requests += 1;
     if (hasFailed) counts.failures += 1;
-    if (paceMs !== undefined) this.recordPace(route, side, paceMs);
+    if (slowness !== undefined) addSlowness(this.slowness[side], slowness);
   }
 
   /** Answers of one side on all routes. */
@@ -79,7 +91,8 @@
 
   /** Why the new version is bad, as far as this host can tell. */
   findBadReason(): BadReason | undefined {
-    return this.findReason(BAD_LOG_RATIO);
+    const reason = this.findReason(BAD_LOG_RATIO);
+    return reason ?? (this.isSlow() ? 'slowness' : undefined);
   }
 
   /** True when it may be bad, so that retries had better avoid it. */
@@ -100,31 +113,25 @@
         tolerance: FAILURE_TOLERANCE,
       });
       if (failures > limit) return 'failures';
-      const slowness = computeErrorEvidence({
-        candidateRequests: candidate.paced,
-        candidateErrors: candidate.slow,
-        baselineRequests: baseline?.paced ?? 0,
-        baselineErrors: baseline?.slow ?? 0,
-        tolerance: SLOW_TOLERANCE,
-      });
-      if (slowness > limit) return 'slowness';
     }
     return undefined;
   }
 
-  // Slow is what exceeds the old version's usual pace, for both versions.
-  private recordPace(route: string, side: RolloutSide, paceMs: number): void {
-    const logPace = Math.log(Math.max(paceMs, LEAST_PACE_MS));
-    const baseline = this.countsOf(route, 'old');
-    const counts = this.countsOf(route, side);
-    if (baseline.paced >= MIN_PACED) {
-      counts.paced += 1;
-      const excess = logPace - baseline.logPaceMean;
-      if (excess > Math.log(SLOW_FACTOR)) counts.slow += 1;
-    } else if (side === 'old') counts.paced += 1;
-    if (side === 'new') return;
-    const weight = Math.max(PACE_WEIGHT, 1 / baseline.paced);
-    baseline.logPaceMean += weight * (logPace - baseline.logPaceMean);
+  /** Mean slowness of one side; undefined before any was seen. */
+  readSlowness(side: RolloutSide): number | undefined {
+    const moments = this.slowness[side];
+    return moments.count === 0 ? undefined : meanOf(moments);
+  }
+
+  /** True when the new version takes longer than chance explains. */
+  private isSlow(): boolean {
+    const candidate = this.slowness.new;
+    const baseline = this.slowness.old;
+    const least = Math.min(candidate.count, baseline.count);
+    if (least < MIN_SLOWNESS_COUNT) return false;
+    const excess = meanOf(candidate) - meanOf(baseline) - SLOWNESS_TOLERANCE;
+    const variance = varianceOfMean(candidate) + varianceOfMean(baseline);
+    return excess > SLOWNESS_ERRORS * Math.sqrt(variance);
   }
 
   private find(route: string, side: RolloutSide): RouteCounts | undefined {
@@ -135,14 +142,28 @@
     const key = `${route}|${side}`;
     const known = this.counts.get(key);
     if (known !== undefined) return known;
-    const counts = {
-      requests: 0,
-      failures: 0,
-      paced: 0,
-      slow: 0,
-      logPaceMean: 0,
-    };
+    const counts = {requests: 0, failures: 0};
     this.counts.set(key, counts);
     return counts;
   }
 }
+
+function addSlowness(moments: SlownessMoments, value: number): void {
+  const {least, most} = SLOWNESS_RANGE;
+  const bounded = clamp(value, least, most);
+  moments.count += 1;
+  moments.sum += bounded;
+  moments.squareSum += bounded * bounded;
+}
+
+function meanOf({count, sum}: SlownessMoments): number {
+  return sum / count;
+}
+
+function varianceOfMean(moments: SlownessMoments): number {
+  const {count, squareSum} = moments;
+  const spread = squareSum - count * meanOf(moments) ** 2;
+  const variance =
+    (spread + PRIOR_COUNT * PRIOR_VARIANCE) / (count + PRIOR_COUNT);
+  return variance / count;
+}
--- a/packages/core/test/forwarding/rollout_plan.test.ts
+++ b/packages/core/test/forwarding/rollout_plan.test.ts
@@ -3,6 +3,7 @@
 import {
   createRandom,
   RolloutPlan,
+  sampleNormal,
   SessionVersions,
   VersionEvidence,
   type RolloutOrder,
@@ -50,26 +51,38 @@
 test('a failing version is found within some ten answers', () => {
   const evidence = VersionEvidence.create();
   for (let count = 0; count < 100; count += 1) {
-    evidence.record({route: 'r', side: 'old', hasFailed: false, paceMs: 10});
+    evidence.record({route: 'r', side: 'old', hasFailed: false, slowness: 0});
   }
   let answers = 0;
   while (evidence.findBadReason() === undefined && answers < 100) {
     const hasFailed = answers % 2 === 0;
-    evidence.record({route: 'r', side: 'new', hasFailed, paceMs: undefined});
+    evidence.record({route: 'r', side: 'new', hasFailed, slowness: undefined});
     answers += 1;
   }
   assert.ok(answers <= 12, `${answers} answers`);
 });
 
-test('a slow version is found by its pace', () => {
+test('a version of which half is several times slower is found', () => {
+  const random = createRandom(6);
   const evidence = VersionEvidence.create();
-  for (let count = 0; count < 50; count += 1) {
-    evidence.record({route: 'r', side: 'old', hasFailed: false, paceMs: 10});
+  const sample = (): number => 0.7 * sampleNormal(random);
+  for (let count = 0; count < 150; count += 1) {
+    evidence.record({
+      route: 'r',
+      side: 'old',
+      hasFailed: false,
+      slowness: sample(),
+    });
   }
-  for (let count = 0; count < 12; count += 1) {
-    evidence.record({route: 'r', side: 'new', hasFailed: false, paceMs: 80});
+  let answers = 0;
+  while (evidence.findBadReason() === undefined && answers < 200) {
+    const extra = answers % 2 === 0 ? Math.log(8) : 0;
+    const slowness = sample() + extra;
+    evidence.record({route: 'r', side: 'new', hasFailed: false, slowness});
+    answers += 1;
   }
   assert.equal(evidence.findBadReason(), 'slowness');
+  assert.ok(answers <= 60, `${answers} answers`);
 });
 
 test('a version as good as the old one is hardly ever called bad', () => {
@@ -78,15 +91,15 @@
   for (let run = 0; run < 300; run += 1) {
     const evidence = VersionEvidence.create();
     for (let count = 0; count < 150; count += 1) {
-      const paceMs = 10 * Math.exp(random() - 0.5);
+      const slowness = 0.7 * sampleNormal(random);
       const hasFailed = random() < 0.14;
-      evidence.record({route: 'r', side: 'old', hasFailed, paceMs});
+      evidence.record({route: 'r', side: 'old', hasFailed, slowness});
       if (count % 3 > 0) continue;
       evidence.record({
         route: 'r',
         side: 'new',
         hasFailed: random() < 0.14,
-        paceMs: 10 * Math.exp(random() - 0.5),
+        slowness: 0.7 * sampleNormal(random),
       });
     }
     if (evidence.findBadReason() !== undefined) calledBad += 1;
--- a/packages/gateway/src/control/load_exchange.ts
+++ b/packages/gateway/src/control/load_exchange.ts
@@ -3,31 +3,43 @@
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {ListenAddress} from '../config/settings.js';
 import type {HostRegistry} from './host_registry.js';
+import type {RemoteSample} from './rollout_keeper.js';
 
 /** What an exchange works with. */
 export interface LoadExchangeOptions {
   readonly listen: ListenAddress;
   readonly hosts: HostRegistry;
   readonly servers: ServerTable;
+  /** Told of what another host saw of a new version. */
+  readonly onSample: (sample: RemoteSample) => void;
   readonly logger: Logger;
   readonly metrics: MetricRegistry;
   readonly random: () => number;
 }
 
+/** Takes in the fields of a datagram; false when they are malformed. */
+type FieldHandler = (fields: readonly string[]) => boolean;
+
 /** Reading below this is not worth a datagram. */
 const MIN_WORK_MS = 40;
 /** Hosts told of one send at most; a random part of more of them. */
 const MAX_TOLD = 40;
 /** No single send keeps a server busy for longer. */
 const MAX_WORK_MS = 20_000;
-const FORMAT = 'w1';
+const WORK_FORMAT = 'w1';
+const SAMPLE_FORMAT = 's1';
 
 /**
  * Tells the other hosts of each send that makes a server read for long, so
- * that they do not send theirs to the same one. A lost datagram costs only a
- * worse choice.
+ * that they do not send theirs to the same one, and of each answer of a version
+ * in roll-out. A lost datagram costs only a worse or later choice.
  */
 export class LoadExchange {
+  private readonly handlers: ReadonlyMap<string, FieldHandler> = new Map([
+    [WORK_FORMAT, fields => this.receiveWork(fields)],
+    [SAMPLE_FORMAT, fields => this.receiveSample(fields)],
+  ]);
+
   private constructor(
     private readonly socket: Socket,
     private readonly options: LoadExchangeOptions,
@@ -46,7 +58,17 @@
   /** Tells the other hosts that a server has to read for some time. */
   announce(serverId: string, workMs: number): void {
     if (workMs < MIN_WORK_MS) return;
-    const message = `${FORMAT} ${serverId} ${Math.round(workMs)}`;
+    this.send(`${WORK_FORMAT} ${serverId} ${Math.round(workMs)}`);
+  }
+
+  /** Tells the other hosts of an answer of a new version. */
+  announceSample({service, version, sample}: RemoteSample): void {
+    const {route, hasFailed, slowness} = sample;
+    const fields = [route, hasFailed ? 1 : 0, slowness?.toFixed(2) ?? ''];
+    this.send([SAMPLE_FORMAT, service, version, ...fields].join(' '));
+  }
+
+  private send(message: string): void {
     for (const address of this.chooseTold()) {
       const [ip, port] = address.split(':');
       this.socket.send(message, Number(port), ip, error => {
@@ -71,16 +93,40 @@
   }
 
   private receive(message: Buffer, from: RemoteInfo): void {
-    const {hosts, servers, metrics} = this.options;
+    const {hosts, metrics} = this.options;
     const sender = `${from.address}:${from.port}`;
-    const [format, serverId, work] = message.toString('latin1').split(' ');
-    const workMs = Number(work);
-    const isSound = format === FORMAT && workMs > 0 && workMs <= MAX_WORK_MS;
-    if (!isSound || !hosts.addresses.includes(sender)) {
+    const [format, ...fields] = message.toString('latin1').split(' ');
+    const handle = this.handlers.get(format);
+    const isKnown = hosts.addresses.includes(sender);
+    if (!isKnown || handle === undefined || !handle(fields)) {
       metrics.count('load_datagrams_ignored_total');
       return;
     }
     metrics.count('load_datagrams_total');
-    servers.noteRemoteWork(serverId, workMs, performance.now());
+  }
+
+  private receiveWork([serverId, work]: readonly string[]): boolean {
+    const workMs = Number(work);
+    if (!(workMs > 0 && workMs <= MAX_WORK_MS)) return false;
+    this.options.servers.noteRemoteWork(serverId, workMs, performance.now());
+    return true;
+  }
+
+  private receiveSample(fields: readonly string[]): boolean {
+    const [service, version, route, failed, slowness] = fields;
+    if (slowness === undefined) return false;
+    const value = slowness === '' ? undefined : Number(slowness);
+    if (Number.isNaN(value)) return false;
+    this.options.onSample({
+      service,
+      version,
+      sample: {
+        route,
+        side: 'new',
+        hasFailed: failed === '1',
+        slowness: value,
+      },
+    });
+    return true;
   }
 }
--- a/packages/gateway/src/control/rollout_keeper.ts
+++ b/packages/gateway/src/control/rollout_keeper.ts
@@ -9,6 +9,7 @@
   type RolloutSide,
   type RolloutState,
   type ServerRecord,
+  type VersionSample,
 } from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
 import type {RolloutBoard} from './rollout_board.js';
@@ -21,6 +22,15 @@
   readonly bounds: RolloutBounds;
   readonly sessionMs: number;
   readonly random: () => number;
+  /** Told of each answer of a new version, for the other hosts. */
+  readonly onNewSample: (sample: RemoteSample) => void;
+}
+
+/** What a host saw of a new version, as it tells the others. */
+export interface RemoteSample {
+  readonly service: string;
+  readonly version: string;
+  readonly sample: VersionSample;
 }
 
 interface FollowedRollout {
@@ -138,11 +148,22 @@
   recordOutcome(outcome: VersionOutcome): void {
     const hasFailed = IS_FAILURE[outcome.end];
     if (hasFailed === undefined) return;
-    const {version, route, paceMs} = outcome;
-    const rollout = this.rollouts.get(outcome.service);
+    const {version, route, service} = outcome;
+    const rollout = this.rollouts.get(service);
     if (rollout === undefined) return;
     const side = findSide(rollout, version);
-    rollout.evidence.record({route, side, hasFailed, paceMs});
+    // Once all work has moved, load and empty caches slow the new version.
+    const isSampling = rollout.lastPhase === 'sampling';
+    const slowness = isSampling ? outcome.slowness : undefined;
+    const sample = {route, side, hasFailed, slowness};
+    rollout.evidence.record(sample);
+    if (side === 'new') this.options.onNewSample({service, version, sample});
+  }
+
+  /** Takes in what another host saw of a new version. */
+  recordRemote({service, version, sample}: RemoteSample): void {
+    const rollout = this.rollouts.get(service);
+    if (rollout?.plan.order.target === version) rollout.evidence.record(sample);
   }
 
   /** Judges each roll-out and declares what has become of it. */
@@ -231,6 +252,8 @@
       reason: rollout.evidence.findBadReason(),
       newAnswers: rollout.evidence.countRequests('new'),
       oldAnswers: rollout.evidence.countRequests('old'),
+      newSlowness: rollout.evidence.readSlowness('new')?.toFixed(2),
+      oldSlowness: rollout.evidence.readSlowness('old')?.toFixed(2),
     });
     if (result.status !== 'written') return;
     // The watch brings the same state later.
--- a/packages/gateway/src/control/version_gate.ts
+++ b/packages/gateway/src/control/version_gate.ts
@@ -15,8 +15,8 @@
   readonly version: string;
   readonly route: string;
   readonly end: AttemptEnd;
-  /** Time for each event, or for the whole answer of a plain service. */
-  readonly paceMs: number | undefined;
+  /** Logarithm of the time taken over the time expected. */
+  readonly slowness: number | undefined;
 }
 
 /** Decides which software versions of a service a request may reach. */
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -26,6 +26,9 @@
 const ATTEMPT_END_BY_RELAY: Readonly<Record<RelayEnd, AttemptEnd | undefined>> =
   {whole: 'answered', broken: 'lost', stopped: undefined};
 
+/** Shorter forecasts say little. */
+const MIN_RATED_MS = 5;
+
 /** How long callers of a request that has not run should wait. */
 const RETRY_AFTER_MS = {least: 200, most: 700} as const;
 
@@ -210,7 +213,8 @@
     }
     return handleFailure(context, exchange, answer.target, 'lost', answer);
   }
-  endVisit(context, exchange, answer.visit, end, performance.now() - sentMs);
+  const slowness = observePlainTime(context, exchange, end, sentMs);
+  endVisit(context, exchange, answer.visit, end, slowness);
   if (exchange.stopped !== undefined) throw giveUp(context, exchange);
   const {response, arrivedMs, request} = exchange.admitted;
   const headers = copyEndToEndHeaders(answer.stream.headers);
@@ -230,13 +234,10 @@
 ): Promise<SendTarget | undefined> {
   let answer = first;
   for (;;) {
-    const {end, paceMs, durationMs} = await relayEvents(
-      context,
-      exchange,
-      answer,
-    );
+    const {end, durationMs} = await relayEvents(context, exchange, answer);
     const seen = ATTEMPT_END_BY_RELAY[end];
-    endVisit(context, exchange, answer.visit, seen, paceMs);
+    const slowness = end === 'whole' ? rateStream(context, answer) : undefined;
+    endVisit(context, exchange, answer.visit, seen, slowness);
     if (end === 'whole') {
       observeWriting(context, exchange, durationMs);
       endStream(exchange, answer);
@@ -260,6 +261,35 @@
   }
 }
 
+/**
+ * Compares the time to a first event with what was expected. Writing tells
+ * less, as it depends on the other requests of a server.
+ */
+function rateStream(
+  {speeds}: GatewayContext,
+  {target, sentMs, headMs}: ServerAnswer,
+): number | undefined {
+  const expectedMs = speeds.forecastMs(target.forecastMs ?? 0);
+  if (expectedMs < MIN_RATED_MS) return undefined;
+  return Math.log((headMs - sentMs) / expectedMs);
+}
+
+/** The same for a plain answer, whose time is learnt for each route. */
+function observePlainTime(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  end: AttemptEnd,
+  sentMs: number,
+): number | undefined {
+  const {route, request} = exchange.admitted;
+  if (end !== 'answered' || request.generation) return undefined;
+  const key = `route ${route.name}`;
+  const seenMs = performance.now() - sentMs;
+  const expectedMs = context.writeSpeeds.estimateMs(key, 1);
+  context.writeSpeeds.observe(key, 1, seenMs);
+  return expectedMs > 0 ? Math.log(seenMs / expectedMs) : undefined;
+}
+
 // A stream that began elsewhere tells of a part of its tokens only.
 function observeWriting(
   context: GatewayContext,
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -16,15 +16,10 @@
 /** How the relay went. */
 export interface RelayResult {
   readonly end: RelayEnd;
-  /** Mean time between pieces of the stream; undefined for few of them. */
-  readonly paceMs: number | undefined;
   /** From the first piece to the last. */
   readonly durationMs: number;
 }
 
-/** Fewest pieces whose pace says something. */
-const MIN_PACED_PIECES = 4;
-
 /**
  * Passes the events of one server on, each as it becomes whole. The head is
  * written with the first event; a resumed stream keeps that of its first
@@ -48,8 +43,6 @@
   const finish = (end: RelayEnd): RelayResult => ({
     end,
     durationMs: lastMs - firstMs,
-    paceMs:
-      pieces < MIN_PACED_PIECES ? undefined : (lastMs - firstMs) / (pieces - 1),
   });
   try {
     for await (const chunk of answer.stream.chunks) {
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -21,6 +21,8 @@
   readonly target: SendTarget;
   /** On the monotonic clock. */
   readonly sentMs: number;
+  /** When the head arrived. */
+  readonly headMs: number;
 }
 
 /** How one send went. */
@@ -101,7 +103,17 @@
     if (isProvenNotRun(end)) exchange.mayHaveRun = hadRun;
     context.servers.markAnswering(visit);
     if (end === 'answered') observeReading(context, exchange, target, nowMs);
-    return {end, answer: {stream, head, visit, target, sentMs: nowMs}};
+    return {
+      end,
+      answer: {
+        stream,
+        head,
+        visit,
+        target,
+        sentMs: nowMs,
+        headMs: performance.now(),
+      },
+    };
   } catch (error) {
     if (!isTransportError(error)) throw error;
     const end = classifyFailure(error);
@@ -119,14 +131,14 @@
 /**
  * Notes how a send ended; undefined when it says nothing of its server.
  *
- * @param paceMs time for each event, or for a whole plain answer.
+ * @param slowness logarithm of the time taken over the time expected.
  */
 export function endVisit(
   context: GatewayContext,
   exchange: OpenExchange,
   visit: ServerVisit,
   end: AttemptEnd | undefined,
-  paceMs?: number,
+  slowness?: number,
 ): void {
   context.servers.end(visit, end, performance.now());
   if (end === undefined) return;
@@ -135,7 +147,7 @@
     version: visit.server.softwareVersion,
     route: `${exchange.admitted.route.name}/${exchange.model ?? ''}`,
     end,
-    paceMs,
+    slowness,
   });
 }
 
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -76,24 +76,26 @@
   const routing = RoutingState.create(logger);
   const servers = ServerTable.create();
   const pools = ServerPools.create(metrics);
-  const rollouts = RolloutKeeper.create({
-    board: createStoredBoard(parts.store, parts.declarations, logger),
-    logger,
-    bounds: settings.rollouts,
-    sessionMs: settings.rollouts.sessionMs,
-    random: parts.random,
-  });
   const hosts = HostRegistry.create({
     ...parts,
     kind: parts.kinds.hosts,
     host: settings.host,
     address: formatAddress(settings.listen.hosts),
   });
-  const loads = LoadExchange.create({
+  const loads: LoadExchange = LoadExchange.create({
     ...parts,
     listen: settings.listen.hosts,
     hosts,
     servers,
+    onSample: sample => rollouts.recordRemote(sample),
+  });
+  const rollouts = RolloutKeeper.create({
+    board: createStoredBoard(parts.store, parts.declarations, logger),
+    logger,
+    bounds: settings.rollouts,
+    sessionMs: settings.rollouts.sessionMs,
+    random: parts.random,
+    onNewSample: sample => loads.announceSample(sample),
   });
   const context: GatewayContext = {
     ...parts,
