--- a/packages/core/src/forwarding/exchange_types.ts
+++ b/packages/core/src/forwarding/exchange_types.ts
@@ -76,7 +76,7 @@
 /** An organisation and the keys that its callers show. */
 export interface ForwardOrganisation {
   readonly name: string;
-  readonly apiKeys: readonly string[];
+  readonly callerKeys: readonly string[];
   /** Takes precedence over the priority of a route. */
   readonly priority: number | undefined;
 }
--- a/packages/core/src/forwarding/routing_table.ts
+++ b/packages/core/src/forwarding/routing_table.ts
@@ -21,7 +21,7 @@
       this.servicesByName.set(service.name, service);
     }
     for (const organisation of snapshot.organisations) {
-      for (const key of organisation.apiKeys) {
+      for (const key of organisation.callerKeys) {
         this.organisationsByKey.set(key, organisation);
       }
     }
--- a/packages/core/test/forwarding/routing_table.test.ts
+++ b/packages/core/test/forwarding/routing_table.test.ts
@@ -29,7 +29,7 @@
   version: 1,
   routes: [createRoute('short', '/a/'), createRoute('long', '/a/b/')],
   services: [],
-  organisations: [{name: 'org', apiKeys: ['k'], priority: undefined}],
+  organisations: [{name: 'org', callerKeys: ['k'], priority: undefined}],
   limits: {
     maxHeaderBytes: 1,
     maxBodyBytes: 1,
--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -129,7 +129,7 @@
     },
     organisations: input.organisations.map(({name, apiKey}) => ({
       name,
-      apiKeySha256: [sha256(apiKey)],
+      keySha256: [sha256(apiKey)],
     })),
     operators: [{name: 'mina', tokenSha256: sha256(input.operatorToken)}],
     sessions: {
--- a/packages/entry/src/config/key_changes.ts
+++ b/packages/entry/src/config/key_changes.ts
@@ -23,8 +23,8 @@
   [
     'API key',
     ({organisations}) =>
-      organisations.flatMap(({name, apiKeySha256}) =>
-        apiKeySha256.map(secret => ({name, secret})),
+      organisations.flatMap(({name, keySha256}) =>
+        keySha256.map(secret => ({name, secret})),
       ),
   ],
   [
--- a/packages/entry/src/config/live_credentials.ts
+++ b/packages/entry/src/config/live_credentials.ts
@@ -41,9 +41,9 @@
 
 function createCallers({organisations}: Settings): Authenticator {
   return createAuthenticator(
-    organisations.map(({name, apiKeySha256}) => ({
+    organisations.map(({name, keySha256}) => ({
       name,
-      digests: apiKeySha256,
+      digests: keySha256,
     })),
   );
 }
--- a/packages/entry/src/config/parse_settings.ts
+++ b/packages/entry/src/config/parse_settings.ts
@@ -113,7 +113,7 @@
   const findings: Finding[] = [];
   const digests = new Set<string>();
   for (const organisation of settings.organisations) {
-    for (const digest of organisation.apiKeySha256) {
+    for (const digest of organisation.keySha256) {
       if (digests.has(digest)) {
         findings.push(
           createFinding(
--- a/packages/entry/src/config/settings_schema.ts
+++ b/packages/entry/src/config/settings_schema.ts
@@ -106,7 +106,7 @@
     .array(
       z.strictObject({
         name: NAME.describe('Name of the organisation, as the rules have it.'),
-        apiKeySha256: z
+        keySha256: z
           .array(SHA256_HEX)
           .min(1)
           .describe(
--- a/packages/entry/test/config/example_settings.test.ts
+++ b/packages/entry/test/config/example_settings.test.ts
@@ -45,10 +45,10 @@
       settings.organisations.map(organisation => organisation.name).sort(),
       [...allowed],
     );
-    for (const {name: organisation, apiKeySha256} of settings.organisations) {
+    for (const {name: organisation, keySha256} of settings.organisations) {
       const key = `example-key-of-${organisation}`;
       const digest = createHash('sha256').update(key).digest('hex');
-      assert.deepEqual(apiKeySha256, [digest]);
+      assert.deepEqual(keySha256, [digest]);
     }
     assert.ok(settings.tls.callers !== undefined);
     assert.ok(settings.tls.peers !== undefined);
--- a/packages/entry/test/config/parse_settings.test.ts
+++ b/packages/entry/test/config/parse_settings.test.ts
@@ -12,7 +12,7 @@
   hostsUrl: http://127.0.0.1:7001
 organisations:
   - name: school-a
-    apiKeySha256: [${'ab'.repeat(32)}]
+    keySha256: [${'ab'.repeat(32)}]
 sessions:
   keys:
     - {id: k1, secretBase64: ${Buffer.alloc(32, 1).toString('base64')}}
@@ -43,7 +43,7 @@
       [2, 'host'],
       [3, 'unknown field failuredomain'],
       [4, 'listen.port'],
-      [11, 'organisations.0.apiKeySha256.0'],
+      [11, 'organisations.0.keySha256.0'],
     ],
   );
 });
@@ -58,7 +58,7 @@
   const text = VALID.replace(
     'sessions:',
     `  - name: school-b
-    apiKeySha256: [${'ab'.repeat(32)}]
+    keySha256: [${'ab'.repeat(32)}]
 sessions:`,
   );
   const {findings} = parseSettings(text);
--- a/packages/entry/test/config/settings_reloader.test.ts
+++ b/packages/entry/test/config/settings_reloader.test.ts
@@ -95,7 +95,7 @@
   changeFile(0, settings => ({
     organisations: settings.organisations.map(organisation =>
       organisation.name === 'school-a'
-        ? {...organisation, apiKeySha256: [digest('a new key')]}
+        ? {...organisation, keySha256: [digest('a new key')]}
         : organisation,
     ),
     operators: [{name: 'kim', tokenSha256: digest('token-of-kim')}],
@@ -138,7 +138,7 @@
   await change(0, settings => ({
     organisations: settings.organisations.map(organisation => ({
       ...organisation,
-      apiKeySha256: [...organisation.apiKeySha256, digest(organisation.name)],
+      keySha256: [...organisation.keySha256, digest(organisation.name)],
     })),
   }));
   const store = HttpObjectStore.create({
--- a/packages/entry/test/support/process_deployment.ts
+++ b/packages/entry/test/support/process_deployment.ts
@@ -180,7 +180,7 @@
     listen: {port: 0},
     organisations: Object.entries(API_KEYS).map(([name, key]) => ({
       name,
-      apiKeySha256: [digest(key)],
+      keySha256: [digest(key)],
     })),
     operators: [{name: 'mina', tokenSha256: digest(OPERATOR_TOKEN)}],
     sessions: {keys: [{id: 'k1', secretBase64: SESSION_SECRET}]},
--- a/packages/entry/test/support/test_deployment.ts
+++ b/packages/entry/test/support/test_deployment.ts
@@ -170,7 +170,7 @@
       },
       organisations: Object.entries(API_KEYS).map(([name, key]) => ({
         name,
-        apiKeySha256: [createHash('sha256').update(key).digest('hex')],
+        keySha256: [createHash('sha256').update(key).digest('hex')],
       })),
       operators: [
         {
--- a/packages/load/src/commands/args.ts
+++ b/packages/load/src/commands/args.ts
@@ -27,7 +27,7 @@
   seed: createNumberArg(DEFAULTS.seed, 'seed of all draws'),
   kinds: createTextArg('icebreaker=1', 'mix as kind=weight,…'),
   'api-keys': createTextArg(
-    DEFAULTS.apiKeys.join(','),
+    DEFAULTS.callerKeys.join(','),
     'API keys, one per organisation',
   ),
   'max-tokens': createNumberArg(DEFAULTS.maxTokens, 'tokens of an answer'),
@@ -122,7 +122,7 @@
     arrivals: reader.arrivals(),
     seed: reader.number('seed'),
     kinds: reader.kinds(),
-    apiKeys: parseList(args['api-keys']),
+    callerKeys: parseList(args['api-keys']),
     maxTokens: reader.number('max-tokens'),
     promptCharacters: reader.number('prompt-characters'),
     sessionShare: reader.number('session-share'),
--- a/packages/load/src/run/load_options.ts
+++ b/packages/load/src/run/load_options.ts
@@ -18,7 +18,7 @@
   readonly seed: number;
   readonly kinds: readonly KindShare[];
   /** API keys, one per organisation. */
-  readonly apiKeys: readonly string[];
+  readonly callerKeys: readonly string[];
   readonly maxTokens: number;
   /** Characters of a prompt; its first half is the same for all of a kind. */
   readonly promptCharacters: number;
@@ -48,7 +48,7 @@
   arrivals: 'poisson',
   seed: 1,
   kinds: [{kind: 'icebreaker', weight: 1}],
-  apiKeys: ['key-penbridge'],
+  callerKeys: ['key-penbridge'],
   maxTokens: 32,
   promptCharacters: 400,
   sessionShare: 0,
@@ -111,7 +111,7 @@
   },
   {
     message: 'at least one API key is needed',
-    isMet: options => options.apiKeys.length > 0,
+    isMet: options => options.callerKeys.length > 0,
   },
   {
     message: 'engines take no service calls',
--- a/packages/load/src/workload/workload.ts
+++ b/packages/load/src/workload/workload.ts
@@ -52,8 +52,8 @@
   /** Draws the next request. */
   next(): PlannedRequest {
     this.count += 1;
-    const {apiKeys, confirmShare} = this.options;
-    const apiKey = apiKeys[Math.floor(this.random() * apiKeys.length)];
+    const {callerKeys, confirmShare} = this.options;
+    const apiKey = callerKeys[Math.floor(this.random() * callerKeys.length)];
     return this.random() < confirmShare
       ? this.planConfirmation(apiKey)
       : this.planGeneration(apiKey);
--- a/packages/load/test/run/run_load.test.ts
+++ b/packages/load/test/run/run_load.test.ts
@@ -155,7 +155,7 @@
     {confirmShare: 2},
     {isDirect: true, confirmShare: 0.1},
     {kinds: []},
-    {apiKeys: []},
+    {callerKeys: []},
   ];
   assert.deepEqual(findOptionFaults(OPTIONS), []);
   for (const row of rows) {
