--- a/packages/gateway/src/control/host_registry.ts
+++ b/packages/gateway/src/control/host_registry.ts
@@ -23,12 +23,19 @@
   readonly address: string;
   readonly logger: Logger;
   readonly random: () => number;
+  /** Time after the start by which the hosts of a start registered; 3000. */
+  readonly firstListMs?: number;
+  /** Time between two lists; 15000. */
+  readonly listPeriodMs?: number;
+  /** Spread of the starts, and time after a failure; 2000. */
+  readonly retryMs?: number;
 }
 
-/** Time after the start by which the hosts of a start have registered. */
-const FIRST_LIST_MS = 3000;
-const LIST_PERIOD_MS = 15_000;
-const RETRY_MS = 2000;
+const DEFAULTS = {
+  firstListMs: 3000,
+  listPeriodMs: 15_000,
+  retryMs: 2000,
+} as const satisfies Partial<HostRegistryOptions>;
 
 /** Decodes the entry of a host. */
 export function readHostEntry(entry: JsonObject): HostEntry | undefined {
@@ -44,10 +51,12 @@
   private others: readonly string[] = [];
   private isRegistered = false;
 
-  private constructor(private readonly options: HostRegistryOptions) {}
+  private constructor(
+    private readonly options: Required<HostRegistryOptions>,
+  ) {}
 
   static create(options: HostRegistryOptions): HostRegistry {
-    return new HostRegistry(options);
+    return new HostRegistry({...DEFAULTS, ...options});
   }
 
   /** Hosts that are known, this one included. */
@@ -67,8 +76,9 @@
 
   /** Registers this host and lists the others until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const {random} = this.options;
-    let waitMs = random() * RETRY_MS;
+    const {random, firstListMs, listPeriodMs, retryMs} = this.options;
+    const jitter = (): number => 0.5 + random();
+    let waitMs = random() * retryMs;
     let isWritten = false;
     while (!signal.aborted) {
       await delay(waitMs, signal);
@@ -77,14 +87,14 @@
         if (!isWritten) {
           await this.register();
           isWritten = true;
-          waitMs = FIRST_LIST_MS * (0.5 + random());
+          waitMs = firstListMs * jitter();
           continue;
         }
         await this.list();
-        waitMs = LIST_PERIOD_MS * (0.5 + random());
+        waitMs = listPeriodMs * jitter();
       } catch (error) {
         if (!isObjectStoreError(error)) throw error;
-        waitMs = RETRY_MS * (0.5 + random());
+        waitMs = retryMs * jitter();
         this.options.logger.info('hosts_unlisted', {failure: error.failure});
       }
     }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,12 @@
 export * from './config/settings.js';
 export * from './control/follow_store.js';
-export {readHostEntry, type HostEntry} from './control/host_registry.js';
+export {
+  HostRegistry,
+  readHostEntry,
+  type HostEntry,
+} from './control/host_registry.js';
+export * from './control/load_exchange.js';
+export type {RemoteSample} from './control/rollout_keeper.js';
 export type {DeclarationCodec} from './control/rollout_board.js';
 export type {WatchedKind} from './control/watch_source.js';
 export * from './ports.js';
