--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -10,6 +10,7 @@
 export * from './http/json.js';
 export * from './objects/budgeted_store.js';
 export * from './objects/counting_store.js';
+export * from './objects/decode_store_answer.js';
 export * from './objects/http_object_store.js';
 export * from './objects/put_with_readback.js';
 export * from './objects/retrying_store.js';
--- a/packages/clients/src/objects/http_object_store.ts
+++ b/packages/clients/src/objects/http_object_store.ts
@@ -7,6 +7,7 @@
   WriteCondition,
   WriteResult,
 } from '@anvilrudder/core';
+import {decodeStoreAnswer} from './decode_store_answer.js';
 import {
   createObjectStoreError,
   type ObjectStoreFailure,
@@ -93,19 +94,6 @@
   return key.split('/').map(encodeURIComponent).join('/');
 }
 
-function decode<T>(
-  answer: HttpAnswer,
-  read: (body: JsonObject) => T | undefined,
-): T {
-  const body = parseJsonObject(answer.body);
-  const value = body === undefined ? undefined : read(body);
-  if (value !== undefined) return value;
-  throw createObjectStoreError('the object API answered malformed JSON', {
-    failure: 'badAnswer',
-    execution: 'unknown',
-  });
-}
-
 function readConflict(body: JsonObject): WriteResult | undefined {
   const {current} = body;
   if (current === null) return {status: 'conflict', current: undefined};
@@ -150,7 +138,7 @@
     const answer = await this.call({method: 'GET', path});
     if (answer.status === 404) return undefined;
     if (answer.status !== 200) throw createAnswerError(answer.status);
-    return decode(answer, readStoredObject);
+    return decodeStoreAnswer(answer, readStoredObject);
   }
 
   put(
@@ -171,7 +159,7 @@
     const path = `/objects?${query.toString()}`;
     const answer = await this.call({method: 'GET', path});
     if (answer.status !== 200) throw createAnswerError(answer.status);
-    return decode(answer, readObjectPage);
+    return decodeStoreAnswer(answer, readObjectPage);
   }
 
   async watch(
@@ -192,7 +180,7 @@
       signal,
     });
     if (answer.status !== 200) throw createAnswerError(answer.status);
-    return decode(answer, readWatchPage);
+    return decodeStoreAnswer(answer, readWatchPage);
   }
 
   /** Ends the open connections. */
@@ -209,8 +197,8 @@
     const path = `/objects/${encodeKey(key)}`;
     const headers = createConditionHeaders(condition);
     const answer = await this.call({method, path, headers, body});
-    if (answer.status === 412) return decode(answer, readConflict);
-    if (answer.status === 200) return decode(answer, readWritten);
+    if (answer.status === 412) return decodeStoreAnswer(answer, readConflict);
+    if (answer.status === 200) return decodeStoreAnswer(answer, readWritten);
     throw createAnswerError(answer.status);
   }
 
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,6 +1,6 @@
 export * from './attempt_outcome.js';
 export * from './exchange_types.js';
-export * from './model_ladder.js';
+export * from './model_escalation.js';
 export * from './part_memory.js';
 export * from './placement.js';
 export * from './read_speed.js';
--- a/packages/core/src/forwarding/server_table.ts
+++ b/packages/core/src/forwarding/server_table.ts
@@ -30,13 +30,13 @@
 }
 
 /** One send to a server, from its start to its end. */
-export interface ServerVisit {
+export interface InFlightSend {
   readonly server: RegisteredServer;
   /** Reading that the server has to do before the first event. */
   readonly workMs: number;
 }
 
-interface MutableVisit extends ServerVisit {
+interface MutableSend extends InFlightSend {
   isWaiting: boolean;
 }
 
@@ -68,7 +68,7 @@
     this.regroup();
   }
 
-  /** Forgets a server that is gone; visits there end as usual. */
+  /** Forgets a server that is gone; sends there end as usual. */
   remove(id: string): void {
     if (this.records.delete(id)) this.regroup();
   }
@@ -91,26 +91,26 @@
     return [...this.records.keys()];
   }
 
-  /** Counts a request as sent; each visit ends in {@link end}. */
+  /** Counts a request as sent; each send ends in {@link end}. */
   begin(
     id: string,
     workMs: number,
     model: string,
     demand: GenerationDemand | undefined,
     nowMs: number,
-  ): ServerVisit | undefined {
+  ): InFlightSend | undefined {
     const record = this.records.get(id);
     if (record === undefined) return undefined;
     record.inFlight += 1;
     record.waitingWorkMs += workMs;
     addBacklog(record, workMs, nowMs);
     if (demand !== undefined) record.parts.record(model, demand.parts, nowMs);
-    const visit: MutableVisit = {
+    const send: MutableSend = {
       server: record.server,
       workMs,
       isWaiting: true,
     };
-    return visit;
+    return send;
   }
 
   /** Takes in that another host sent a request to a server. */
@@ -120,19 +120,19 @@
   }
 
   /** Notes that the server began to answer: its reading is done. */
-  markAnswering(visit: ServerVisit): void {
-    const open = visit as MutableVisit;
+  markAnswering(send: InFlightSend): void {
+    const open = send as MutableSend;
     if (!open.isWaiting) return;
     open.isWaiting = false;
-    const record = this.records.get(visit.server.id);
+    const record = this.records.get(send.server.id);
     if (record === undefined) return;
-    record.waitingWorkMs = Math.max(0, record.waitingWorkMs - visit.workMs);
+    record.waitingWorkMs = Math.max(0, record.waitingWorkMs - send.workMs);
   }
 
-  /** Takes in the end of a visit; undefined says nothing of the server. */
-  end(visit: ServerVisit, end: AttemptEnd | undefined, nowMs: number): void {
-    this.markAnswering(visit);
-    const record = this.records.get(visit.server.id);
+  /** Takes in the end of a send; undefined says nothing of the server. */
+  end(send: InFlightSend, end: AttemptEnd | undefined, nowMs: number): void {
+    this.markAnswering(send);
+    const record = this.records.get(send.server.id);
     if (record === undefined) return;
     record.inFlight = Math.max(0, record.inFlight - 1);
     if (end === undefined) return;
--- a/packages/core/test/forwarding/placement.test.ts
+++ b/packages/core/test/forwarding/placement.test.ts
@@ -82,9 +82,9 @@
         chooseServer(createRequest(table, first))?.record.server.id,
     );
   assert.ok(elsewhere);
-  const visit = table.begin(elsewhere.server.id, 10, 'm', first, 0);
-  assert.ok(visit);
-  table.end(visit, 'answered', 1);
+  const send = table.begin(elsewhere.server.id, 10, 'm', first, 0);
+  assert.ok(send);
+  table.end(send, 'answered', 1);
   const second = createDemand('prefix', 'own-2');
   const choice = chooseServer(createRequest(table, second, 2));
   assert.equal(choice?.record.server.id, elsewhere.server.id);
@@ -117,9 +117,9 @@
   const home =
     chooseServer(createRequest(table, demand))?.record.server.id ?? '';
   for (let count = 0; count < 4; count += 1) {
-    const visit = table.begin(home, 0, 'm', undefined, 10);
-    assert.ok(visit);
-    table.end(visit, 'lost', 10);
+    const send = table.begin(home, 0, 'm', undefined, 10);
+    assert.ok(send);
+    table.end(send, 'lost', 10);
   }
   const during = chooseServer(createRequest(table, demand, 20));
   const after = chooseServer(createRequest(table, demand, 60_000));
@@ -132,9 +132,9 @@
   const demand = createDemand('prefix', 'own');
   const home =
     chooseServer(createRequest(table, demand))?.record.server.id ?? '';
-  const visit = table.begin(home, 0, 'm', undefined, 10);
-  assert.ok(visit);
-  table.end(visit, 'unsent', 10);
+  const send = table.begin(home, 0, 'm', undefined, 10);
+  assert.ok(send);
+  table.end(send, 'unsent', 10);
   const next = chooseServer(createRequest(table, demand, 20));
   assert.notEqual(next?.record.server.id, home);
 });
@@ -142,9 +142,9 @@
 test('an ejected server is better than none', () => {
   const table = createTable(1);
   for (let count = 0; count < 4; count += 1) {
-    const visit = table.begin('i-0', 0, 'm', undefined, 10);
-    assert.ok(visit);
-    table.end(visit, 'unsent', 10);
+    const send = table.begin('i-0', 0, 'm', undefined, 10);
+    assert.ok(send);
+    table.end(send, 'unsent', 10);
   }
   const demand = createDemand('prefix', 'own');
   assert.ok(chooseServer(createRequest(table, demand, 11)));
--- a/packages/gateway/src/control/rollout_keeper.ts
+++ b/packages/gateway/src/control/rollout_keeper.ts
@@ -12,12 +12,16 @@
   type VersionSample,
 } from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
-import type {RolloutBoard} from './rollout_board.js';
-import type {VersionGate, VersionKey, VersionOutcome} from './version_gate.js';
+import type {RolloutStateWriter} from './rollout_state_writer.js';
+import type {
+  VersionSelector,
+  VersionKey,
+  VersionOutcome,
+} from './version_selector.js';
 
 /** What a keeper works with. */
 export interface RolloutKeeperOptions {
-  readonly board: RolloutBoard;
+  readonly stateWriter: RolloutStateWriter;
   readonly logger: Logger;
   readonly bounds: RolloutBounds;
   readonly sessionMs: number;
@@ -39,7 +43,7 @@
   readonly evidence: VersionEvidence;
   lastPhase: RolloutPhase | undefined;
   /** This host has found the new version bad, told or not. */
-  isCondemned: boolean;
+  isFoundBad: boolean;
   isWriting: boolean;
   /** Earliest time of the next write of the state. */
   writeAfterMs: number;
@@ -71,7 +75,7 @@
  * Follows the ordered roll-outs: decides which version a request reaches,
  * judges the new version, and declares how the roll-out ended.
  */
-export class RolloutKeeper implements VersionGate {
+export class RolloutKeeper implements VersionSelector {
   private readonly rollouts = new Map<string, FollowedRollout>();
   /** The version that a service ran on when it had just one. */
   private readonly settled = new Map<string, string>();
@@ -108,7 +112,7 @@
       revision,
       evidence: VersionEvidence.create(),
       lastPhase: undefined,
-      isCondemned: false,
+      isFoundBad: false,
       isWriting: false,
       writeAfterMs: nowMs + this.options.random() * WRITE_SPREAD_MS,
     });
@@ -200,7 +204,7 @@
     const nowMs = performance.now();
     const phase = plan.phase(nowMs);
     // The store may be away when a version turns out to be bad.
-    if (rollout.isCondemned && phase !== 'succeeded') return 'old';
+    if (rollout.isFoundBad && phase !== 'succeeded') return 'old';
     const fixed = SIDE_BY_PHASE[phase];
     if (fixed !== undefined) return fixed;
     const {before, session, sticky} = key;
@@ -219,8 +223,8 @@
   ): RolloutState | undefined {
     if (phase === 'succeeded' || phase === 'rolledBack') return undefined;
     const {plan, evidence} = rollout;
-    rollout.isCondemned ||= evidence.findBadReason() !== undefined;
-    if (rollout.isCondemned) return 'rolledBack';
+    rollout.isFoundBad ||= evidence.findBadReason() !== undefined;
+    if (rollout.isFoundBad) return 'rolledBack';
     if (phase === 'shifting' && plan.isSuccessDue(nowMs)) return 'succeeded';
     const toldMs = plan.order.elapsedMs ?? -Infinity;
     const isStale = plan.elapsedMs(nowMs) - toldMs >= PROGRESS_PERIOD_MS;
@@ -231,12 +235,12 @@
     rollout: FollowedRollout,
     state: RolloutState,
   ): Promise<void> {
-    const {logger, board, random} = this.options;
+    const {logger, stateWriter, random} = this.options;
     const {order} = rollout.plan;
     const {service, target} = order;
     const elapsedMs = Math.round(rollout.plan.elapsedMs(performance.now()));
     rollout.isWriting = true;
-    const result = await board.writeState(
+    const result = await stateWriter.writeState(
       {service, target, state, elapsedMs},
       rollout.revision,
     );
--- a/packages/gateway/src/control/rollout_board.ts
+++ b/packages/gateway/src/control/rollout_state_writer.ts
@@ -19,8 +19,8 @@
   /** No answer; the write may have taken effect, and its watch tells. */
   | {readonly status: 'unanswered'};
 
-/** Where operators read how a roll-out goes. */
-export interface RolloutBoard {
+/** Tells operators how a roll-out goes. */
+export interface RolloutStateWriter {
   /** Writes a state unless the order has changed since the revision. */
   writeState(
     declaration: RolloutDeclaration,
@@ -34,12 +34,12 @@
   readonly encode: (declaration: RolloutDeclaration) => string;
 }
 
-/** Creates a board that is kept in the object store. */
-export function createStoredBoard(
+/** Creates a writer to the object store. */
+export function createStoredStateWriter(
   store: ObjectStore,
   codec: DeclarationCodec,
   logger: Logger,
-): RolloutBoard {
+): RolloutStateWriter {
   return {
     async writeState(declaration, revision) {
       try {
--- a/packages/gateway/src/control/version_gate.ts
+++ b/packages/gateway/src/control/version_selector.ts
@@ -20,7 +20,7 @@
 }
 
 /** Decides which software versions of a service a request may reach. */
-export interface VersionGate {
+export interface VersionSelector {
   /** Keeps the servers that a request may be sent to. */
   select(
     service: string,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -11,7 +11,7 @@
 import type {RepeatBudgets} from './control/repeat_budgets.js';
 import type {RoutingState} from './control/routing_state.js';
 import type {ServerPools} from './control/server_pools.js';
-import type {VersionGate} from './control/version_gate.js';
+import type {VersionSelector} from './control/version_selector.js';
 import type {CallerCodec} from './ports.js';
 
 /** Everything that the stages of a forwarded request use. */
@@ -28,7 +28,7 @@
   readonly loads: LoadExchange;
   readonly speeds: ReadSpeed;
   readonly writeSpeeds: WriteSpeed;
-  readonly versions: VersionGate;
+  readonly versions: VersionSelector;
   readonly random: Random;
   /** True once a planned stop has begun. */
   readonly isStopping: () => boolean;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,7 +7,7 @@
 } from './control/host_registry.js';
 export * from './control/load_exchange.js';
 export type {RemoteSample} from './control/rollout_keeper.js';
-export type {DeclarationCodec} from './control/rollout_board.js';
+export type {DeclarationCodec} from './control/rollout_state_writer.js';
 export type {WatchedKind} from './control/watch_source.js';
 export * from './ports.js';
 export * from './start_gateway.js';
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -17,7 +17,7 @@
 import {readWholeAnswer} from './read_answer.js';
 import {endStream, relayEvents, type RelayEnd} from './relay_stream.js';
 import {
-  endVisit,
+  endSend,
   sendAttempt,
   type AttemptResult,
   type ServerAnswer,
@@ -188,11 +188,11 @@
 function dropAnswer(
   context: GatewayContext,
   exchange: OpenExchange,
-  {stream, visit}: ServerAnswer,
+  {stream, send}: ServerAnswer,
   end: AttemptEnd | undefined,
 ): void {
   void stream.chunks.return?.();
-  endVisit(context, exchange, visit, end);
+  endSend(context, exchange, send, end);
 }
 
 async function relayWholeAnswer(
@@ -208,13 +208,13 @@
   } catch (error) {
     if (!isTransportError(error) && !(error instanceof RangeError)) throw error;
     if (exchange.stopped !== undefined) {
-      endVisit(context, exchange, answer.visit, undefined);
+      endSend(context, exchange, answer.send, undefined);
       throw giveUp(context, exchange);
     }
     return handleFailure(context, exchange, answer.target, 'lost', answer);
   }
   const slowness = observePlainTime(context, exchange, end, sentMs);
-  endVisit(context, exchange, answer.visit, end, slowness);
+  endSend(context, exchange, answer.send, end, slowness);
   if (exchange.stopped !== undefined) throw giveUp(context, exchange);
   const {response, arrivedMs, request} = exchange.admitted;
   const headers = copyEndToEndHeaders(answer.stream.headers);
@@ -237,7 +237,7 @@
     const {end, durationMs} = await relayEvents(context, exchange, answer);
     const seen = ATTEMPT_END_BY_RELAY[end];
     const slowness = end === 'whole' ? rateStream(context, answer) : undefined;
-    endVisit(context, exchange, answer.visit, seen, slowness);
+    endSend(context, exchange, answer.send, seen, slowness);
     if (end === 'whole') {
       observeWriting(context, exchange, durationMs);
       endStream(exchange, answer);
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -60,7 +60,7 @@
     if (!isTransportError(error)) throw error;
     context.logger.debug('stream_cut', {
       request: exchange.admitted.request.id,
-      server: answer.visit.server.id,
+      server: answer.send.server.id,
       failure: error.failure,
     });
     return finish(exchange.stopped === undefined ? 'broken' : 'stopped');
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -6,7 +6,7 @@
 import {
   isProvenNotRun,
   type AttemptEnd,
-  type ServerVisit,
+  type InFlightSend,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import type {AnswerHead} from '../ports.js';
@@ -17,7 +17,7 @@
 export interface ServerAnswer {
   readonly stream: HttpStream;
   readonly head: AnswerHead;
-  readonly visit: ServerVisit;
+  readonly send: InFlightSend;
   readonly target: SendTarget;
   /** On the monotonic clock. */
   readonly sentMs: number;
@@ -63,14 +63,14 @@
   const {record, workMs, service, model} = target;
   const {server} = record;
   const nowMs = performance.now();
-  const visit = context.servers.begin(
+  const send = context.servers.begin(
     server.id,
     workMs,
     model ?? request.generation?.model ?? '',
     request.generation,
     nowMs,
   );
-  if (visit === undefined) return {end: 'unsent', answer: undefined};
+  if (send === undefined) return {end: 'unsent', answer: undefined};
   context.loads.announce(server.id, workMs);
   exchange.attempts += 1;
   exchange.tried.add(server.id);
@@ -101,14 +101,14 @@
     const head = context.codec.decodeAnswer(stream.headers);
     const end = classifyHead(request.id, stream.status, head);
     if (isProvenNotRun(end)) exchange.mayHaveRun = hadRun;
-    context.servers.markAnswering(visit);
+    context.servers.markAnswering(send);
     if (end === 'answered') observeReading(context, exchange, target, nowMs);
     return {
       end,
       answer: {
         stream,
         head,
-        visit,
+        send,
         target,
         sentMs: nowMs,
         headMs: performance.now(),
@@ -123,7 +123,7 @@
       exchange.attempts -= 1;
     }
     const isOwnStop = exchange.stopped !== undefined;
-    endVisit(context, exchange, visit, isOwnStop ? undefined : end);
+    endSend(context, exchange, send, isOwnStop ? undefined : end);
     return {end, answer: undefined};
   }
 }
@@ -133,18 +133,18 @@
  *
  * @param slowness logarithm of the time taken over the time expected.
  */
-export function endVisit(
+export function endSend(
   context: GatewayContext,
   exchange: OpenExchange,
-  visit: ServerVisit,
+  send: InFlightSend,
   end: AttemptEnd | undefined,
   slowness?: number,
 ): void {
-  context.servers.end(visit, end, performance.now());
+  context.servers.end(send, end, performance.now());
   if (end === undefined) return;
   context.versions.recordOutcome({
-    service: visit.server.service,
-    version: visit.server.softwareVersion,
+    service: send.server.service,
+    version: send.server.softwareVersion,
     route: `${exchange.admitted.route.name}/${exchange.model ?? ''}`,
     end,
     slowness,
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -17,9 +17,9 @@
 import {ServerDirectory} from './control/server_directory.js';
 import {ServerPools} from './control/server_pools.js';
 import {
-  createStoredBoard,
+  createStoredStateWriter,
   type DeclarationCodec,
-} from './control/rollout_board.js';
+} from './control/rollout_state_writer.js';
 import {RolloutKeeper} from './control/rollout_keeper.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {CallerCodec} from './ports.js';
@@ -90,7 +90,11 @@
     onSample: sample => rollouts.recordRemote(sample),
   });
   const rollouts = RolloutKeeper.create({
-    board: createStoredBoard(parts.store, parts.declarations, logger),
+    stateWriter: createStoredStateWriter(
+      parts.store,
+      parts.declarations,
+      logger,
+    ),
     logger,
     bounds: settings.rollouts,
     sessionMs: settings.rollouts.sessionMs,
