--- a/packages/clients/src/objects/http_object_store.ts
+++ b/packages/clients/src/objects/http_object_store.ts
@@ -22,12 +22,7 @@
   type HttpRequest,
   type HttpTransportOptions,
 } from '../http/http_transport.js';
-import {
-  isJsonObject,
-  parseJsonObject,
-  readNumber,
-  type JsonObject,
-} from '../http/json.js';
+import {isJsonObject, readNumber, type JsonObject} from '../http/json.js';
 import {
   readObjectPage,
   readStoredObject,
