--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -150,11 +150,6 @@
     return new ConnectionPool({...DEFAULTS, ...options});
   }
 
-  /** Connections that carry a request now. */
-  get busyCount(): number {
-    return this.openCount - this.idle.length;
-  }
-
   /**
    * Sends a request and returns once the head of the answer arrived.
    *
--- a/packages/core/src/forwarding/placement.ts
+++ b/packages/core/src/forwarding/placement.ts
@@ -38,8 +38,6 @@
 const RUNNING_COST_MS = 4;
 /** Other hosts probably sent a shared part to its home before. */
 const HOME_KNOWN_SHARE = 0.5;
-/** Servers that share the home of a prefix, most preferred first. */
-const HOME_COUNT = 2;
 /** Cost of a certain failure, in time that the request then lost. */
 const FAILURE_COST_MS = 2000;
 const PLAIN_REQUEST_MS = 20;
@@ -61,12 +59,12 @@
 ): PlacementChoice | undefined {
   const usable = listUsable(request);
   if (usable.length === 0) return undefined;
-  const homes = findHomes(request, usable);
+  const home = findHome(request, usable);
   let best: PlacementChoice | undefined;
   let bestCost = Infinity;
   for (const record of usable) {
-    const homeRank = homes.indexOf(record.server.id);
-    const unreadTokens = countUnreadTokens(request, record, homeRank);
+    const isHome = record === home;
+    const unreadTokens = countUnreadTokens(request, record, isHome);
     const workMs = computeWorkMs(request, unreadTokens);
     const cost = computeCost(request, record, workMs);
     if (cost >= bestCost) continue;
@@ -83,21 +81,23 @@
   return sound.length > 0 ? sound : candidates;
 }
 
-function findHomes(
+/** The server that all hosts prefer for a shared prefix. */
+function findHome(
   {generation}: PlacementRequest,
   usable: readonly ServerRecord[],
-): readonly string[] {
+): ServerRecord | undefined {
   const shared = generation && findSharedPart(generation.demand.parts);
-  if (generation === undefined || shared === undefined) return [];
+  if (generation === undefined || shared === undefined) return undefined;
   const key = `${generation.model}/${shared.id}`;
-  return usable
-    .map(({server}) => ({
-      id: server.id,
-      rank: hashToUint32(`${key}/${server.id}`),
-    }))
-    .sort((a, b) => b.rank - a.rank)
-    .slice(0, HOME_COUNT)
-    .map(({id}) => id);
+  let home: ServerRecord | undefined;
+  let homeRank = -1;
+  for (const record of usable) {
+    const rank = hashToUint32(`${key}/${record.server.id}`);
+    if (rank <= homeRank) continue;
+    home = record;
+    homeRank = rank;
+  }
+  return home;
 }
 
 /** The last part that other requests may share. */
@@ -110,13 +110,13 @@
 function countUnreadTokens(
   {generation}: PlacementRequest,
   record: ServerRecord,
-  homeRank: number,
+  isHome: boolean,
 ): number {
   if (generation === undefined) return 0;
   const {model, demand} = generation;
   const known = record.parts.countKnownTokens(model, demand.parts);
   const unread = Math.max(0, demand.promptTokens - known);
-  if (homeRank !== 0 || known > 0) return unread;
+  if (!isHome || known > 0) return unread;
   const own = demand.parts.at(-1)?.tokens ?? 0;
   return unread - Math.max(0, unread - own) * HOME_KNOWN_SHARE;
 }
--- a/packages/core/src/forwarding/repeat_budget.ts
+++ b/packages/core/src/forwarding/repeat_budget.ts
@@ -16,6 +16,12 @@
   repeats: number;
 }
 
+/** Repeats of a window, allowed and made. */
+interface WindowSum {
+  readonly allowed: number;
+  readonly repeats: number;
+}
+
 /**
  * Counts first sends and repeats of one service over a sliding window, and
  * allows a repeat while the window has room. Each host spends on its own
@@ -56,27 +62,13 @@
 
   /** Repeats that the window still allows. */
   countLeft(nowMs: number): number {
-    this.dropOld(nowMs);
-    const {ratio, extra} = this.options;
-    let firsts = 0;
-    let repeats = 0;
-    for (const bucket of this.buckets) {
-      firsts += bucket.firsts;
-      repeats += bucket.repeats;
-    }
-    return ratio * firsts + extra - repeats;
+    const {allowed, repeats} = this.sumWindow(nowMs);
+    return allowed - repeats;
   }
 
   /** Part of the allowance of the window that is spent, from 0 to 1. */
   readSpentShare(nowMs: number): number {
-    this.dropOld(nowMs);
-    const {ratio, extra} = this.options;
-    let allowed = extra;
-    let repeats = 0;
-    for (const bucket of this.buckets) {
-      allowed += ratio * bucket.firsts;
-      repeats += bucket.repeats;
-    }
+    const {allowed, repeats} = this.sumWindow(nowMs);
     return allowed <= 0 ? 1 : Math.min(1, repeats / allowed);
   }
 
@@ -93,6 +85,18 @@
     bucket.repeats = Math.max(0, bucket.repeats - 1);
   }
 
+  private sumWindow(nowMs: number): WindowSum {
+    this.dropOld(nowMs);
+    const {ratio, extra} = this.options;
+    let firsts = 0;
+    let repeats = 0;
+    for (const bucket of this.buckets) {
+      firsts += bucket.firsts;
+      repeats += bucket.repeats;
+    }
+    return {allowed: ratio * firsts + extra, repeats};
+  }
+
   private openBucket(nowMs: number): Bucket {
     this.dropOld(nowMs);
     const index = this.indexOf(nowMs);
