--- a/packages/clients/src/objects/watch_objects.ts
+++ b/packages/clients/src/objects/watch_objects.ts
@@ -32,6 +32,11 @@
   readonly waitMs?: number;
   /** Default between 0 and 100, 200, … 10000 milliseconds. */
   readonly backoff?: BackoffOptions;
+  /**
+   * Pause behind a call that brought changes, so that changes in quick
+   * succession come with one call. Default 0.
+   */
+  readonly gatherMs?: number;
 }
 
 const DEFAULT_WAIT_MS = 30_000;
@@ -82,7 +87,7 @@
   }
 
   private async step(): Promise<void> {
-    const {signal, waitMs = DEFAULT_WAIT_MS} = this.options;
+    const {signal, waitMs = DEFAULT_WAIT_MS, gatherMs = 0} = this.options;
     if (!this.isSynced) await this.synchronize();
     if (signal.aborted) return;
     const page = await this.store.watch(
@@ -100,6 +105,7 @@
       this.handlers.onEvent(event);
     }
     this.version = Math.max(this.version, page.storeVersion);
+    if (page.events.length > 0 && gatherMs > 0) await delay(gatherMs, signal);
   }
 
   private async synchronize(): Promise<void> {
--- a/packages/clients/test/objects/watch_objects.test.ts
+++ b/packages/clients/test/objects/watch_objects.test.ts
@@ -226,3 +226,38 @@
   );
   await assert.rejects(watching, fault);
 });
+
+test('changes in quick succession come with one call after a pause', async t => {
+  t.mock.timers.enable({apis: ['setTimeout']});
+  const settle = () => new Promise(resolve => setImmediate(resolve));
+  const abort = new AbortController();
+  t.after(() => abort.abort());
+  let version = 1;
+  let watchCalls = 0;
+  const store: ObjectStore = {
+    ...createScriptedStore([]),
+    watch: () => {
+      watchCalls += 1;
+      version += 1;
+      const event = {key: 'rules/a', version, value: 'text'};
+      return Promise.resolve({events: [event], storeVersion: version});
+    },
+  };
+  const seen: number[] = [];
+  const watching = watchObjects(
+    store,
+    'rules/',
+    {onSnapshot: () => undefined, onEvent: event => seen.push(event.version)},
+    {signal: abort.signal, random: () => 0.5, gatherMs: 500},
+  );
+  await settle();
+  assert.deepEqual(seen, [2], 'the first change is told at once');
+  t.mock.timers.tick(499);
+  await settle();
+  assert.equal(watchCalls, 1);
+  t.mock.timers.tick(1);
+  await settle();
+  assert.equal(watchCalls, 2);
+  abort.abort();
+  await watching;
+});
--- a/packages/core/src/types/object_store.ts
+++ b/packages/core/src/types/object_store.ts
@@ -40,6 +40,12 @@
   readonly storeVersion: number;
 }
 
+/** How a list is read. */
+export interface ListOptions {
+  /** The list may be seconds old, and costs the store less. */
+  readonly isStaleAllowed?: boolean;
+}
+
 /**
  * The platform's object API. Every method is one counted call. A method
  * rejects with an {@link ObjectStoreError} when no answer came; its
@@ -53,7 +59,11 @@
     condition: WriteCondition,
   ): Promise<WriteResult>;
   delete(key: string, condition: WriteCondition): Promise<WriteResult>;
-  list(prefix: string, after?: string): Promise<ObjectPage>;
+  list(
+    prefix: string,
+    after?: string,
+    options?: ListOptions,
+  ): Promise<ObjectPage>;
   /** Waits up to `timeoutMs` for changes below a prefix. */
   watch(
     prefix: string,
--- a/packages/gateway/src/control/follow_store.ts
+++ b/packages/gateway/src/control/follow_store.ts
@@ -36,6 +36,11 @@
   readonly random: () => number;
 }
 
+/** Changes of servers come in series, as when a service is replaced. */
+const SERVERS_GATHER_MS = 600;
+const ROLLOUTS_GATHER_MS = 400;
+const ROUTING_GATHER_MS = 300;
+
 /** Tells whether the first state of all kinds has arrived. */
 export interface StoreFollower {
   readonly isSynced: () => boolean;
@@ -69,7 +74,7 @@
         onPut: applyRouting,
         onRemoved: name => logger.warn('routing_removed', {name}),
       },
-      options,
+      {...options, gatherMs: ROUTING_GATHER_MS},
     ),
     watchSource(
       kinds.servers,
@@ -86,7 +91,7 @@
         onLost: () => directory.markLost(),
         onRegained: () => directory.markRegained(),
       },
-      options,
+      {...options, gatherMs: SERVERS_GATHER_MS},
     ),
     watchSource(
       kinds.rollouts,
@@ -98,7 +103,7 @@
         onPut: applyOrder,
         onRemoved: name => rollouts.removeOrder(name),
       },
-      options,
+      {...options, gatherMs: ROLLOUTS_GATHER_MS},
     ),
   ];
   for (const watch of watches) {
--- a/packages/gateway/src/control/host_registry.ts
+++ b/packages/gateway/src/control/host_registry.ts
@@ -115,7 +115,7 @@
     const found: string[] = [];
     let after: string | undefined;
     do {
-      const page = await store.list(kind.prefix, after);
+      const page = await store.list(kind.prefix, after, {isStaleAllowed: true});
       for (const {key, value} of page.objects) {
         const json = parseJsonObject(value);
         const name = key.slice(kind.prefix.length);
--- a/packages/gateway/src/control/rollout_keeper.ts
+++ b/packages/gateway/src/control/rollout_keeper.ts
@@ -26,6 +26,8 @@
   readonly bounds: RolloutBounds;
   readonly sessionMs: number;
   readonly random: () => number;
+  /** Hosts that follow the same roll-outs, this one included. */
+  readonly countHosts: () => number;
   /** Told of each answer of a new version, for the other hosts. */
   readonly onNewSample: (sample: RemoteSample) => void;
 }
@@ -47,6 +49,8 @@
   isWriting: boolean;
   /** Earliest time of the next write of the state. */
   writeAfterMs: number;
+  /** When this host tells how far it is, unless another host did. */
+  progressAfterMs: number;
 }
 
 /** Ends that speak of the software; others speak of load or of the network. */
@@ -65,10 +69,17 @@
   rolledBack: 'old',
 };
 
-/** Period in which the store is told how far a roll-out is. */
-const PROGRESS_PERIOD_MS = 3000;
-/** Writers of the same state spread over this time, so that one suffices. */
-const WRITE_SPREAD_MS = 400;
+/** Part of a roll-out after which the store is told again how far it is. */
+const PROGRESS_SHARE = 0.2;
+const MIN_PROGRESS_PERIOD_MS = 3000;
+/**
+ * Writers of the same state spread over this time for each host, so that most
+ * learn that another one has written.
+ */
+const WRITE_SPREAD_MS = 100;
+/** Time in which the hosts learn what one of them has written. */
+const NEWS_DELAY_MS = 800;
+const MAX_WRITE_SPREAD_MS = 2000;
 const WRITE_RETRY_MS = 500;
 
 /**
@@ -103,8 +114,10 @@
     const known = this.rollouts.get(service);
     const nowMs = performance.now();
     if (known !== undefined && known.plan.order.target === target) {
+      const isTold = order.elapsedMs !== known.plan.order.elapsedMs;
       known.plan = known.plan.withOrder(order, nowMs);
       known.revision = revision;
+      if (isTold) known.progressAfterMs = this.planTakeOver(order, nowMs);
       return;
     }
     this.rollouts.set(service, {
@@ -114,7 +127,11 @@
       lastPhase: undefined,
       isFoundBad: false,
       isWriting: false,
-      writeAfterMs: nowMs + this.options.random() * WRITE_SPREAD_MS,
+      writeAfterMs: nowMs,
+      progressAfterMs:
+        order.elapsedMs === undefined
+          ? nowMs + this.spreadWrite()
+          : this.planTakeOver(order, nowMs),
     });
     this.options.logger.info('rollout_ordered', {
       service,
@@ -226,9 +243,25 @@
     rollout.isFoundBad ||= evidence.findBadReason() !== undefined;
     if (rollout.isFoundBad) return 'rolledBack';
     if (phase === 'shifting' && plan.isSuccessDue(nowMs)) return 'succeeded';
-    const toldMs = plan.order.elapsedMs ?? -Infinity;
-    const isStale = plan.elapsedMs(nowMs) - toldMs >= PROGRESS_PERIOD_MS;
-    return isStale ? 'running' : undefined;
+    return nowMs >= rollout.progressAfterMs ? 'running' : undefined;
+  }
+
+  /** When a host that has told the progress tells it again. */
+  private planProgress({durationMs}: RolloutOrder, nowMs: number): number {
+    const periodMs = PROGRESS_SHARE * durationMs;
+    return nowMs + Math.max(MIN_PROGRESS_PERIOD_MS, periodMs);
+  }
+
+  /** When another host tells it, if it has heard nothing by then. */
+  private planTakeOver(order: RolloutOrder, nowMs: number): number {
+    const dueMs = this.planProgress(order, nowMs);
+    return dueMs + NEWS_DELAY_MS + this.spreadWrite();
+  }
+
+  private spreadWrite(): number {
+    const {random, countHosts} = this.options;
+    const spreadMs = WRITE_SPREAD_MS * countHosts();
+    return random() * Math.min(MAX_WRITE_SPREAD_MS, spreadMs);
   }
 
   private async declare(
@@ -263,6 +296,7 @@
     // The watch brings the same state later.
     rollout.plan = rollout.plan.withOrder({...order, state, elapsedMs}, nowMs);
     rollout.revision = result.version;
+    rollout.progressAfterMs = this.planProgress(order, nowMs);
   }
 
   private logPhase(rollout: FollowedRollout, phase: RolloutPhase): void {
--- a/packages/gateway/src/control/watch_source.ts
+++ b/packages/gateway/src/control/watch_source.ts
@@ -39,6 +39,8 @@
   readonly metrics: MetricRegistry;
   readonly signal: AbortSignal;
   readonly random: () => number;
+  /** Changes within this time of an earlier one come together; 0. */
+  readonly gatherMs?: number;
 }
 
 /**
@@ -55,7 +57,7 @@
   handlers: SourceHandlers<T>,
   options: WatchSourceOptions,
 ): Promise<void> {
-  const {store, logger, metrics, signal, random} = options;
+  const {store, logger, metrics, signal, random, gatherMs} = options;
   let lostMs: number | undefined;
   const read = (object: StoredObject): DecodedObject<T> => {
     const name = object.key.slice(kind.prefix.length);
@@ -100,7 +102,7 @@
         logger.info('store_regained', {kind: kind.prefix, awayMs});
       },
     },
-    {signal, random, backoff: WATCH_BACKOFF},
+    {signal, random, gatherMs, backoff: WATCH_BACKOFF},
   );
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,8 +6,11 @@
   type HostEntry,
 } from './control/host_registry.js';
 export * from './control/load_exchange.js';
-export type {RemoteSample} from './control/rollout_keeper.js';
-export type {DeclarationCodec} from './control/rollout_state_writer.js';
+export {RolloutKeeper, type RemoteSample} from './control/rollout_keeper.js';
+export type {
+  DeclarationCodec,
+  RolloutDeclaration,
+} from './control/rollout_state_writer.js';
 export type {WatchedKind} from './control/watch_source.js';
 export * from './ports.js';
 export * from './start_gateway.js';
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -99,6 +99,7 @@
     bounds: settings.rollouts,
     sessionMs: settings.rollouts.sessionMs,
     random: parts.random,
+    countHosts: () => hosts.count,
     onNewSample: sample => loads.announceSample(sample),
   });
   const context: GatewayContext = {
