Start a watch anew when other hosts have seen more than it brings

Ruled out: a failed call not followed by a list (no call failed). Hosts now tell four others of the newest object they saw; a watch that does not bring it within a second is dropped and lists. Waits follow the number of hosts (1.5 s for each, 4 to 30 s), so that one of them is soon the first.

--- a/packages/clients/src/objects/watch_objects.ts
+++ b/packages/clients/src/objects/watch_objects.ts
@@ -28,8 +28,10 @@
   /** Ends the watch. */
   readonly signal: AbortSignal;
   readonly random: RandomSource;
-  /** Time that one call waits for a change. Default 30000. */
-  readonly waitMs?: number;
+  /** Time that one call waits for a change at most. Default 30000. */
+  readonly readWaitMs?: () => number;
+  /** Lets others start the watch anew. */
+  readonly renewal?: WatchRenewal;
   /** Default between 0 and 100, 200, … 10000 milliseconds. */
   readonly backoff?: BackoffOptions;
   /**
@@ -52,11 +54,66 @@
   readonly storeVersion: number;
 }
 
+/**
+ * Starts a watch anew: the call that waits is dropped, and the objects are
+ * listed. Its connection may have gone silent without a sign.
+ */
+export class WatchRenewal {
+  private call: AbortController | undefined;
+  private isWanted = false;
+
+  private constructor() {}
+
+  /**
+   * @example
+   * ```ts
+   * const renewal = WatchRenewal.create();
+   * void watchObjects(store, 'rules/', handlers, {...options, renewal});
+   * renewal.renew();
+   * ```
+   */
+  static create(): WatchRenewal {
+    return new WatchRenewal();
+  }
+
+  /** Does nothing while no call waits. */
+  renew(): void {
+    if (this.call === undefined) return;
+    this.isWanted = true;
+    this.call.abort();
+  }
+
+  /** Makes a call that {@link renew} can drop. */
+  async run<T>(
+    signal: AbortSignal,
+    call: (signal: AbortSignal) => Promise<T>,
+  ): Promise<T> {
+    const controller = new AbortController();
+    const abort = (): void => controller.abort();
+    signal.addEventListener('abort', abort, {once: true});
+    this.call = controller;
+    try {
+      return await call(controller.signal);
+    } finally {
+      this.call = undefined;
+      signal.removeEventListener('abort', abort);
+    }
+  }
+
+  /** True once for each renewal. */
+  takeWanted(): boolean {
+    const {isWanted} = this;
+    this.isWanted = false;
+    return isWanted;
+  }
+}
+
 /** The place of one watch in the changes of the store. */
 class ObjectWatch {
   private isSynced = false;
   private version = 0;
-  private waitMs: number;
+  private waitMs = Infinity;
+  private readonly renewal: WatchRenewal;
 
   constructor(
     private readonly store: ObjectStore,
@@ -64,7 +121,7 @@
     private readonly handlers: WatchHandlers,
     private readonly options: WatchOptions,
   ) {
-    this.waitMs = options.waitMs ?? DEFAULT_WAIT_MS;
+    this.renewal = options.renewal ?? WatchRenewal.create();
   }
 
   async run(): Promise<void> {
@@ -79,6 +136,10 @@
       } catch (error) {
         if (!isObjectStoreError(error)) throw error;
         if (signal.aborted) return;
+        if (this.renewal.takeWanted()) {
+          this.isSynced = false;
+          continue;
+        }
         this.handleError(error);
         await delay(computeBackoffMs(failures, backoff, random), signal);
         failures += 1;
@@ -87,16 +148,16 @@
   }
 
   private async step(): Promise<void> {
-    const {signal, waitMs = DEFAULT_WAIT_MS, gatherMs = 0} = this.options;
+    const {signal, gatherMs = 0} = this.options;
     if (!this.isSynced) await this.synchronize();
     if (signal.aborted) return;
-    const page = await this.store.watch(
-      this.prefix,
-      this.version,
-      this.waitMs,
-      signal,
+    const longestMs = this.readLongestWaitMs();
+    const waitMs = Math.min(longestMs, this.waitMs);
+    const page = await this.renewal.run(signal, callSignal =>
+      this.store.watch(this.prefix, this.version, waitMs, callSignal),
     );
-    this.waitMs = Math.min(waitMs, 2 * this.waitMs);
+    this.renewal.takeWanted();
+    this.waitMs = Math.min(longestMs, 2 * waitMs);
     const since = this.version;
     for (const event of page.events) {
       if (signal.aborted) return;
@@ -126,11 +187,14 @@
   // A watch that went on from its old place may hear nothing of what happened
   // while it was away, so every failure leads to a new list.
   private handleError(error: ObjectStoreFailureError): void {
-    const {waitMs = DEFAULT_WAIT_MS} = this.options;
     this.isSynced = false;
-    this.waitMs = Math.min(waitMs, FIRST_WAIT_MS);
+    this.waitMs = FIRST_WAIT_MS;
     this.handlers.onError?.(error);
   }
+
+  private readLongestWaitMs(): number {
+    return Math.round(this.options.readWaitMs?.() ?? DEFAULT_WAIT_MS);
+  }
 }
 
 /** Reads all pages; the version is that of the first one, read earliest. */
--- a/packages/clients/test/objects/watch_objects.test.ts
+++ b/packages/clients/test/objects/watch_objects.test.ts
@@ -77,7 +77,7 @@
     onError: () => (errors += 1),
   };
   objects.setFaults({isDown: true});
-  void watchObjects(store, 'o/', handlers, {...options, waitMs: 20});
+  void watchObjects(store, 'o/', handlers, {...options, readWaitMs: () => 20});
   await until(() => errors > 1);
   objects.setFaults({isDown: false});
   for (const value of ['1', '2', '3']) await put(store, 'o/k', value);
--- a/packages/gateway/src/control/follow_store.ts
+++ b/packages/gateway/src/control/follow_store.ts
@@ -1,14 +1,16 @@
-import type {
-  ObjectStore,
-  RegisteredServer,
-  RolloutOrder,
-  RoutingSnapshot,
+import {
+  clamp,
+  type ObjectStore,
+  type RegisteredServer,
+  type RolloutOrder,
+  type RoutingSnapshot,
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {HostEntry} from './host_registry.js';
 import type {RolloutKeeper} from './rollout_keeper.js';
 import type {RoutingState} from './routing_state.js';
 import type {ServerDirectory} from './server_directory.js';
+import type {StoreNews} from './store_news.js';
 import {
   watchSource,
   type DecodedObject,
@@ -34,12 +36,24 @@
   readonly metrics: MetricRegistry;
   readonly signal: AbortSignal;
   readonly random: () => number;
+  readonly news: StoreNews;
+  /** Hosts that follow the same store, this one included. */
+  readonly countHosts: () => number;
 }
 
 /** Changes of servers come in series, as when a service is replaced. */
 const SERVERS_GATHER_MS = 600;
 const ROLLOUTS_GATHER_MS = 400;
 const ROUTING_GATHER_MS = 300;
+/**
+ * Longest wait of a watch for each host. The hosts begin their waits at
+ * different times, so that one of them soon meets what a silent connection
+ * keeps from the others.
+ */
+const WAIT_PER_HOST_MS = 1500;
+const WAIT_RANGE_MS = {least: 4000, most: 30_000} as const;
+/** Part of a wait by which hosts differ. */
+const WAIT_SPREAD = 0.25;
 
 /** Tells whether the first state of all kinds has arrived. */
 export interface StoreFollower {
@@ -57,6 +71,7 @@
  */
 export function followStore(options: FollowStoreOptions): StoreFollower {
   const {kinds, routing, directory, rollouts, logger} = options;
+  const shared = {...options, readWaitMs: () => chooseWaitMs(options)};
   let hasServers = false;
   let hasRollouts = false;
   const applyRouting = ({value}: DecodedObject<RoutingSnapshot>): void => {
@@ -74,7 +89,7 @@
         onPut: applyRouting,
         onRemoved: name => logger.warn('routing_removed', {name}),
       },
-      {...options, gatherMs: ROUTING_GATHER_MS},
+      {...shared, gatherMs: ROUTING_GATHER_MS},
     ),
     watchSource(
       kinds.servers,
@@ -91,7 +106,7 @@
         onLost: () => directory.markLost(),
         onRegained: () => directory.markRegained(),
       },
-      {...options, gatherMs: SERVERS_GATHER_MS},
+      {...shared, gatherMs: SERVERS_GATHER_MS},
     ),
     watchSource(
       kinds.rollouts,
@@ -103,7 +118,7 @@
         onPut: applyOrder,
         onRemoved: name => rollouts.removeOrder(name),
       },
-      {...options, gatherMs: ROLLOUTS_GATHER_MS},
+      {...shared, gatherMs: ROLLOUTS_GATHER_MS},
     ),
   ];
   for (const watch of watches) {
@@ -117,6 +132,12 @@
   };
 }
 
+function chooseWaitMs({countHosts, random}: FollowStoreOptions): number {
+  const {least, most} = WAIT_RANGE_MS;
+  const plainMs = clamp(WAIT_PER_HOST_MS * countHosts(), least, most);
+  return plainMs * (1 - WAIT_SPREAD * random());
+}
+
 function listReadable<T>(objects: readonly DecodedObject<T>[]): readonly T[] {
   return objects.flatMap(({value}) => (value === undefined ? [] : [value]));
 }
--- a/packages/gateway/src/control/load_exchange.ts
+++ b/packages/gateway/src/control/load_exchange.ts
@@ -12,6 +12,8 @@
   readonly servers: ServerTable;
   /** Told of what another host saw of a new version. */
   readonly onSample: (sample: RemoteSample) => void;
+  /** Told of the version of an object that another host saw in the store. */
+  readonly onNews: (kind: string, version: number) => void;
   readonly logger: Logger;
   readonly metrics: MetricRegistry;
   readonly random: () => number;
@@ -28,16 +30,20 @@
 const MAX_WORK_MS = 20_000;
 const WORK_FORMAT = 'w1';
 const SAMPLE_FORMAT = 's1';
+const NEWS_FORMAT = 'n1';
+/** Hosts told of a version in the store; few of them fail to see it. */
+const MAX_TOLD_NEWS = 4;
 
 /**
  * Tells the other hosts of each send that makes a server read for long, so
- * that they do not send theirs to the same one, and of each answer of a version
- * in roll-out. A lost datagram costs only a worse or later choice.
+ * that they do not send theirs to the same one, of each answer of a version in
+ * roll-out, and of the newest objects in the store. A lost datagram costs only a worse or later choice.
  */
 export class LoadExchange {
   private readonly handlers: ReadonlyMap<string, FieldHandler> = new Map([
     [WORK_FORMAT, fields => this.receiveWork(fields)],
     [SAMPLE_FORMAT, fields => this.receiveSample(fields)],
+    [NEWS_FORMAT, fields => this.receiveNews(fields)],
   ]);
 
   private constructor(
@@ -68,8 +74,13 @@
     this.send([SAMPLE_FORMAT, service, version, ...fields].join(' '));
   }
 
-  private send(message: string): void {
-    for (const address of this.chooseTold()) {
+  /** Tells some hosts of the version of an object in the store. */
+  announceNews(kind: string, version: number): void {
+    this.send(`${NEWS_FORMAT} ${kind} ${version}`, MAX_TOLD_NEWS);
+  }
+
+  private send(message: string, mostTold = MAX_TOLD): void {
+    for (const address of this.chooseTold(mostTold)) {
       const [ip, port] = address.split(':');
       this.socket.send(message, Number(port), ip, error => {
         if (error) this.options.metrics.count('load_datagrams_failed_total');
@@ -81,13 +92,13 @@
     this.socket.close();
   }
 
-  private chooseTold(): readonly string[] {
+  private chooseTold(most: number): readonly string[] {
     const {hosts, random} = this.options;
     const {addresses} = hosts;
-    if (addresses.length <= MAX_TOLD) return addresses;
+    if (addresses.length <= most) return addresses;
     const first = Math.floor(random() * addresses.length);
     return Array.from(
-      {length: MAX_TOLD},
+      {length: most},
       (_, index) => addresses[(first + index) % addresses.length],
     );
   }
@@ -112,6 +123,13 @@
     return true;
   }
 
+  private receiveNews([kind, version]: readonly string[]): boolean {
+    const value = Number(version);
+    if (!Number.isSafeInteger(value)) return false;
+    this.options.onNews(kind, value);
+    return true;
+  }
+
   private receiveSample(fields: readonly string[]): boolean {
     const [service, version, route, failed, slowness] = fields;
     if (slowness === undefined) return false;
--- a/packages/gateway/src/control/watch_source.ts
+++ b/packages/gateway/src/control/watch_source.ts
@@ -1,10 +1,12 @@
 import {
   parseJsonObject,
   watchObjects,
+  WatchRenewal,
   type JsonObject,
 } from '@anvilrudder/clients';
 import type {ObjectStore, StoredObject} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
+import type {StoreNews} from './store_news.js';
 
 /** One kind of object, decoded. */
 export interface DecodedObject<T> {
@@ -39,6 +41,10 @@
   readonly metrics: MetricRegistry;
   readonly signal: AbortSignal;
   readonly random: () => number;
+  /** What the other hosts have seen in the store. */
+  readonly news: StoreNews;
+  /** Longest time that a watch waits. */
+  readonly readWaitMs: () => number;
   /** Changes within this time of an earlier one come together; 0. */
   readonly gatherMs?: number;
 }
@@ -58,6 +64,9 @@
   options: WatchSourceOptions,
 ): Promise<void> {
   const {store, logger, metrics, signal, random, gatherMs} = options;
+  const {news, readWaitMs} = options;
+  const renewal = WatchRenewal.create();
+  news.follow(kind.prefix, () => renewal.renew());
   let lostMs: number | undefined;
   const read = (object: StoredObject): DecodedObject<T> => {
     const name = object.key.slice(kind.prefix.length);
@@ -76,11 +85,17 @@
     store,
     kind.prefix,
     {
-      onSnapshot: objects => handlers.onAll(objects.map(read)),
+      onSnapshot: objects => {
+        handlers.onAll(objects.map(read));
+        for (const {version} of objects) news.noteSeen(kind.prefix, version);
+      },
       onEvent: ({key, version, value}) => {
         if (value === undefined) {
           handlers.onRemoved(key.slice(kind.prefix.length));
-        } else handlers.onPut(read({key, version, value}));
+          return;
+        }
+        handlers.onPut(read({key, version, value}));
+        news.noteSeen(kind.prefix, version);
       },
       onError: error => {
         metrics.count('store_failures_total', {failure: error.failure});
@@ -102,7 +117,14 @@
         logger.info('store_regained', {kind: kind.prefix, awayMs});
       },
     },
-    {signal, random, gatherMs, backoff: WATCH_BACKOFF},
+    {
+      signal,
+      random,
+      gatherMs,
+      readWaitMs,
+      renewal,
+      backoff: WATCH_BACKOFF,
+    },
   );
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,7 +11,8 @@
   DeclarationCodec,
   RolloutDeclaration,
 } from './control/rollout_state_writer.js';
-export type {WatchedKind} from './control/watch_source.js';
+export * from './control/store_news.js';
+export * from './control/watch_source.js';
 export * from './ports.js';
 export * from './start_gateway.js';
 export {copyEndToEndHeaders} from './stages/answer_headers.js';
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -16,6 +16,7 @@
 import {RoutingState} from './control/routing_state.js';
 import {ServerDirectory} from './control/server_directory.js';
 import {ServerPools} from './control/server_pools.js';
+import {StoreNews} from './control/store_news.js';
 import {
   createStoredStateWriter,
   type DeclarationCodec,
@@ -88,6 +89,11 @@
     hosts,
     servers,
     onSample: sample => rollouts.recordRemote(sample),
+    onNews: (kind, version) => news.noteHeard(kind, version),
+  });
+  const news = StoreNews.create({
+    logger,
+    announce: (kind, version) => loads.announceNews(kind, version),
   });
   const rollouts = RolloutKeeper.create({
     stateWriter: createStoredStateWriter(
@@ -126,6 +132,8 @@
     routing,
     directory,
     rollouts,
+    news,
+    countHosts: () => hosts.count,
     signal: watching.signal,
   });
   const ticking = setInterval(() => rollouts.tick(), ROLLOUT_TICK_MS);
