Tell other hosts which parts of prompts servers read, and count their requests

Sends now name their parts to the other hosts; what a server keeps is bounded by its memory; a request of this host counts once, and those that others told of until they have probably ended. Also: sends before the first one that reached a server took repeats of the budget (test 'servers that cannot be reached cost no attempt' was red by the order of random choices); dispatch is split into repeat, escalate and observe_answer.

--- a/packages/core/src/forwarding/placement.ts
+++ b/packages/core/src/forwarding/placement.ts
@@ -2,7 +2,11 @@
 import type {Random} from '../utils/random.js';
 import type {GenerationDemand, PromptPart} from './exchange_types.js';
 import {isEjected, readFailureShare} from './server_health.js';
-import {readWaitingMs, type ServerRecord} from './server_table.js';
+import {
+  readRemoteRunning,
+  readWaitingMs,
+  type ServerRecord,
+} from './server_table.js';
 
 /** What a server is chosen for. */
 export interface PlacementRequest {
@@ -36,7 +40,7 @@
 
 /** Time that one more running request takes from the others of a server. */
 const RUNNING_COST_MS = 4;
-/** Other hosts probably sent a shared part to its home before. */
+/** Another host may be sending a shared part to its home just now. */
 const HOME_KNOWN_SHARE = 0.5;
 /** Cost of a certain failure, in time that the request then lost. */
 const FAILURE_COST_MS = 2000;
@@ -45,8 +49,9 @@
 /**
  * Chooses the server with the least expected delay: the reading that waits
  * there, the part of the prompt that it has to read, and its failures. Hosts
- * agree on the home of a shared prefix by its hash, and leave it as its load
- * grows, so that a hot prefix spreads over several servers.
+ * tell each other what servers read, agree on the home of a shared prefix that
+ * none has read by its hash, and leave a server as its load grows, so that a hot
+ * prefix spreads over several servers.
  *
  * @returns undefined when no candidate may take the request.
  * @example
@@ -59,18 +64,21 @@
 ): PlacementChoice | undefined {
   const usable = listUsable(request);
   if (usable.length === 0) return undefined;
-  const home = findHome(request, usable);
+  const knownTokens = usable.map(record => countKnown(request, record));
+  // Where a shared part was read is known; its home counts before that only.
+  const isRead = knownTokens.some(tokens => tokens > 0);
+  const home = isRead ? undefined : findHome(request, usable);
   let best: PlacementChoice | undefined;
   let bestCost = Infinity;
-  for (const record of usable) {
+  usable.forEach((record, index) => {
     const isHome = record === home;
-    const unreadTokens = countUnreadTokens(request, record, isHome);
+    const unreadTokens = countUnread(request, knownTokens[index], isHome);
     const workMs = computeWorkMs(request, unreadTokens);
     const cost = computeCost(request, record, workMs);
-    if (cost >= bestCost) continue;
+    if (cost >= bestCost) return;
     bestCost = cost;
     best = {record, unreadTokens, workMs};
-  }
+  });
   return best;
 }
 
@@ -107,16 +115,23 @@
   return parts.at(-2) ?? parts.at(-1);
 }
 
-function countUnreadTokens(
+function countKnown(
   {generation}: PlacementRequest,
-  record: ServerRecord,
+  {parts}: ServerRecord,
+): number {
+  if (generation === undefined) return 0;
+  return parts.countKnownTokens(generation.model, generation.demand.parts);
+}
+
+function countUnread(
+  {generation}: PlacementRequest,
+  knownTokens: number,
   isHome: boolean,
 ): number {
   if (generation === undefined) return 0;
-  const {model, demand} = generation;
-  const known = record.parts.countKnownTokens(model, demand.parts);
-  const unread = Math.max(0, demand.promptTokens - known);
-  if (!isHome || known > 0) return unread;
+  const {demand} = generation;
+  const unread = Math.max(0, demand.promptTokens - knownTokens);
+  if (!isHome) return unread;
   const own = demand.parts.at(-1)?.tokens ?? 0;
   return unread - Math.max(0, unread - own) * HOME_KNOWN_SHARE;
 }
@@ -134,11 +149,22 @@
   record: ServerRecord,
   workMs: number,
 ): number {
-  const {failureDomain, hostCount, crossingCostMs, nowMs, random} = request;
-  const {server, health, inFlight} = record;
+  const {failureDomain, crossingCostMs, nowMs, random} = request;
+  const {server, health} = record;
   const waiting = readWaitingMs(record, nowMs);
-  const running = (inFlight * hostCount * RUNNING_COST_MS * 64) / server.slots;
+  const runningCount = countRunning(request, record);
+  const running = (runningCount * RUNNING_COST_MS * 64) / server.slots;
   const crossing = server.failureDomain === failureDomain ? 0 : crossingCostMs;
   const failing = readFailureShare(health, nowMs) * FAILURE_COST_MS;
   return waiting + running + workMs + crossing + failing + random();
 }
+
+// Hosts tell each other of generations. Of plain requests each host knows its
+// own, and takes the others to be as many.
+function countRunning(
+  {generation, hostCount, nowMs}: PlacementRequest,
+  record: ServerRecord,
+): number {
+  if (generation === undefined) return record.inFlight * hostCount;
+  return record.inFlight + readRemoteRunning(record, nowMs);
+}
--- a/packages/core/src/forwarding/server_table.ts
+++ b/packages/core/src/forwarding/server_table.ts
@@ -4,7 +4,11 @@
   type ServerHealth,
 } from './server_health.js';
 import type {AttemptEnd} from './attempt_outcome.js';
-import type {GenerationDemand, RegisteredServer} from './exchange_types.js';
+import type {
+  GenerationDemand,
+  PromptPart,
+  RegisteredServer,
+} from './exchange_types.js';
 import {PartMemory} from './part_memory.js';
 
 /** What this host knows of one server. */
@@ -17,6 +21,9 @@
   readonly waitingWorkMs: number;
   /** When the reading that all hosts sent there is probably done. */
   readonly backlogEndMs: number;
+  /** Requests of other hosts that ran there when the last one was told. */
+  readonly remoteRunning: number;
+  readonly remoteToldMs: number;
   readonly parts: PartMemory;
 }
 
@@ -26,6 +33,8 @@
   inFlight: number;
   waitingWorkMs: number;
   backlogEndMs: number;
+  remoteRunning: number;
+  remoteToldMs: number;
   readonly parts: PartMemory;
 }
 
@@ -36,6 +45,14 @@
   readonly workMs: number;
 }
 
+/** A request of another host that makes a server read. */
+export interface RemoteWork {
+  readonly serverId: string;
+  readonly workMs: number;
+  readonly model: string;
+  readonly parts: readonly PromptPart[];
+}
+
 interface MutableSend extends InFlightSend {
   isWaiting: boolean;
 }
@@ -44,6 +61,7 @@
 export class ServerTable {
   private readonly records = new Map<string, MutableRecord>();
   private byService = new Map<string, MutableRecord[]>();
+  private readonly memoryTokens = new Map<string, number>();
 
   private constructor() {}
 
@@ -51,6 +69,11 @@
     return new ServerTable();
   }
 
+  /** Declares how many tokens the memory of each server of a service holds. */
+  setMemoryTokens(service: string, tokens: number): void {
+    this.memoryTokens.set(service, tokens);
+  }
+
   /** Adds or changes a server. */
   put(server: RegisteredServer): void {
     const known = this.records.get(server.id);
@@ -62,6 +85,8 @@
         inFlight: 0,
         waitingWorkMs: 0,
         backlogEndMs: -Infinity,
+        remoteRunning: 0,
+        remoteToldMs: -Infinity,
         parts: PartMemory.create(),
       });
     }
@@ -104,7 +129,7 @@
     record.inFlight += 1;
     record.waitingWorkMs += workMs;
     addBacklog(record, workMs, nowMs);
-    if (demand !== undefined) record.parts.record(model, demand.parts, nowMs);
+    if (demand !== undefined) this.recordParts(record, model, demand.parts);
     const send: MutableSend = {
       server: record.server,
       workMs,
@@ -114,9 +139,13 @@
   }
 
   /** Takes in that another host sent a request to a server. */
-  noteRemoteWork(id: string, workMs: number, nowMs: number): void {
-    const record = this.records.get(id);
-    if (record !== undefined) addBacklog(record, workMs, nowMs);
+  noteRemoteWork(work: RemoteWork, nowMs: number): void {
+    const record = this.records.get(work.serverId);
+    if (record === undefined) return;
+    addBacklog(record, work.workMs, nowMs);
+    record.remoteRunning = 1 + readRemoteRunning(record, nowMs);
+    record.remoteToldMs = nowMs;
+    this.recordParts(record, work.model, work.parts);
   }
 
   /** Notes that the server began to answer: its reading is done. */
@@ -139,6 +168,14 @@
     record.health = observeAttempt(record.health, end, nowMs);
   }
 
+  private recordParts(
+    {server, parts: memory}: MutableRecord,
+    model: string,
+    parts: readonly PromptPart[],
+  ): void {
+    memory.record(model, parts, this.memoryTokens.get(server.service));
+  }
+
   private regroup(): void {
     this.byService = new Map();
     for (const record of this.records.values()) {
@@ -158,6 +195,21 @@
   record.backlogEndMs = Math.max(record.backlogEndMs, nowMs) + workMs;
 }
 
+/** Time in which half of the requests that other hosts told of have ended. */
+const REMOTE_HALF_LIFE_MS = 1000;
+
+/**
+ * Requests of other hosts that probably run at a server. Hosts tell of what
+ * begins and not of what ends.
+ */
+export function readRemoteRunning(
+  {remoteRunning, remoteToldMs}: ServerRecord,
+  nowMs: number,
+): number {
+  if (remoteRunning === 0) return 0;
+  return remoteRunning * 0.5 ** ((nowMs - remoteToldMs) / REMOTE_HALF_LIFE_MS);
+}
+
 /** Reading that waits at a server, as far as this host can tell. */
 export function readWaitingMs(record: ServerRecord, nowMs: number): number {
   return Math.max(0, record.waitingWorkMs, record.backlogEndMs - nowMs);
--- a/packages/core/test/forwarding/placement.test.ts
+++ b/packages/core/test/forwarding/placement.test.ts
@@ -3,6 +3,7 @@
 import {
   chooseServer,
   createRandom,
+  readRemoteRunning,
   ServerTable,
   type GenerationDemand,
   type PlacementRequest,
@@ -149,3 +150,67 @@
   const demand = createDemand('prefix', 'own');
   assert.ok(chooseServer(createRequest(table, demand, 11)));
 });
+
+test('a server forgets the least recently used parts when its memory is full', () => {
+  const table = createTable(1);
+  table.setMemoryTokens('engine', 20_000);
+  const first = createDemand('first', 'own-1');
+  const second = createDemand('second', 'own-2');
+  const {parts} = table.list('engine')[0];
+  table.begin('i-0', 10, 'm', first, 0);
+  assert.equal(parts.countKnownTokens('m', first.parts), 11_000);
+  table.begin('i-0', 10, 'm', second, 1);
+  assert.equal(parts.countKnownTokens('m', first.parts), 0);
+  assert.equal(parts.countKnownTokens('m', second.parts), 11_000);
+});
+
+test('28 hosts that tell each other what servers read read shared parts seldom again', () => {
+  const hosts = Array.from({length: 28}, () => createTable(60));
+  const random = createRandom(3);
+  let readTokens = 0;
+  const requests = 3000;
+  for (let nowMs = 0; nowMs < requests * 10; nowMs += 10) {
+    const prefix = `prefix-${Math.floor(random() * 300)}`;
+    const demand = createDemand(prefix, `own-${nowMs}`);
+    const host = Math.floor(random() * hosts.length);
+    const choice = chooseServer({
+      ...createRequest(hosts[host], demand, nowMs),
+      hostCount: hosts.length,
+      random,
+    });
+    assert.ok(choice);
+    const serverId = choice.record.server.id;
+    const known = choice.record.parts.countKnownTokens('m', demand.parts);
+    readTokens += demand.promptTokens - known;
+    hosts[host].begin(serverId, choice.workMs, 'm', demand, nowMs);
+    const {workMs} = choice;
+    const work = {serverId, workMs, model: 'm', parts: demand.parts};
+    for (const other of hosts) {
+      if (other !== hosts[host]) other.noteRemoteWork(work, nowMs);
+    }
+  }
+  const promptTokens = requests * 11_000;
+  assert.ok(readTokens < promptTokens / 3, `${readTokens} tokens read`);
+});
+
+test('one request of its own does not keep a host of many from a prefix that is read', () => {
+  const table = createTable(8);
+  const first = createDemand('prefix', 'own-1');
+  const at = chooseServer(createRequest(table, first))?.record.server.id ?? '';
+  table.begin(at, 0, 'm', first, 0);
+  const second = createDemand('prefix', 'own-2');
+  const request = {...createRequest(table, second, 10), hostCount: 200};
+  assert.equal(chooseServer(request)?.record.server.id, at);
+});
+
+test('requests of other hosts at a server count until they have probably ended', () => {
+  const table = createTable(2);
+  const work = {serverId: 'i-0', workMs: 1, model: 'm', parts: []};
+  for (let count = 0; count < 50; count += 1) table.noteRemoteWork(work, 0);
+  const demand = {...createDemand('a', 'b'), parts: []};
+  const soon = chooseServer(createRequest(table, demand, 100));
+  assert.equal(soon?.record.server.id, 'i-1');
+  const [first] = table.list('engine');
+  assert.ok(readRemoteRunning(first, 100) > 45);
+  assert.ok(readRemoteRunning(first, 20_000) < 1);
+});
--- a/packages/gateway/src/control/load_exchange.ts
+++ b/packages/gateway/src/control/load_exchange.ts
@@ -1,5 +1,5 @@
 import {createSocket, type RemoteInfo, type Socket} from 'node:dgram';
-import type {ServerTable} from '@anvilrudder/core';
+import type {PromptPart, RemoteWork, ServerTable} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {ListenAddress} from '../config/settings.js';
 import type {HostRegistry} from './host_registry.js';
@@ -28,7 +28,9 @@
 const MAX_TOLD = 40;
 /** No single send keeps a server busy for longer. */
 const MAX_WORK_MS = 20_000;
-const WORK_FORMAT = 'w1';
+const WORK_FORMAT = 'w2';
+/** Parts told of one prompt at most; a datagram stays below one packet. */
+const MAX_TOLD_PARTS = 12;
 const SAMPLE_FORMAT = 's1';
 const NEWS_FORMAT = 'n1';
 /** Hosts told of a version in the store; few of them fail to see it. */
@@ -61,10 +63,13 @@
     return new LoadExchange(createSocket('udp4'), options);
   }
 
-  /** Tells the other hosts that a server has to read for some time. */
-  announce(serverId: string, workMs: number): void {
+  /** Tells the other hosts that a server has to read parts for some time. */
+  announce({serverId, workMs, model, parts}: RemoteWork): void {
     if (workMs < MIN_WORK_MS) return;
-    this.send(`${WORK_FORMAT} ${serverId} ${Math.round(workMs)}`);
+    const told = parts.slice(0, MAX_TOLD_PARTS);
+    const text = told.map(({id, tokens}) => `${id}:${tokens}`).join();
+    const fields = [serverId, Math.round(workMs), model, text];
+    this.send([WORK_FORMAT, ...fields].join(' '));
   }
 
   /** Tells the other hosts of an answer of a new version. */
@@ -116,10 +121,14 @@
     metrics.count('load_datagrams_total');
   }
 
-  private receiveWork([serverId, work]: readonly string[]): boolean {
+  private receiveWork(fields: readonly string[]): boolean {
+    const [serverId, work, model, text] = fields;
     const workMs = Number(work);
     if (!(workMs > 0 && workMs <= MAX_WORK_MS)) return false;
-    this.options.servers.noteRemoteWork(serverId, workMs, performance.now());
+    const parts = text === undefined ? undefined : readParts(text);
+    if (parts === undefined) return false;
+    const {servers} = this.options;
+    servers.noteRemoteWork({serverId, workMs, model, parts}, performance.now());
     return true;
   }
 
@@ -148,3 +157,13 @@
     return true;
   }
 }
+
+/** Reads `id:tokens` entries; undefined when one is malformed. */
+function readParts(text: string): readonly PromptPart[] | undefined {
+  if (text === '') return [];
+  const parts = text.split(',').map(entry => {
+    const [id, tokens] = entry.split(':');
+    return {id, tokens: Number(tokens)};
+  });
+  return parts.every(({tokens}) => tokens >= 0) ? parts : undefined;
+}
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -13,7 +13,10 @@
 /** Where the next send of an exchange goes. */
 export interface SendTarget extends PlacementChoice {
   readonly service: ForwardService;
+  /** The model that the router names to the server. */
   readonly model: string | undefined;
+  /** The model that answers, named by the router or the caller; else ''. */
+  readonly modelName: string;
   /** Plain forecast of the time to a first event. */
   readonly forecastMs: number | undefined;
 }
@@ -46,6 +49,7 @@
     ({server}) => !server.isLeaving && !exchange.tried.has(server.id),
   );
   const {generation} = request;
+  const modelName = model ?? generation?.model ?? '';
   const nowMs = performance.now();
   const choice = chooseServer({
     candidates: context.versions.select(service.name, open, {
@@ -57,16 +61,16 @@
     hostCount: context.hosts.count,
     crossingCostMs: CROSSING_COST_MS,
     generation: generation && {
-      model: model ?? generation.model ?? '',
+      model: modelName,
       demand: generation,
-      readMsPerToken: context.speeds.read(model ?? generation.model ?? ''),
+      readMsPerToken: context.speeds.read(modelName),
     },
     nowMs,
     random: context.random,
   });
   if (choice === undefined) return undefined;
   const forecastMs = generation && forecastFirstEvent(choice, nowMs);
-  return {...choice, service, model, forecastMs};
+  return {...choice, service, model, modelName, forecastMs};
 }
 
 function forecastFirstEvent(
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -1,11 +1,5 @@
 import {isTransportError} from '@anvilrudder/clients';
-import {
-  decideNextStep,
-  listLargerModels,
-  shouldEscalate,
-  type AttemptEnd,
-  type LargerModel,
-} from '@anvilrudder/core';
+import {decideNextStep, type AttemptEnd} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {
   copyEndToEndHeaders,
@@ -13,8 +7,15 @@
   isDelimitedByClose,
 } from './answer_headers.js';
 import {chooseTarget, type SendTarget} from './choose_target.js';
+import {planEscalation} from './escalate.js';
+import {
+  observePlainTime,
+  observeWriting,
+  rateStream,
+} from './observe_answer.js';
 import type {OpenExchange} from './open_exchange.js';
 import {readWholeAnswer} from './read_answer.js';
+import {planRepeat, returnRepeat, takeRepeat} from './repeat.js';
 import {endStream, relayEvents, type RelayEnd} from './relay_stream.js';
 import {
   endSend,
@@ -26,9 +27,6 @@
 const ATTEMPT_END_BY_RELAY: Readonly<Record<RelayEnd, AttemptEnd | undefined>> =
   {whole: 'answered', broken: 'lost', stopped: undefined};
 
-/** Shorter forecasts say little. */
-const MIN_RATED_MS = 5;
-
 /** How long callers of a request that has not run should wait. */
 const RETRY_AFTER_MS = {least: 200, most: 700} as const;
 
@@ -100,7 +98,7 @@
   const step = decideNextStep(end, exchange.isRepeatable, again !== undefined);
   if (step === 'elsewhere' && again !== undefined) {
     if (answer) dropAnswer(context, exchange, answer, end);
-    takeRepeat(context, again);
+    takeRepeat(context, exchange, again);
     return again;
   }
   if (step === 'relay' && answer !== undefined) {
@@ -110,80 +108,6 @@
   throw giveUp(context, exchange);
 }
 
-/** A further send that attempts, budget and time allow. */
-function planRepeat(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  model: string | undefined,
-): SendTarget | undefined {
-  if (exchange.stopped !== undefined) return undefined;
-  if (exchange.attempts >= exchange.admitted.route.maxAttempts) {
-    return undefined;
-  }
-  const target = chooseTarget(context, exchange, model);
-  if (target === undefined) return undefined;
-  const budget = context.budgets.of(target.service.name);
-  return budget.countLeft(performance.now()) >= 1 ? target : undefined;
-}
-
-function takeRepeat(context: GatewayContext, target: SendTarget): void {
-  context.budgets.of(target.service.name).tryTake(performance.now());
-  context.metrics.count('repeats_total', {service: target.service.name});
-}
-
-// A send that never reached its server is no repeat.
-function returnRepeat(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  {service}: SendTarget,
-): void {
-  if (exchange.attempts === 0) return;
-  context.budgets.of(service.name).giveBack(performance.now());
-}
-
-function planEscalation(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  {head, target}: ServerAnswer,
-): SendTarget | undefined {
-  const {route, request, arrivedMs} = exchange.admitted;
-  if (route.models.length === 0 || target.model === undefined) return undefined;
-  if (request.generation?.model !== undefined) return undefined;
-  exchange.confidence = head.confidence;
-  if (!exchange.isRepeatable) return undefined;
-  for (const larger of listLargerModels(route.models, target.model)) {
-    const next = planRepeat(context, exchange, larger.model);
-    if (next === undefined) continue;
-    if (!isWorthEscalating(context, exchange, next, larger)) continue;
-    exchange.escalatedMs = performance.now() - arrivedMs;
-    takeRepeat(context, next);
-    return next;
-  }
-  return undefined;
-}
-
-function isWorthEscalating(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  next: SendTarget,
-  {model, rightShare}: LargerModel,
-): boolean {
-  const {route, request, arrivedMs} = exchange.admitted;
-  const nowMs = performance.now();
-  const tokens = request.generation?.maxOutputTokens ?? 0;
-  const expectedFirstMs = context.speeds.forecastMs(next.forecastMs ?? 0);
-  exchange.expectedFirstMs = expectedFirstMs;
-  return shouldEscalate({
-    confidence: exchange.confidence,
-    spentShare: context.budgets.of(next.service.name).readSpentShare(nowMs),
-    expectedFirstMs,
-    expectedRestMs: context.writeSpeeds.estimateMs(model, tokens),
-    largeRightShare: rightShare,
-    goalLeftMs: route.latencyGoalMs - (nowMs - arrivedMs),
-    timeLeftMs: exchange.remainingMs,
-  });
-}
-
 /** Cuts an answer of which the caller has received nothing. */
 function dropAnswer(
   context: GatewayContext,
@@ -239,7 +163,7 @@
     const slowness = end === 'whole' ? rateStream(context, answer) : undefined;
     endSend(context, exchange, answer.send, seen, slowness);
     if (end === 'whole') {
-      observeWriting(context, exchange, durationMs);
+      observeWriting(context, exchange, answer.target.modelName, durationMs);
       endStream(exchange, answer);
       return undefined;
     }
@@ -261,48 +185,6 @@
   }
 }
 
-/**
- * Compares the time to a first event with what was expected. Writing tells
- * less, as it depends on the other requests of a server.
- */
-function rateStream(
-  {speeds}: GatewayContext,
-  {target, sentMs, headMs}: ServerAnswer,
-): number | undefined {
-  const expectedMs = speeds.forecastMs(target.forecastMs ?? 0);
-  if (expectedMs < MIN_RATED_MS) return undefined;
-  return Math.log((headMs - sentMs) / expectedMs);
-}
-
-/** The same for a plain answer, whose time is learnt for each route. */
-function observePlainTime(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  end: AttemptEnd,
-  sentMs: number,
-): number | undefined {
-  const {route, request} = exchange.admitted;
-  if (end !== 'answered' || request.generation) return undefined;
-  const key = `route ${route.name}`;
-  const seenMs = performance.now() - sentMs;
-  const expectedMs = context.writeSpeeds.estimateMs(key, 1);
-  context.writeSpeeds.observe(key, 1, seenMs);
-  return expectedMs > 0 ? Math.log(seenMs / expectedMs) : undefined;
-}
-
-// A stream that began elsewhere tells of a part of its tokens only.
-function observeWriting(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  durationMs: number,
-): void {
-  const {generation, lastEventId} = exchange.admitted.request;
-  if (generation === undefined || lastEventId !== undefined) return;
-  if (exchange.resumptions > 0) return;
-  const model = exchange.model ?? generation.model ?? '';
-  context.writeSpeeds.observe(model, generation.maxOutputTokens, durationMs);
-}
-
 async function resumeStream(
   context: GatewayContext,
   exchange: OpenExchange,
@@ -312,7 +194,7 @@
   for (;;) {
     const target = planRepeat(context, exchange, broken.target.model);
     if (target === undefined) return undefined;
-    takeRepeat(context, target);
+    takeRepeat(context, exchange, target);
     exchange.resumptions += 1;
     const {end, answer} = await sendAttempt(context, exchange, target);
     logAttempt(context, exchange, target, end, answer);
--- /dev/null
+++ b/packages/gateway/src/stages/escalate.ts
@@ -0,0 +1,62 @@
+import {
+  listLargerModels,
+  shouldEscalate,
+  type LargerModel,
+} from '@anvilrudder/core';
+import type {GatewayContext} from '../gateway_context.js';
+import type {SendTarget} from './choose_target.js';
+import type {OpenExchange} from './open_exchange.js';
+import {planRepeat, takeRepeat} from './repeat.js';
+import type {ServerAnswer} from './send_attempt.js';
+
+/**
+ * Where a larger model is asked in place of an answer that has begun.
+ *
+ * @returns undefined when the answer stays.
+ * @example
+ * ```ts
+ * const larger = planEscalation(context, exchange, answer);
+ * ```
+ */
+export function planEscalation(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  {head, target}: ServerAnswer,
+): SendTarget | undefined {
+  const {route, request, arrivedMs} = exchange.admitted;
+  if (route.models.length === 0 || target.model === undefined) return undefined;
+  if (request.generation?.model !== undefined) return undefined;
+  exchange.confidence = head.confidence;
+  if (!exchange.isRepeatable) return undefined;
+  for (const larger of listLargerModels(route.models, target.model)) {
+    const next = planRepeat(context, exchange, larger.model);
+    if (next === undefined) continue;
+    if (!isWorthEscalating(context, exchange, next, larger)) continue;
+    exchange.escalatedMs = performance.now() - arrivedMs;
+    takeRepeat(context, exchange, next);
+    return next;
+  }
+  return undefined;
+}
+
+function isWorthEscalating(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  next: SendTarget,
+  {model, rightShare}: LargerModel,
+): boolean {
+  const {route, request, arrivedMs} = exchange.admitted;
+  const nowMs = performance.now();
+  const tokens = request.generation?.maxOutputTokens ?? 0;
+  const expectedFirstMs = context.speeds.forecastMs(next.forecastMs ?? 0);
+  exchange.expectedFirstMs = expectedFirstMs;
+  return shouldEscalate({
+    confidence: exchange.confidence,
+    spentShare: context.budgets.of(next.service.name).readSpentShare(nowMs),
+    expectedFirstMs,
+    expectedRestMs: context.writeSpeeds.estimateMs(model, tokens),
+    largeRightShare: rightShare,
+    goalLeftMs: route.latencyGoalMs - (nowMs - arrivedMs),
+    timeLeftMs: exchange.remainingMs,
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/stages/repeat.ts
@@ -0,0 +1,54 @@
+import type {GatewayContext} from '../gateway_context.js';
+import {chooseTarget, type SendTarget} from './choose_target.js';
+import type {OpenExchange} from './open_exchange.js';
+
+/**
+ * A further send that attempts, budget and time allow.
+ *
+ * @example
+ * ```ts
+ * const target = planRepeat(context, exchange, 'small');
+ * if (target) takeRepeat(context, exchange, target);
+ * ```
+ */
+export function planRepeat(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  model: string | undefined,
+): SendTarget | undefined {
+  if (exchange.stopped !== undefined) return undefined;
+  if (exchange.attempts >= exchange.admitted.route.maxAttempts) {
+    return undefined;
+  }
+  const target = chooseTarget(context, exchange, model);
+  if (target === undefined) return undefined;
+  if (!isRepeat(exchange)) return target;
+  const budget = context.budgets.of(target.service.name);
+  return budget.countLeft(performance.now()) >= 1 ? target : undefined;
+}
+
+/** Takes a repeat of the budget for a send. */
+export function takeRepeat(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  target: SendTarget,
+): void {
+  if (!isRepeat(exchange)) return;
+  context.budgets.of(target.service.name).tryTake(performance.now());
+  context.metrics.count('repeats_total', {service: target.service.name});
+}
+
+/** Gives it back, as a send that never reached its server is no repeat. */
+export function returnRepeat(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  {service}: SendTarget,
+): void {
+  if (!isRepeat(exchange)) return;
+  context.budgets.of(service.name).giveBack(performance.now());
+}
+
+/** False while no send has reached a server. */
+function isRepeat({attempts}: OpenExchange): boolean {
+  return attempts > 0;
+}
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -60,18 +60,23 @@
   target: SendTarget,
 ): Promise<AttemptResult> {
   const {request, body} = exchange.admitted;
-  const {record, workMs, service, model} = target;
+  const {record, workMs, service, model, modelName} = target;
   const {server} = record;
   const nowMs = performance.now();
   const send = context.servers.begin(
     server.id,
     workMs,
-    model ?? request.generation?.model ?? '',
+    modelName,
     request.generation,
     nowMs,
   );
   if (send === undefined) return {end: 'unsent', answer: undefined};
-  context.loads.announce(server.id, workMs);
+  context.loads.announce({
+    serverId: server.id,
+    workMs,
+    model: modelName,
+    parts: request.generation?.parts ?? [],
+  });
   exchange.attempts += 1;
   exchange.tried.add(server.id);
   exchange.server = server.id;
@@ -159,9 +164,8 @@
 ): void {
   const {generation} = exchange.admitted.request;
   if (generation === undefined) return;
-  const model = target.model ?? generation.model ?? '';
   const firstMs = performance.now() - sentMs;
-  context.speeds.observe(model, target.unreadTokens, firstMs);
+  context.speeds.observe(target.modelName, target.unreadTokens, firstMs);
   if (target.forecastMs === undefined) return;
   context.speeds.observeForecast(target.forecastMs, firstMs);
 }
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -144,7 +144,13 @@
     () => !isStopping && follower.isSynced(),
   );
   const metricsServer = createMetricsServer(metrics);
-  routing.onChange(({snapshot}) => applyCallerLimits(callers, snapshot.limits));
+  routing.onChange(({snapshot}) => {
+    applyCallerLimits(callers, snapshot.limits);
+    for (const {name, memoryTokens} of snapshot.services) {
+      if (memoryTokens !== undefined)
+        servers.setMemoryTokens(name, memoryTokens);
+    }
+  });
   await listen(callers, settings.listen.callers);
   await listen(readiness, settings.listen.readiness);
   await listen(metricsServer, settings.listen.metrics);
