Take back a version that looks slow at the end of sampling

A version whose excess is over 0.3 and two standard errors when sampling ends is now rolled back. Ruled out: a lower bound while sampling, which good versions would cross over time.

--- a/packages/core/src/forwarding/version_evidence.ts
+++ b/packages/core/src/forwarding/version_evidence.ts
@@ -30,6 +30,12 @@
   squareSum: number;
 }
 
+/** How much slower the new version is than the old one. */
+interface SlownessDifference {
+  readonly excess: number;
+  readonly standardError: number;
+}
+
 /** Why the new version counts as bad. */
 export type BadReason = 'failures' | 'slowness';
 
@@ -43,6 +49,10 @@
 /** Standard errors beyond it at which a version counts as slow. */
 const SLOWNESS_ERRORS = 3.7;
 const MIN_SLOWNESS_COUNT = 6;
+/** Slowness over the old version's that is not borne once sampling is over. */
+const DOUBT_SLOWNESS = 0.3;
+/** Standard errors that it has to exceed as well. */
+const DOUBT_ERRORS = 2;
 const PRIOR_VARIANCE = 0.4;
 const PRIOR_COUNT = 4;
 const SLOWNESS_RANGE = {least: -2, most: 3} as const;
@@ -117,6 +127,17 @@
     return undefined;
   }
 
+  /**
+   * True when the new version looks slow, though chance may explain it. A
+   * version that looks so at the end of sampling had better not get all work.
+   */
+  looksSlow(): boolean {
+    const difference = this.compareSlowness();
+    if (difference === undefined) return false;
+    const {excess, standardError} = difference;
+    return excess > Math.max(DOUBT_SLOWNESS, DOUBT_ERRORS * standardError);
+  }
+
   /** Mean slowness of one side; undefined before any was seen. */
   readSlowness(side: RolloutSide): number | undefined {
     const moments = this.slowness[side];
@@ -125,13 +146,23 @@
 
   /** True when the new version takes longer than chance explains. */
   private isSlow(): boolean {
+    const difference = this.compareSlowness();
+    if (difference === undefined) return false;
+    const {excess, standardError} = difference;
+    return excess - SLOWNESS_TOLERANCE > SLOWNESS_ERRORS * standardError;
+  }
+
+  /** Undefined while too little was seen of either side. */
+  private compareSlowness(): SlownessDifference | undefined {
     const candidate = this.slowness.new;
     const baseline = this.slowness.old;
     const least = Math.min(candidate.count, baseline.count);
-    if (least < MIN_SLOWNESS_COUNT) return false;
-    const excess = meanOf(candidate) - meanOf(baseline) - SLOWNESS_TOLERANCE;
+    if (least < MIN_SLOWNESS_COUNT) return undefined;
     const variance = varianceOfMean(candidate) + varianceOfMean(baseline);
-    return excess > SLOWNESS_ERRORS * Math.sqrt(variance);
+    return {
+      excess: meanOf(candidate) - meanOf(baseline),
+      standardError: Math.sqrt(variance),
+    };
   }
 
   private find(route: string, side: RolloutSide): RouteCounts | undefined {
--- a/packages/core/test/forwarding/rollout_plan.test.ts
+++ b/packages/core/test/forwarding/rollout_plan.test.ts
@@ -114,3 +114,35 @@
   assert.equal(sessions.find('s', 5001), undefined);
   assert.equal(sessions.find('t', 0), undefined);
 });
+
+function recordSlowness(
+  random: () => number,
+  newCount: number,
+  slowShare: number,
+): VersionEvidence {
+  const evidence = VersionEvidence.create();
+  const record = (side: 'old' | 'new', slowness: number) =>
+    evidence.record({route: 'r', side, hasFailed: false, slowness});
+  for (let count = 0; count < 110; count += 1) {
+    record('old', 0.2 + 0.7 * sampleNormal(random));
+  }
+  for (let count = 0; count < newCount; count += 1) {
+    const extra = random() < slowShare ? Math.log(3) : 0;
+    record('new', 0.1 + 0.7 * sampleNormal(random) + extra);
+  }
+  return evidence;
+}
+
+test('few answers of a version of which half is slow make it look slow', () => {
+  const random = createRandom(5);
+  const seen = Array.from({length: 200}, () => recordSlowness(random, 28, 0.6));
+  const suspected = seen.filter(evidence => evidence.looksSlow()).length;
+  assert.ok(suspected > 100, `${suspected} of 200`);
+});
+
+test('few answers of a good version seldom make it look slow', () => {
+  const random = createRandom(6);
+  const seen = Array.from({length: 1000}, () => recordSlowness(random, 28, 0));
+  const suspected = seen.filter(evidence => evidence.looksSlow()).length;
+  assert.ok(suspected <= 10, `${suspected} of 1000`);
+});
--- a/packages/gateway/src/control/rollout_keeper.ts
+++ b/packages/gateway/src/control/rollout_keeper.ts
@@ -239,8 +239,8 @@
     nowMs: number,
   ): RolloutState | undefined {
     if (phase === 'succeeded' || phase === 'rolledBack') return undefined;
-    const {plan, evidence} = rollout;
-    rollout.isFoundBad ||= evidence.findBadReason() !== undefined;
+    const {plan} = rollout;
+    rollout.isFoundBad ||= isFoundBad(rollout, phase);
     if (rollout.isFoundBad) return 'rolledBack';
     if (phase === 'shifting' && plan.isSuccessDue(nowMs)) return 'succeeded';
     return nowMs >= rollout.progressAfterMs ? 'running' : undefined;
@@ -287,6 +287,7 @@
       result: result.status,
       elapsedMs,
       reason: rollout.evidence.findBadReason(),
+      looksSlow: rollout.evidence.looksSlow() || undefined,
       newAnswers: rollout.evidence.countRequests('new'),
       oldAnswers: rollout.evidence.countRequests('old'),
       newSlowness: rollout.evidence.readSlowness('new')?.toFixed(2),
@@ -313,6 +314,12 @@
   }
 }
 
+/** A version that only looks slow is not trusted with all work either. */
+function isFoundBad({evidence}: FollowedRollout, phase: RolloutPhase): boolean {
+  if (evidence.findBadReason() !== undefined) return true;
+  return phase === 'shifting' && evidence.looksSlow();
+}
+
 function findSide(rollout: FollowedRollout, version: string): RolloutSide {
   return version === rollout.plan.order.target ? 'new' : 'old';
 }
