--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -27,6 +27,9 @@
 const ATTEMPT_END_BY_RELAY: Readonly<Record<RelayEnd, AttemptEnd | undefined>> =
   {whole: 'answered', broken: 'lost', stopped: undefined};
 
+/** Timers may fire this much early. */
+const TIMER_SLACK_MS = 1;
+
 /** How long callers of a request that has not run should wait. */
 const RETRY_AFTER_MS = {least: 200, most: 700} as const;
 
@@ -67,6 +70,8 @@
   target: SendTarget,
   {end, answer}: AttemptResult,
 ): Promise<SendTarget | undefined> {
+  // The wait for a server ends at the same moment as the exchange.
+  if (exchange.remainingMs < TIMER_SLACK_MS) exchange.stop('timeLimit');
   if (exchange.stopped !== undefined) {
     if (answer) dropAnswer(context, exchange, answer, undefined);
     throw giveUp(context, exchange);
