--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -71,7 +71,8 @@
   {end, answer}: AttemptResult,
 ): Promise<SendTarget | undefined> {
   // The wait for a server ends at the same moment as the exchange.
-  if (exchange.remainingMs < TIMER_SLACK_MS) exchange.stop('timeLimit');
+  const isTimeUp = exchange.remainingMs < TIMER_SLACK_MS;
+  if (isTimeUp && end !== 'answered') exchange.stop('timeLimit');
   if (exchange.stopped !== undefined) {
     if (answer) dropAnswer(context, exchange, answer, undefined);
     throw giveUp(context, exchange);
