--- a/packages/core/src/forwarding/placement.ts
+++ b/packages/core/src/forwarding/placement.ts
@@ -40,6 +40,8 @@
 
 /** Time that one more running request takes from the others of a server. */
 const RUNNING_COST_MS = 4;
+/** Slots of the server that this cost is stated for. */
+const REFERENCE_SLOTS = 64;
 /** Another host may be sending a shared part to its home just now. */
 const HOME_KNOWN_SHARE = 0.5;
 /** Cost of a certain failure, in time that the request then lost. */
@@ -153,7 +155,8 @@
   const {server, health} = record;
   const waiting = readWaitingMs(record, nowMs);
   const runningCount = countRunning(request, record);
-  const running = (runningCount * RUNNING_COST_MS * 64) / server.slots;
+  const running =
+    (runningCount * RUNNING_COST_MS * REFERENCE_SLOTS) / server.slots;
   const crossing = server.failureDomain === failureDomain ? 0 : crossingCostMs;
   const failing = readFailureShare(health, nowMs) * FAILURE_COST_MS;
   return waiting + running + workMs + crossing + failing + random();
