Stop requests to servers that are leaving or ask for a pause

Cause: a gateway learnt that a server is leaving from the store alone, and did not read Retry-After of a 503, so that a server which said so in its responses went on getting requests.

Change: the response head carries both. When all servers of a service pause, callers get a 503 at once with the time of the first end. A pause does not move requests to another version of a rollout, nor count as a failure.

Weighed: telling the other hosts of a leaving server. Not done: each learns it with its first response, which the server still serves.

--- a/packages/core/src/forwarding/attempt_outcome.ts
+++ b/packages/core/src/forwarding/attempt_outcome.ts
@@ -8,10 +8,14 @@
   | 'failed'
   /** The server refused the request without running it. */
   | 'rejected'
+  /** The server refused the request without running it and asked for a pause. */
+  | 'paused'
   /** The address now belongs to another server. */
   | 'replaced'
   /** No byte of the request was written. */
   | 'unsent'
+  /** Not written, because the server asked for no requests in the meantime. */
+  | 'withheld'
   /** The request was sent, but the answer is missing or incomplete. */
   | 'lost'
   /** The bytes received are not a valid answer to this request. */
@@ -34,8 +38,10 @@
   answered: {isSafeToRetry: false, whenExhausted: 'relay'},
   failed: {isSafeToRetry: false, whenExhausted: 'relay'},
   rejected: {isSafeToRetry: true, whenExhausted: 'fail'},
+  paused: {isSafeToRetry: true, whenExhausted: 'fail'},
   replaced: {isSafeToRetry: true, whenExhausted: 'fail'},
   unsent: {isSafeToRetry: true, whenExhausted: 'fail'},
+  withheld: {isSafeToRetry: true, whenExhausted: 'fail'},
   lost: {isSafeToRetry: false, whenExhausted: 'fail'},
   garbled: {isSafeToRetry: false, whenExhausted: 'fail'},
 };
@@ -73,6 +79,11 @@
   return canSendAgain ? 'tryAnotherServer' : handling.whenExhausted;
 }
 
+/** True when no byte of the request reached the server. */
+export function isNeverSent(end: AttemptEnd): boolean {
+  return end === 'unsent' || end === 'withheld';
+}
+
 /** True when the end of the attempt proves that the request did not run. */
 export function isProvenNotRun(end: AttemptEnd): boolean {
   return HANDLING_BY_END[end].isSafeToRetry;
--- a/packages/core/src/forwarding/exchange_types.ts
+++ b/packages/core/src/forwarding/exchange_types.ts
@@ -117,4 +117,9 @@
   readonly slots: number;
   /** True when it finishes its requests and accepts no new ones. */
   readonly isLeaving: boolean;
+  /**
+   * Start of this run of the server by its own clock, in Unix milliseconds. It
+   * distinguishes the runs of a server that keeps its id.
+   */
+  readonly startedAtMs?: number;
 }
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -7,6 +7,7 @@
 export * from './windowed_retry_budget.js';
 export * from './rollout_plan.js';
 export * from './routing_table.js';
+export * from './server_availability.js';
 export * from './server_health.js';
 export * from './server_table.js';
 export * from './session_versions.js';
--- a/packages/core/src/forwarding/server_health.ts
+++ b/packages/core/src/forwarding/server_health.ts
@@ -31,8 +31,10 @@
   answered: false,
   failed: true,
   rejected: true,
+  paused: false,
   replaced: true,
   unsent: true,
+  withheld: false,
   lost: true,
   garbled: true,
 };
@@ -42,8 +44,10 @@
   answered: false,
   failed: false,
   rejected: false,
+  paused: false,
   replaced: true,
   unsent: true,
+  withheld: false,
   lost: true,
   garbled: false,
 };
--- a/packages/core/src/forwarding/server_table.ts
+++ b/packages/core/src/forwarding/server_table.ts
@@ -3,6 +3,13 @@
   INITIAL_HEALTH,
   type ServerHealth,
 } from './server_health.js';
+import {
+  INITIAL_AVAILABILITY,
+  isPaused,
+  isSameRun,
+  pauseServer,
+  type ServerAvailability,
+} from './server_availability.js';
 import type {AttemptEnd} from './attempt_outcome.js';
 import type {
   GenerationDemand,
@@ -15,6 +22,7 @@
 export interface ServerRecord {
   readonly server: RegisteredServer;
   readonly health: ServerHealth;
+  readonly availability: ServerAvailability;
   /** Requests in flight from this host. */
   readonly inFlight: number;
   /** Work of this host's requests that the server has not begun to answer. */
@@ -32,6 +40,7 @@
 interface MutableRecord {
   server: RegisteredServer;
   health: ServerHealth;
+  availability: ServerAvailability;
   inFlight: number;
   unansweredWorkMs: number;
   backlogEndMs: number;
@@ -76,25 +85,42 @@
     this.kvCacheTokensByService.set(service, tokens);
   }
 
-  /** Adds or updates a server. */
+  /**
+   * Adds or updates a server. A server that is leaving stays so until it is
+   * started again; a new run under the same id begins with an empty record.
+   */
   put(server: RegisteredServer): void {
     const known = this.records.get(server.id);
-    if (known !== undefined) known.server = server;
-    else {
-      this.records.set(server.id, {
-        server,
-        health: INITIAL_HEALTH,
-        inFlight: 0,
-        unansweredWorkMs: 0,
-        backlogEndMs: -Infinity,
-        remoteRequestCount: 0,
-        remoteUpdatedMs: -Infinity,
-        prefixCache: PrefixCacheEstimate.create(),
-      });
+    if (known !== undefined && isSameRun(known.server, server)) {
+      known.server = server;
+      if (server.isLeaving) markRecordLeaving(known);
+    } else {
+      this.records.set(server.id, createRecord(server));
     }
     this.rebuildServiceIndex();
   }
 
+  /** Records that a server says that it is leaving. */
+  markLeaving(server: RegisteredServer): void {
+    const record = this.findRun(server);
+    if (record !== undefined) markRecordLeaving(record);
+  }
+
+  /** Records that a server wants no requests from this host for some time. */
+  pause(server: RegisteredServer, pauseMs: number, nowMs: number): void {
+    const record = this.findRun(server);
+    if (record === undefined) return;
+    record.availability = pauseServer(record.availability, pauseMs, nowMs);
+  }
+
+  /** True if a request may be sent to this run of the server now. */
+  mayReceive(server: RegisteredServer, nowMs: number): boolean {
+    const record = this.findRun(server);
+    if (record === undefined) return false;
+    const {availability} = record;
+    return !availability.isLeaving && !isPaused(availability, nowMs);
+  }
+
   /** Removes a server; requests in flight there end normally. */
   remove(id: string): void {
     if (this.records.delete(id)) this.rebuildServiceIndex();
@@ -159,7 +185,7 @@
     const open = send as MutableSend;
     if (!open.isUnanswered) return;
     open.isUnanswered = false;
-    const record = this.records.get(send.server.id);
+    const record = this.findRun(send.server);
     if (record === undefined) return;
     record.unansweredWorkMs = Math.max(
       0,
@@ -174,13 +200,19 @@
    */
   end(send: InFlightSend, end: AttemptEnd | undefined, nowMs: number): void {
     this.markAnswering(send);
-    const record = this.records.get(send.server.id);
+    const record = this.findRun(send.server);
     if (record === undefined) return;
     record.inFlight = Math.max(0, record.inFlight - 1);
     if (end === undefined) return;
     record.health = recordAttempt(record.health, end, nowMs);
   }
 
+  /** Finds the record of a server unless a newer run has replaced it. */
+  private findRun(server: RegisteredServer): MutableRecord | undefined {
+    const record = this.records.get(server.id);
+    return record && isSameRun(record.server, server) ? record : undefined;
+  }
+
   private recordParts(
     {server, prefixCache: memory}: MutableRecord,
     model: string,
@@ -204,6 +236,25 @@
   }
 }
 
+function createRecord(server: RegisteredServer): MutableRecord {
+  const {isLeaving} = server;
+  return {
+    server,
+    health: INITIAL_HEALTH,
+    availability: {...INITIAL_AVAILABILITY, isLeaving},
+    inFlight: 0,
+    unansweredWorkMs: 0,
+    backlogEndMs: -Infinity,
+    remoteRequestCount: 0,
+    remoteUpdatedMs: -Infinity,
+    prefixCache: PrefixCacheEstimate.create(),
+  };
+}
+
+function markRecordLeaving(record: MutableRecord): void {
+  record.availability = {...record.availability, isLeaving: true};
+}
+
 function addBacklog(
   record: MutableRecord,
   workMs: number,
--- a/packages/core/test/forwarding/attempt_outcome.test.ts
+++ b/packages/core/test/forwarding/attempt_outcome.test.ts
@@ -29,6 +29,12 @@
     again: 'tryAnotherServer',
     spent: 'fail',
   },
+  {
+    end: 'paused',
+    once: 'tryAnotherServer',
+    again: 'tryAnotherServer',
+    spent: 'fail',
+  },
   {
     end: 'replaced',
     once: 'tryAnotherServer',
@@ -41,6 +47,12 @@
     again: 'tryAnotherServer',
     spent: 'fail',
   },
+  {
+    end: 'withheld',
+    once: 'tryAnotherServer',
+    again: 'tryAnotherServer',
+    spent: 'fail',
+  },
   {end: 'lost', once: 'fail', again: 'tryAnotherServer', spent: 'fail'},
   {end: 'garbled', once: 'fail', again: 'tryAnotherServer', spent: 'fail'},
 ];
@@ -53,9 +65,15 @@
   });
 }
 
-test('only rejected, replaced and unsent requests are proven not to have run', () => {
+test('only refused and unsent requests are proven not to have run', () => {
   const proven = CASES.map(({end}) => end).filter(isProvenNotRun);
-  assert.deepEqual(proven, ['rejected', 'replaced', 'unsent']);
+  assert.deepEqual(proven, [
+    'rejected',
+    'paused',
+    'replaced',
+    'unsent',
+    'withheld',
+  ]);
 });
 
 test('a stream runs again only where it can be resumed', () => {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -49,6 +49,10 @@
   readonly isEncoded: boolean;
   /** Confidence of the model in its answer, from 0 to 100. */
   readonly confidence: number | undefined;
+  /** The server says that it is leaving. */
+  readonly isServerLeaving: boolean;
+  /** Time for which the server wants no more requests from this host. */
+  readonly retryAfterMs: number | undefined;
 }
 
 /** Translates between the HTTP headers and the types of the gateway. */
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -1,6 +1,8 @@
 import {
   chooseServer,
+  computePauseLeftMs,
   hashToUnitInterval,
+  isPaused,
   pickDestination,
   estimateBacklogMs,
   type ForwardRoute,
@@ -26,6 +28,8 @@
 
 /**
  * Chooses the backend server for the next send, using the newest configuration.
+ * The version is chosen among all servers that are not leaving, so that a pause
+ * of one version's servers does not move requests to another version.
  *
  * @returns undefined if no server is eligible.
  * @example
@@ -39,27 +43,25 @@
   model: string | undefined,
 ): SendTarget | undefined {
   const {request} = exchange.admitted;
-  const route = resolveRoute(context, exchange);
-  const stickyKey = readStickyKey(exchange);
-  const name = pickDestination(
-    route.destinations,
-    hashToUnitInterval(stickyKey),
-  );
-  const service = name && context.routing.current?.findService(name);
-  if (!service) return undefined;
+  const service = findService(context, exchange);
+  if (service === undefined) return undefined;
   const records = context.servers.list(service.name);
   const eligible = records.filter(
-    ({server}) => !server.isLeaving && !exchange.triedServerIds.has(server.id),
+    ({server, availability}) =>
+      !availability.isLeaving && !exchange.triedServerIds.has(server.id),
   );
   const {generation} = request;
   const modelName = model ?? generation?.model ?? '';
   const nowMs = performance.now();
+  const ofVersion = context.versions.select(service.name, eligible, {
+    session: request.session,
+    stickyKey: readStickyKey(exchange),
+    previousVersion: exchange.softwareVersion,
+  });
   const choice = chooseServer({
-    candidates: context.versions.select(service.name, eligible, {
-      session: request.session,
-      stickyKey,
-      previousVersion: exchange.softwareVersion,
-    }),
+    candidates: ofVersion.filter(
+      ({availability}) => !isPaused(availability, nowMs),
+    ),
     failureDomain: context.settings.failureDomain,
     hostCount: context.hosts.count,
     crossDomainCostMs: CROSSING_COST_MS,
@@ -76,6 +78,37 @@
   return {...choice, service, model, modelName, forecastMs};
 }
 
+/**
+ * Computes the time until a server of the exchange's service accepts requests
+ * again; 0 unless all of them have asked for a pause.
+ */
+export function computeServicePauseMs(
+  context: GatewayContext,
+  exchange: OpenExchange,
+): number {
+  const service = findService(context, exchange);
+  if (service === undefined) return 0;
+  const records = context.servers.list(service.name);
+  return computePauseLeftMs(
+    records.map(({availability}) => availability),
+    performance.now(),
+  );
+}
+
+function findService(
+  context: GatewayContext,
+  exchange: OpenExchange,
+): ForwardService | undefined {
+  const route = resolveRoute(context, exchange);
+  const name = pickDestination(
+    route.destinations,
+    hashToUnitInterval(readStickyKey(exchange)),
+  );
+  return name === undefined
+    ? undefined
+    : context.routing.current?.findService(name);
+}
+
 function forecastFirstEventMs(
   {record, workMs}: PlacementChoice,
   nowMs: number,
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -1,12 +1,16 @@
 import {isTransportError} from '@anvilrudder/clients';
-import {decideNextStep, type AttemptEnd} from '@anvilrudder/core';
+import {decideNextStep, isNeverSent, type AttemptEnd} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {
   copyEndToEndHeaders,
   delimitByClose,
   isDelimitedByClose,
 } from './response_headers.js';
-import {chooseTarget, type SendTarget} from './choose_target.js';
+import {
+  chooseTarget,
+  computeServicePauseMs,
+  type SendTarget,
+} from './choose_target.js';
 import {planEscalation} from './escalate.js';
 import {
   observeBufferedResponse,
@@ -31,7 +35,7 @@
 /** Timers may fire early by up to this time. */
 const TIMER_SLACK_MS = 1;
 
-/** Range of the retry delay for callers of requests that have not run. */
+/** Range of the random part of the retry delay for callers. */
 const RETRY_AFTER_MS = {min: 200, max: 700} as const;
 
 /**
@@ -102,7 +106,7 @@
   backendResponse: BackendResponse | undefined,
 ): Promise<SendTarget | undefined> {
   logAttempt(context, exchange, target, end, backendResponse);
-  if (end === 'unsent') refundRetry(context, exchange, target);
+  if (isNeverSent(end)) refundRetry(context, exchange, target);
   const retryTarget = planRetry(context, exchange, target.model);
   const step = decideNextStep(
     end,
@@ -241,7 +245,7 @@
     exchange.resumptions += 1;
     const {end, backendResponse} = await sendAttempt(context, exchange, target);
     logAttempt(context, exchange, target, end, backendResponse);
-    if (end === 'unsent') refundRetry(context, exchange, target);
+    if (isNeverSent(end)) refundRetry(context, exchange, target);
     if (exchange.stopped !== undefined) {
       if (backendResponse)
         discardResponse(context, exchange, backendResponse, undefined);
@@ -260,8 +264,9 @@
   exchange: OpenExchange,
 ): Error {
   const {min, max} = RETRY_AFTER_MS;
-  const retryAfterMs = min + context.random() * (max - min);
-  return exchange.createFinalError(retryAfterMs);
+  const jitterMs = min + context.random() * (max - min);
+  const pauseMs = computeServicePauseMs(context, exchange);
+  return exchange.createFinalError(pauseMs + jitterMs);
 }
 
 function logAttempt(
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -4,9 +4,11 @@
   type TransportError,
 } from '@anvilrudder/clients';
 import {
+  isNeverSent,
   isProvenNotRun,
   type AttemptEnd,
   type InFlightSend,
+  type RegisteredServer,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import type {ResponseHead} from '../ports.js';
@@ -34,6 +36,7 @@
 
 const MISDIRECTED_STATUS = 421;
 const FIRST_SERVER_ERROR_STATUS = 500;
+const UNAVAILABLE_STATUS = 503;
 
 /**
  * Maximum idle time of a reused connection; after a longer time the server may
@@ -105,12 +108,16 @@
       timeoutMs: Math.max(1, exchange.remainingMs),
       signal: exchange.signal,
       confirmSend: () => {
+        // While connecting, another response may have asked for no requests.
+        if (!context.servers.mayReceive(server, performance.now()))
+          return false;
         exchange.mayHaveRun = true;
         return true;
       },
     });
     const head = context.codec.decodeResponseHead(stream.headers);
     const end = classifyHead(request.id, stream.status, head);
+    recordAvailability(context, server, stream.status, head);
     if (isProvenNotRun(end)) exchange.mayHaveRun = mayHaveRunBefore;
     context.servers.markAnswering(send);
     if (end === 'answered')
@@ -129,7 +136,7 @@
   } catch (error) {
     if (!isTransportError(error)) throw error;
     const end = classifyFailure(error);
-    if (end === 'unsent') {
+    if (isNeverSent(end)) {
       exchange.mayHaveRun = mayHaveRunBefore;
       // Nothing reached the server, so this is not counted as an attempt.
       exchange.attempts -= 1;
@@ -164,6 +171,34 @@
   });
 }
 
+/** Records what a response says about further requests to its server. */
+function recordAvailability(
+  {servers, logger}: GatewayContext,
+  server: RegisteredServer,
+  status: number,
+  head: ResponseHead,
+): void {
+  // The response comes from another server at the same address.
+  if (status === MISDIRECTED_STATUS) return;
+  if (
+    head.isServerLeaving &&
+    !servers.find(server.id)?.availability.isLeaving
+  ) {
+    servers.markLeaving(server);
+    logger.info('server_leaving', {server: server.id});
+  }
+  if (!asksForPause(status, head)) return;
+  servers.pause(server, head.retryAfterMs, performance.now());
+  logger.info('server_paused', {server: server.id, pauseMs: head.retryAfterMs});
+}
+
+function asksForPause(
+  status: number,
+  head: ResponseHead,
+): head is ResponseHead & {readonly retryAfterMs: number} {
+  return status === UNAVAILABLE_STATUS && head.retryAfterMs !== undefined;
+}
+
 function observePrefillTime(
   context: GatewayContext,
   exchange: OpenExchange,
@@ -214,7 +249,7 @@
 ): AttemptEnd {
   if (head.requestId !== requestId) return 'garbled';
   if (status === MISDIRECTED_STATUS) return 'replaced';
-  if (head.isNotRun) return 'rejected';
+  if (head.isNotRun) return asksForPause(status, head) ? 'paused' : 'rejected';
   if (status >= FIRST_SERVER_ERROR_STATUS) return 'failed';
   const isSuccess = status >= 200 && status < 300;
   if (isSuccess && (!head.isSigned || head.isEncoded)) return 'garbled';
@@ -222,5 +257,6 @@
 }
 
 function classifyFailure(error: TransportError): AttemptEnd {
+  if (error.failure === 'withheld') return 'withheld';
   return error.phase === 'beforeFirstByte' ? 'unsent' : 'lost';
 }
