Follow a store that returns from an older copy

Cause: watches, the version tracker, conditional writes and the registration of a host took store versions as ever growing. After a return from a copy a watch refused each list as stale until the versions had passed the old ones, and missed changes under versions assigned again.

Change: the client reads the era of each response; a change restarts the watches with a jittered list, resets the versions exchanged between hosts (which carry the era now, readable for an earlier build), withholds conditional writes until the order is delivered again, and lets each host register again. A rollout that had ended stays ended and its state is written again. Removals of servers wait as after an outage; a removed server that the copy lists returns only when its entry outlasts the expiry.

--- a/packages/clients/src/objects/store_wrapper.ts
+++ b/packages/clients/src/objects/store_wrapper.ts
@@ -1,7 +1,7 @@
 import type {ObjectStore} from '@anvilrudder/core';
 
 /** A method of the object API. */
-export type ObjectStoreMethod = keyof ObjectStore;
+export type ObjectStoreMethod = Exclude<keyof ObjectStore, 'era'>;
 
 /** Wraps one call of a method; it may run `call` any number of times. */
 export type CallWrapper = <T>(
@@ -26,6 +26,7 @@
   wrap: CallWrapper,
 ): ObjectStore {
   return {
+    era: store.era,
     get: key => wrap('get', () => store.get(key)),
     put: (key, value, condition) =>
       wrap('put', () => store.put(key, value, condition)),
--- a/packages/clients/src/objects/watch_objects.ts
+++ b/packages/clients/src/objects/watch_objects.ts
@@ -56,11 +56,18 @@
  * changes until it ends, so it must not wait long.
  */
 const WAIT_AFTER_FAILURE_MS = 500;
+/**
+ * Maximum random delay before the objects are listed in a new era of the store,
+ * so that many watches do not list at the same moment.
+ */
+const ERA_CHANGE_JITTER_MS = 300;
 const DEFAULT_BACKOFF: BackoffOptions = {baseMs: 100, maxMs: 10_000};
 
 interface Snapshot {
   readonly objects: readonly StoredObject[];
   readonly storeVersion: number;
+  /** Era of the store in which the objects were read. */
+  readonly era: number | undefined;
 }
 
 /**
@@ -121,6 +128,8 @@
 /** State of one watch: the last reported store version and the current wait. */
 class ObjectWatch {
   private isSynced = false;
+  /** Era of `version`. */
+  private era: number | undefined;
   private version = 0;
   private maxNextWaitMs = Infinity;
   private readonly restarter: WatchRestarter;
@@ -135,6 +144,17 @@
   }
 
   async run(): Promise<void> {
+    const stopListening = this.store.era?.onChange(() =>
+      this.restarter.restart(),
+    );
+    try {
+      await this.pollUntilAborted();
+    } finally {
+      stopListening?.();
+    }
+  }
+
+  private async pollUntilAborted(): Promise<void> {
     const {signal, random} = this.options;
     const backoff = this.options.backoff ?? DEFAULT_BACKOFF;
     let failures = 0;
@@ -158,15 +178,21 @@
   }
 
   private async poll(): Promise<void> {
-    const {signal, batchDelayMs: batchDelayMs = 0} = this.options;
+    const {signal, random, batchDelayMs = 0} = this.options;
+    if (this.hasEraChanged()) {
+      await delay(random() * ERA_CHANGE_JITTER_MS, signal);
+      this.isSynced = false;
+    }
     if (!this.isSynced) await this.synchronize();
-    if (signal.aborted) return;
+    if (signal.aborted || this.hasEraChanged()) return;
     const maxWaitMs = this.readMaxWaitMs();
     const waitMs = Math.min(maxWaitMs, this.maxNextWaitMs);
     const page = await this.restarter.run(signal, callSignal =>
       this.store.watch(this.prefix, this.version, waitMs, callSignal),
     );
     this.restarter.takeRestartRequest();
+    // The events after a version of another era are not all that happened.
+    if (this.hasEraChanged()) return;
     this.maxNextWaitMs = Math.min(maxWaitMs, 2 * waitMs);
     const previousVersion = this.version;
     for (const event of page.events) {
@@ -183,7 +209,8 @@
   private async synchronize(): Promise<void> {
     const snapshot = await readSnapshot(this.store, this.prefix);
     // The list may come from a replica that lags behind the reported changes.
-    if (snapshot.storeVersion < this.version) {
+    const isSameEra = snapshot.era === this.era;
+    if (isSameEra && snapshot.storeVersion < this.version) {
       throw createObjectStoreError(
         'the list is older than the changes already reported',
         {
@@ -193,6 +220,7 @@
       );
     }
     if (this.options.signal.aborted) return;
+    this.era = snapshot.era;
     this.version = snapshot.storeVersion;
     this.isSynced = true;
     this.handlers.onSnapshot(snapshot.objects);
@@ -206,6 +234,11 @@
     this.handlers.onError?.(error);
   }
 
+  /** True if `version` belongs to another era of the store. */
+  private hasEraChanged(): boolean {
+    return this.version > 0 && this.store.era?.current !== this.era;
+  }
+
   private readMaxWaitMs(): number {
     return Math.round(this.options.readWaitMs?.() ?? DEFAULT_MAX_WAIT_MS);
   }
@@ -214,12 +247,15 @@
 /**
  * Reads all pages. The version is that of the first page, so that changes made
  * while later pages are read are reported as events.
+ *
+ * @throws ObjectStoreError `stale` when the era of the store changes meanwhile.
  */
 async function readSnapshot(
   store: ObjectStore,
   prefix: string,
 ): Promise<Snapshot> {
   const first = await store.list(prefix);
+  const era = store.era?.current;
   const objects = [...first.objects];
   let after = first.nextAfter;
   while (after !== undefined) {
@@ -227,7 +263,13 @@
     objects.push(...page.objects);
     after = page.nextAfter;
   }
-  return {objects, storeVersion: first.storeVersion};
+  if (store.era?.current !== era) {
+    throw createObjectStoreError('the era of the store changed in a list', {
+      execution: 'notRun',
+      failure: 'stale',
+    });
+  }
+  return {objects, storeVersion: first.storeVersion, era};
 }
 
 /**
@@ -235,7 +277,8 @@
  * failure and a jittered backoff, the objects are listed again and the next
  * watch call waits only briefly. A list older than the changes already reported
  * is rejected as `stale`, and events that are not newer are ignored. Objects of
- * later pages of a snapshot may be reported again as events.
+ * later pages of a snapshot may be reported again as events. When the era of the
+ * store changes, the objects are listed again, whatever their versions.
  *
  * If a handler throws, the returned promise rejects with that error.
  *
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,4 +20,5 @@
 export * from './steps/index.js';
 export * from './types/identity.js';
 export * from './types/object_store.js';
+export * from './types/store_era.js';
 export * from './utils/index.js';
--- a/packages/core/src/types/object_store.ts
+++ b/packages/core/src/types/object_store.ts
@@ -1,4 +1,5 @@
 import type {Execution} from '../errors/error_codes.js';
+import type {StoreEra} from './store_era.js';
 
 /** An object read from the object API. */
 export interface StoredObject {
@@ -58,6 +59,8 @@
  * `execution` of the error tells whether a write may have taken effect.
  */
 export interface ObjectStore {
+  /** Undefined for a store that never loses an acknowledged write. */
+  readonly era?: StoreEra;
   get(key: string): Promise<StoredObject | undefined>;
   put(
     key: string,
--- a/packages/gateway/src/control/follow_store.ts
+++ b/packages/gateway/src/control/follow_store.ts
@@ -74,6 +74,12 @@
     ...options,
     readWaitMs: () => computeWatchWaitMs(options),
   };
+  options.store.era?.onChange(({era, previous}) => {
+    logger.warn('store_restored', {era, previous});
+    options.metrics.count('store_restores_total');
+    directory.markRestored();
+    rollouts.markRestored();
+  });
   let hasServers = false;
   let hasRollouts = false;
   const applyRouting = ({value}: DecodedObject<RoutingSnapshot>): void => {
--- a/packages/gateway/src/control/host_messenger.ts
+++ b/packages/gateway/src/control/host_messenger.ts
@@ -4,6 +4,7 @@
 import type {ListenAddress} from '../config/settings.js';
 import type {HostRegistry} from './host_registry.js';
 import type {RemoteSample} from './rollout_controller.js';
+import type {SeenVersion} from './store_version_tracker.js';
 
 /** Dependencies of the messenger between hosts. */
 export interface HostMessengerOptions {
@@ -13,7 +14,7 @@
   /** Called with a sample of a new version from another host. */
   readonly onSample: (sample: RemoteSample) => void;
   /** Called with the newest store version that another host has seen. */
-  readonly onStoreVersion: (kind: string, version: number) => void;
+  readonly onStoreVersion: (seen: SeenVersion) => void;
   readonly logger: Logger;
   readonly metrics: MetricRegistry;
   readonly random: () => number;
@@ -83,9 +84,10 @@
   }
 
   /** Announces the version of an object in the store to some of the hosts. */
-  announceStoreVersion(kind: string, version: number): void {
+  announceStoreVersion({kind, version, era}: SeenVersion): void {
+    const fields = [kind, version, ...(era === undefined ? [] : [era])];
     this.send(
-      `${STORE_VERSION_FORMAT} ${kind} ${version}`,
+      [STORE_VERSION_FORMAT, ...fields].join(' '),
       MAX_STORE_VERSION_RECIPIENTS,
     );
   }
@@ -142,10 +144,14 @@
     return true;
   }
 
-  private receiveStoreVersion([kind, version]: readonly string[]): boolean {
-    const storeVersion = Number(version);
-    if (!Number.isSafeInteger(storeVersion)) return false;
-    this.options.onStoreVersion(kind, storeVersion);
+  // The era is missing in datagrams of earlier builds.
+  private receiveStoreVersion(fields: readonly string[]): boolean {
+    const [kind, versionField, eraField] = fields;
+    const version = Number(versionField);
+    const era = eraField === undefined ? undefined : Number(eraField);
+    if (!Number.isSafeInteger(version)) return false;
+    if (era !== undefined && !Number.isSafeInteger(era)) return false;
+    this.options.onStoreVersion({kind, version, era});
     return true;
   }
 
--- a/packages/gateway/src/control/host_registry.ts
+++ b/packages/gateway/src/control/host_registry.ts
@@ -52,11 +52,15 @@
 /**
  * Registers this host in the store and lists the other hosts that serve the
  * same callers. The list is polled rather than watched, because missing a host
- * for some seconds does little harm.
+ * for some seconds does little harm. If the entry of this host is missing in a
+ * list, or the store has returned from an older copy, the host registers again.
  */
 export class HostRegistry {
   private otherAddresses: readonly string[] = [];
   private hasListed = false;
+  /** False if this host's entry may be missing in the store. */
+  private isRegistered = false;
+  private wake: () => void = () => undefined;
 
   private constructor(
     private readonly options: Required<HostRegistryOptions>,
@@ -83,22 +87,36 @@
 
   /** Registers this host and lists the others until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const {random, firstListMs, listPeriodMs, retryMs} = this.options;
+    const {store, random, firstListMs, listPeriodMs, retryMs} = this.options;
     const jitter = (): number => 0.5 + random();
+    const stopListening = store.era?.onChange(() => {
+      this.isRegistered = false;
+      this.wake();
+    });
+    const stop = (): void => {
+      stopListening?.();
+      this.wake();
+    };
+    signal.addEventListener('abort', stop, {once: true});
     let waitMs = random() * retryMs;
-    let isWritten = false;
     while (!signal.aborted) {
-      await delay(waitMs, signal);
+      const isWoken = await this.sleep(waitMs);
       if (signal.aborted) return;
+      if (isWoken) {
+        waitMs = random() * retryMs;
+        continue;
+      }
       try {
-        if (!isWritten) {
+        if (!this.isRegistered) {
+          const era = store.era?.current;
           await this.register();
-          isWritten = true;
+          // An entry written in an earlier era may be lost.
+          this.isRegistered = era === undefined || era === store.era?.current;
           waitMs = firstListMs * jitter();
           continue;
         }
         await this.list();
-        waitMs = listPeriodMs * jitter();
+        waitMs = (this.isRegistered ? listPeriodMs : retryMs) * jitter();
       } catch (error) {
         if (!isObjectStoreError(error)) throw error;
         waitMs = retryMs * jitter();
@@ -107,6 +125,14 @@
     }
   }
 
+  /** Returns true if the wait was ended by {@link wake}. */
+  private async sleep(durationMs: number): Promise<boolean> {
+    const wakeController = new AbortController();
+    this.wake = () => wakeController.abort();
+    await delay(durationMs, wakeController.signal);
+    return wakeController.signal.aborted;
+  }
+
   private async register(): Promise<void> {
     const {store, kind, host, address} = this.options;
     const key = `${kind.prefix}${host}`;
@@ -120,6 +146,7 @@
   private async list(): Promise<void> {
     const {store, kind, address, logger} = this.options;
     const foundAddresses: string[] = [];
+    let isListed = false;
     let after: string | undefined;
     do {
       const page = await store.list(kind.prefix, after, {isStaleAllowed: true});
@@ -127,14 +154,19 @@
         const json = parseJsonObject(value);
         const name = key.slice(kind.prefix.length);
         const entry = json && kind.decode(name, json);
-        if (entry && entry.address !== address)
-          foundAddresses.push(entry.address);
+        if (entry === undefined) continue;
+        if (entry.address === address) isListed = true;
+        else foundAddresses.push(entry.address);
       }
       after = page.nextAfter;
     } while (after !== undefined);
     const isChanged = foundAddresses.join() !== this.otherAddresses.join();
     this.otherAddresses = foundAddresses;
     this.hasListed = true;
+    if (!isListed) {
+      this.isRegistered = false;
+      logger.info('host_unlisted', {address});
+    }
     if (isChanged) logger.info('hosts_listed', {others: foundAddresses.length});
   }
 }
--- a/packages/gateway/src/control/rollout_controller.ts
+++ b/packages/gateway/src/control/rollout_controller.ts
@@ -41,7 +41,10 @@
 
 interface ActiveRollout {
   plan: RolloutPlan;
-  revision: number;
+  /** Undefined until the store has delivered the order in its current era. */
+  revision: number | undefined;
+  /** Final state that the store may have lost, to be written again. */
+  lostState: RolloutState | undefined;
   readonly evidence: VersionEvidence;
   lastPhase: RolloutPhase | undefined;
   /** This host has judged the new version bad, whether written yet or not. */
@@ -118,16 +121,13 @@
     const known = this.rollouts.get(service);
     const nowMs = performance.now();
     if (known !== undefined && known.plan.order.target === target) {
-      const hasNewProgress = order.elapsedMs !== known.plan.order.elapsedMs;
-      known.plan = known.plan.withOrder(order, nowMs);
-      known.revision = revision;
-      if (hasNewProgress)
-        known.progressAfterMs = this.computeTakeoverMs(order, nowMs);
+      this.updateOrder(known, order, revision);
       return;
     }
     this.rollouts.set(service, {
       plan: RolloutPlan.create(order, nowMs, this.bounds),
       revision,
+      lostState: undefined,
       evidence: VersionEvidence.create(),
       lastPhase: undefined,
       isNewVersionBad: false,
@@ -147,6 +147,20 @@
     });
   }
 
+  /**
+   * Records that the store has returned from an older copy. A rollout that had
+   * ended stays ended; its state is written again if the copy lacks it.
+   */
+  markRestored(): void {
+    const nowMs = performance.now();
+    for (const rollout of this.rollouts.values()) {
+      rollout.revision = undefined;
+      rollout.writeAfterMs = nowMs + this.drawWriteJitterMs();
+      const state = resolveFinalState(rollout);
+      if (state !== undefined) rollout.lostState = state;
+    }
+  }
+
   /** Removes an order that was withdrawn. */
   removeOrder(service: string): void {
     this.rollouts.delete(service);
@@ -200,11 +214,30 @@
       if (phase !== rollout.lastPhase) this.logPhase(rollout, phase);
       const state = this.findDueState(rollout, phase, nowMs);
       if (state === undefined || rollout.isWriting) continue;
-      if (state !== 'rolledBack' && nowMs < rollout.writeAfterMs) continue;
-      void this.writeState(rollout, state);
+      // The first write of a rollback must not wait.
+      const isUrgent =
+        state === 'rolledBack' && rollout.lostState === undefined;
+      if (!isUrgent && nowMs < rollout.writeAfterMs) continue;
+      if (rollout.revision === undefined) continue;
+      void this.writeState(rollout, state, rollout.revision);
     }
   }
 
+  private updateOrder(
+    rollout: ActiveRollout,
+    order: RolloutOrder,
+    revision: number,
+  ): void {
+    const nowMs = performance.now();
+    const hasNewProgress = order.elapsedMs !== rollout.plan.order.elapsedMs;
+    if (isFinalState(order.state)) rollout.lostState = undefined;
+    const state = rollout.lostState ?? order.state;
+    rollout.plan = rollout.plan.withOrder({...order, state}, nowMs);
+    rollout.revision = revision;
+    if (hasNewProgress)
+      rollout.progressAfterMs = this.computeTakeoverMs(order, nowMs);
+  }
+
   private filterByVersion(
     service: string,
     records: readonly ServerRecord[],
@@ -245,6 +278,7 @@
     phase: RolloutPhase,
     nowMs: number,
   ): RolloutState | undefined {
+    if (rollout.lostState !== undefined) return rollout.lostState;
     if (phase === 'succeeded' || phase === 'rolledBack') return undefined;
     const {plan} = rollout;
     rollout.isNewVersionBad ||= isNewVersionBad(rollout, phase);
@@ -277,6 +311,7 @@
   private async writeState(
     rollout: ActiveRollout,
     state: RolloutState,
+    revision: number,
   ): Promise<void> {
     const {logger, stateWriter, random} = this.options;
     const {order} = rollout.plan;
@@ -285,7 +320,7 @@
     rollout.isWriting = true;
     const result = await stateWriter.writeState(
       {service, target, state, elapsedMs},
-      rollout.revision,
+      revision,
     );
     rollout.isWriting = false;
     const nowMs = performance.now();
@@ -303,7 +338,11 @@
       newSlowness: rollout.evidence.readSlowness('new')?.toFixed(2),
       oldSlowness: rollout.evidence.readSlowness('old')?.toFixed(2),
     });
-    if (result.status !== 'written') return;
+    // A write that was answered before the store returned from an older copy
+    // may be lost.
+    const isOutdated = rollout.revision !== revision;
+    if (result.status !== 'written' || isOutdated) return;
+    rollout.lostState = undefined;
     // The watch delivers the same state later.
     rollout.plan = rollout.plan.withOrder({...order, state, elapsedMs}, nowMs);
     rollout.revision = result.version;
@@ -333,6 +372,20 @@
   return phase === 'shifting' && evidence.looksSlow();
 }
 
+function isFinalState(state: RolloutState | undefined): boolean {
+  return state === 'succeeded' || state === 'rolledBack';
+}
+
+/** Final state of a rollout at this host, whether it is written or not. */
+function resolveFinalState({
+  plan,
+  isNewVersionBad,
+}: ActiveRollout): RolloutState | undefined {
+  const {state} = plan.order;
+  if (isFinalState(state)) return state;
+  return isNewVersionBad ? 'rolledBack' : undefined;
+}
+
 function sideOf(rollout: ActiveRollout, version: string): RolloutSide {
   return version === rollout.plan.order.target ? 'new' : 'old';
 }
--- a/packages/gateway/src/control/server_directory.ts
+++ b/packages/gateway/src/control/server_directory.ts
@@ -1,4 +1,8 @@
-import type {RegisteredServer, ServerTable} from '@anvilrudder/core';
+import {
+  isSameRun,
+  type RegisteredServer,
+  type ServerTable,
+} from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
 import type {ServerPools} from './server_pools.js';
 
@@ -8,15 +12,30 @@
   readonly minOutageMs: number;
   /** Time within which live servers register again after such an outage. */
   readonly reregistrationMs: number;
+  /** Time after which the registration of a silent server expires. */
+  readonly expiryMs: number;
 }
 
+interface RemovedServer {
+  readonly server: RegisteredServer;
+  readonly removedMs: number;
+}
+
+/** Time for which a removed server is remembered. */
+const REMOVED_MEMORY_MS = 60_000;
+
 /**
  * Applies changes of the registry to the server table. A server that is leaving
  * gets no new requests from then on. A server whose registration disappeared
- * during an outage of the registry has some time to register again.
+ * during an outage of the registry has some time to register again. When the
+ * registry returns from an older copy, a server that was removed before is added
+ * again only if its registration outlasts the expiry.
  */
 export class ServerDirectory {
   private readonly pendingRemovals = new Map<string, NodeJS.Timeout>();
+  private readonly pendingReturns = new Map<string, NodeJS.Timeout>();
+  private readonly removed = new Map<string, RemovedServer>();
+  private restoredMs = -Infinity;
   private unavailableSinceMs: number | undefined;
   private removalsDelayedUntilMs = -Infinity;
 
@@ -47,15 +66,35 @@
   replaceAll(servers: readonly RegisteredServer[]): void {
     const ids = new Set(servers.map(({id}) => id));
     for (const server of servers) this.put(server);
-    for (const id of this.table.listIds()) {
+    const knownIds = [...this.table.listIds(), ...this.pendingReturns.keys()];
+    for (const id of knownIds) {
       if (!ids.has(id)) this.remove(id);
     }
   }
 
-  /** Adds or changes a server. */
+  /** Adds or changes a server; delayed if an older copy may list it wrongly. */
   put(server: RegisteredServer): void {
     clearTimeout(this.pendingRemovals.get(server.id));
     this.pendingRemovals.delete(server.id);
+    this.cancelReturn(server.id);
+    const waitMs = this.computeReturnDelayMs(server);
+    if (waitMs <= 0) {
+      this.putNow(server);
+      return;
+    }
+    this.logger.info('server_return_delayed', {
+      server: server.id,
+      waitMs: Math.round(waitMs),
+    });
+    const timer = setTimeout(() => {
+      this.pendingReturns.delete(server.id);
+      this.putNow(server);
+    }, waitMs);
+    this.pendingReturns.set(server.id, timer);
+  }
+
+  private putNow(server: RegisteredServer): void {
+    this.removed.delete(server.id);
     const before = this.table.find(server.id)?.server;
     this.table.put(server);
     const isChanged =
@@ -74,6 +113,7 @@
 
   /** Removes a server that is no longer registered; delayed after an outage. */
   remove(id: string): void {
+    this.cancelReturn(id);
     if (this.table.find(id) === undefined || this.pendingRemovals.has(id))
       return;
     const waitMs = this.removalsDelayedUntilMs - performance.now();
@@ -107,7 +147,41 @@
     this.removalsDelayedUntilMs = nowMs + this.options.reregistrationMs;
   }
 
+  /**
+   * Records that the registry has returned from an older copy: it may lack
+   * servers that live, and list some that were removed.
+   */
+  markRestored(): void {
+    this.restoredMs = performance.now();
+    this.removalsDelayedUntilMs =
+      this.restoredMs + this.options.reregistrationMs;
+  }
+
+  private computeReturnDelayMs(server: RegisteredServer): number {
+    const removed = this.removed.get(server.id);
+    if (removed === undefined || !isSameRun(removed.server, server)) return 0;
+    if (removed.removedMs > this.restoredMs) return 0;
+    const {reregistrationMs, expiryMs} = this.options;
+    const untilMs = this.restoredMs + reregistrationMs + expiryMs;
+    return untilMs - performance.now();
+  }
+
+  private cancelReturn(id: string): void {
+    clearTimeout(this.pendingReturns.get(id));
+    this.pendingReturns.delete(id);
+  }
+
+  private rememberRemoved(server: RegisteredServer): void {
+    const nowMs = performance.now();
+    for (const [id, {removedMs}] of this.removed) {
+      if (nowMs - removedMs > REMOVED_MEMORY_MS) this.removed.delete(id);
+    }
+    this.removed.set(server.id, {server, removedMs: nowMs});
+  }
+
   private removeNow(id: string): void {
+    const record = this.table.find(id);
+    if (record !== undefined) this.rememberRemoved(record.server);
     this.table.remove(id);
     this.pools.retire(id);
     this.logger.info('server_gone', {server: id});
--- a/packages/gateway/src/control/watch_kind.ts
+++ b/packages/gateway/src/control/watch_kind.ts
@@ -63,14 +63,7 @@
   handlers: KindHandlers<T>,
   options: WatchKindOptions,
 ): Promise<void> {
-  const {
-    store,
-    logger,
-    metrics,
-    signal,
-    random,
-    batchDelayMs: batchDelayMs,
-  } = options;
+  const {store, logger, metrics, signal, random, batchDelayMs} = options;
   const {versionTracker, readWaitMs} = options;
   const restarter = WatchRestarter.create();
   versionTracker.register(kind.prefix, () => restarter.restart());
@@ -94,8 +87,8 @@
     {
       onSnapshot: objects => {
         handlers.onAll(objects.map(decodeObject));
-        for (const {version} of objects)
-          versionTracker.recordOwnVersion(kind.prefix, version);
+        const versions = objects.map(({version}) => version);
+        versionTracker.recordOwnVersion(kind.prefix, Math.max(0, ...versions));
       },
       onEvent: ({key, version, value}) => {
         if (value === undefined) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,7 @@
 export type {
   RolloutProgressCodec,
   RolloutProgress,
+  StateWriteResult,
 } from './control/rollout_state_writer.js';
 export * from './control/store_version_tracker.js';
 export * from './control/watch_kind.js';
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -56,6 +56,8 @@
 const MIN_OUTAGE_MS = 1000;
 /** Time within which live servers register again after an outage. */
 const REREGISTRATION_MS = 1900;
+/** Heartbeats that a server misses before its registration expires. */
+const HEARTBEATS_BEFORE_EXPIRY = 3;
 const ROLLOUT_TICK_MS = 200;
 /** Prefill time per token of a model without observations. */
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.02;
@@ -89,13 +91,12 @@
     hosts,
     servers,
     onSample: sample => rollouts.recordRemote(sample),
-    onStoreVersion: (kind, version) =>
-      versionTracker.recordRemoteVersion(kind, version),
+    onStoreVersion: seen => versionTracker.recordRemoteVersion(seen),
   });
   const versionTracker = StoreVersionTracker.create({
     logger,
-    announce: (kind, version) =>
-      hostMessenger.announceStoreVersion(kind, version),
+    era: dependencies.store.era,
+    announce: seen => hostMessenger.announceStoreVersion(seen),
   });
   const rollouts = RolloutController.create({
     stateWriter: createRolloutStateWriter(
@@ -130,6 +131,7 @@
   const directory = ServerDirectory.create(servers, pools, logger, {
     minOutageMs: MIN_OUTAGE_MS,
     reregistrationMs: REREGISTRATION_MS,
+    expiryMs: HEARTBEATS_BEFORE_EXPIRY * settings.heartbeatMs,
   });
   const follower = followStore({
     ...dependencies,
