--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -139,6 +139,7 @@
     directory,
     rollouts,
     versionTracker,
+    drainNoticeMs: settings.drainNoticeMs,
     countHosts: () => hosts.count,
     signal: abortController.signal,
   });
