Refuse no request below the limit when an entry restarts

Cause: a restarted entry counted twice, as its earlier run kept its share until the timeout of 3 s; the entry whose heartbeat came next found nothing left and its share fell to 0. Change: a heartbeat of a later run on a host frees the share of the earlier one, whose late heartbeats are ignored; and an entry keeps what it holds of an equal part when others claim more than the rest.

--- a/packages/core/src/limits/organisation_limiter.ts
+++ b/packages/core/src/limits/organisation_limiter.ts
@@ -66,6 +66,8 @@
 /** Weight of the newest sample in the moving average of demand. */
 const DEMAND_WEIGHT = 0.25;
 const MS_PER_S = 1000;
+/** Time for which late heartbeats of a replaced run are ignored. */
+const REPLACED_MEMORY_MS = 60_000;
 const ROUNDING_ERROR = 1e-9;
 const MIN_RETRY_AFTER_MS = 100;
 const MAX_RETRY_AFTER_MS = 30_000;
@@ -75,6 +77,8 @@
 export class OrganisationLimiter {
   private readonly states = new Map<string, LimitState>();
   private readonly peers = new Map<string, PeerUses>();
+  /** Earlier runs of other hosts, with the time at which a later one was seen. */
+  private readonly replacedMembers = new Map<string, number>();
   private memberCount = 1;
   private updatedMs: number | undefined;
 
@@ -140,9 +144,14 @@
     if (state !== undefined) state.inFlight = Math.max(0, state.inFlight - 1);
   }
 
-  /** Records the usage reported by another entry. */
+  /**
+   * Records the usage reported by another entry. The share of an earlier run on
+   * the same host is free at once.
+   */
   mergeHeartbeat(heartbeat: LimitHeartbeat, nowMs: number): void {
     if (heartbeat.member === this.options.member) return;
+    if (this.replacedMembers.has(heartbeat.member)) return;
+    this.replaceEarlierRuns(heartbeat.member, nowMs);
     const uses = new Map(heartbeat.uses.map(use => [use.organisation, use]));
     this.peers.set(heartbeat.member, {receivedMs: nowMs, uses});
   }
@@ -182,7 +191,22 @@
     };
   }
 
+  private replaceEarlierRuns(member: string, nowMs: number): void {
+    if (this.peers.has(member)) return;
+    const host = readHost(member);
+    for (const known of this.peers.keys()) {
+      if (readHost(known) !== host) continue;
+      this.peers.delete(known);
+      this.replacedMembers.set(known, nowMs);
+    }
+  }
+
   private dropTimedOutPeers(nowMs: number): void {
+    for (const [member, replacedMs] of this.replacedMembers) {
+      if (nowMs - replacedMs >= REPLACED_MEMORY_MS) {
+        this.replacedMembers.delete(member);
+      }
+    }
     for (const [member, {receivedMs}] of this.peers) {
       if (nowMs - receivedMs >= this.options.memberTimeoutMs) {
         this.peers.delete(member);
@@ -207,13 +231,19 @@
       ownDemandPerS: state.demandPerS,
       memberCount: this.memberCount,
     };
-    state.share = resolveShare({...own, limitPerS: requestsPerS, others});
+    state.share = resolveShare({
+      ...own,
+      ownShare: state.share,
+      limitPerS: requestsPerS,
+      others,
+    });
     const othersConcurrent = others.map(({demandPerS, concurrentShare}) => ({
       demandPerS,
       share: concurrentShare,
     }));
     state.concurrentShare = resolveShare({
       ...own,
+      ownShare: state.concurrentShare,
       limitPerS: undefined,
       others: othersConcurrent,
     });
@@ -222,6 +252,12 @@
   }
 }
 
+/** Reads the host of a member `host/incarnation`. */
+function readHost(member: string): string {
+  const separator = member.lastIndexOf('/');
+  return separator < 0 ? member : member.slice(0, separator);
+}
+
 function computeConcurrentLimit({limit, concurrentShare}: LimitState): number {
   const part = limit.concurrent * concurrentShare;
   return Math.max(1, Math.floor(part + ROUNDING_ERROR));
--- a/packages/core/src/limits/share_policies.ts
+++ b/packages/core/src/limits/share_policies.ts
@@ -25,6 +25,8 @@
    */
   readonly limitPerS: number | undefined;
   readonly ownDemandPerS: number;
+  /** Share that this entry holds now. */
+  readonly ownShare: number;
   /** Number of live entries, including this one. */
   readonly memberCount: number;
   /** Shares reported by the other live entries. */
@@ -58,7 +60,9 @@
 
 // An entry increases its share only up to what the shares of the others leave.
 // A member that has not reported its share is assumed to hold an equal part, as
-// that is the most it uses itself while it gets no reports from others.
+// that is the most it uses itself while it gets no reports from others. An entry
+// keeps what it holds of an equal part when the others claim more than the rest,
+// as an entry that has ended or just started may be counted wrongly.
 function resolveDemandShare(context: ShareContext): number {
   const {ownDemandPerS, memberCount, others} = context;
   const nonReportingCount = Math.max(0, memberCount - 1 - others.length);
@@ -72,8 +76,12 @@
     context.limitPerS,
     reportingCount,
   );
-  const availableShare = Math.max(0, 1 - heldByOthers - heldByNonReporting);
-  return Math.min(wanted * (1 - heldByNonReporting), availableShare);
+  const keptShare = Math.min(context.ownShare, 1 / memberCount);
+  const availableShare = 1 - heldByOthers - heldByNonReporting;
+  return Math.min(
+    wanted * (1 - heldByNonReporting),
+    Math.max(keptShare, availableShare),
+  );
 }
 
 /** Share policies, by the name used in settings. */
