--- a/packages/gateway/src/config/settings.ts
+++ b/packages/gateway/src/config/settings.ts
@@ -22,8 +22,6 @@
   readonly storeAddress: string;
   /** Interval between two heartbeats of a backend server. */
   readonly heartbeatMs: number;
-  /** Time for which a backend server still serves after it says it is leaving. */
-  readonly drainNoticeMs: number;
   /** Time within which a graceful shutdown must complete. */
   readonly stopGraceMs: number;
   readonly repeats: {
@@ -147,7 +145,6 @@
     },
     storeAddress: reader.readString(['storeAddress']),
     heartbeatMs: reader.readNumber(['heartbeatMs'], 1),
-    drainNoticeMs: reader.readNumber(['drainNoticeMs'], 0),
     stopGraceMs: reader.readNumber(['stopGraceMs'], 0),
     repeats: {
       ratio: reader.readNumber(['repeats', 'ratio'], 0),
--- a/packages/gateway/src/control/follow_store.ts
+++ b/packages/gateway/src/control/follow_store.ts
@@ -33,20 +33,15 @@
   readonly signal: AbortSignal;
   readonly random: () => number;
   readonly versionTracker: StoreVersionTracker;
-  /** Time for which a server still serves after it says it is leaving. */
-  readonly drainNoticeMs: number;
   /** Number of hosts that watch the same store, including this one. */
   readonly countHosts: () => number;
 }
 
 /**
- * Share of the drain notice for which changes of servers are batched after an
- * earlier one. With many servers some entry changes at almost every moment, and
- * each batch costs one call per host.
+ * Time for which changes are batched after an earlier one. Servers change in
+ * series, for example while a service is replaced.
  */
-const SERVERS_BATCH_SHARE = 0.4;
-const MAX_SERVERS_BATCH_DELAY_MS = 2000;
-/** Time for which changes of the other kinds are batched. */
+const SERVERS_BATCH_DELAY_MS = 600;
 const ROLLOUTS_BATCH_DELAY_MS = 400;
 const ROUTING_BATCH_DELAY_MS = 300;
 /**
@@ -119,7 +114,7 @@
         onUnavailable: () => directory.markUnavailable(),
         onRecovered: () => directory.markRecovered(),
       },
-      {...sharedOptions, batchDelayMs: computeServersBatchDelayMs(options)},
+      {...sharedOptions, batchDelayMs: SERVERS_BATCH_DELAY_MS},
     ),
     watchKind(
       kinds.rollouts,
@@ -145,13 +140,6 @@
   };
 }
 
-function computeServersBatchDelayMs({
-  drainNoticeMs,
-}: FollowStoreOptions): number {
-  const delayMs = SERVERS_BATCH_SHARE * drainNoticeMs;
-  return Math.min(MAX_SERVERS_BATCH_DELAY_MS, delayMs);
-}
-
 function computeWatchWaitMs({countHosts, random}: FollowStoreOptions): number {
   const {min, max} = WATCH_WAIT_RANGE_MS;
   const baseMs = clamp(WATCH_WAIT_PER_HOST_MS * countHosts(), min, max);
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -139,7 +139,6 @@
     directory,
     rollouts,
     versionTracker,
-    drainNoticeMs: settings.drainNoticeMs,
     countHosts: () => hosts.count,
     signal: abortController.signal,
   });
