--- a/packages/entry/src/control/billing/held_copy_buffer.ts
+++ b/packages/entry/src/control/billing/held_copy_buffer.ts
@@ -1,10 +1,10 @@
 import {
   dropHandedOffBatch,
+  handOffBatch,
   holdRecords,
   listHeldBatches,
   NO_HELD_COPIES,
   RouterError,
-  writeBatch,
   type HeldCopies,
   type HoldRequest,
   type ObjectStore,
@@ -115,8 +115,7 @@
 
   private async writeHeldBatches(incarnation: string): Promise<boolean> {
     for (const batch of listHeldBatches(this.copies, incarnation)) {
-      const protocol = writeBatch(batch, 'handOff');
-      const outcome = await runStoreProtocol(this.store, protocol);
+      const outcome = await runStoreProtocol(this.store, handOffBatch(batch));
       if (outcome === 'failed') return false;
       this.copies = dropHandedOffBatch(this.copies, batch);
     }
