Wait longer in the first watch calls of a host

Cause: a host that doesn't know the number of hosts yet takes itself for the only one, so its first watch calls end after 4 s, on three kinds, until the first list of hosts: about a quarter of all its store calls in the first half minute. Change: 12 s until the number is known. Test: two calls a kind in the first 5 s, three before.

--- a/packages/gateway/src/control/follow_store.ts
+++ b/packages/gateway/src/control/follow_store.ts
@@ -7,6 +7,7 @@
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {HostEntry} from './host_registry.js';
+import type {HostCount} from './retry_budgets.js';
 import type {RolloutController} from './rollout_controller.js';
 import type {RoutingState} from './routing_state.js';
 import type {ServerDirectory} from './server_directory.js';
@@ -33,8 +34,8 @@
   readonly signal: AbortSignal;
   readonly random: () => number;
   readonly versionTracker: StoreVersionTracker;
-  /** Number of hosts that watch the same store, including this one. */
-  readonly countHosts: () => number;
+  /** Hosts that watch the same store, including this one. */
+  readonly hosts: HostCount;
 }
 
 /**
@@ -50,6 +51,8 @@
  * stalled connection hides from the others.
  */
 const WATCH_WAIT_PER_HOST_MS = 1500;
+/** Maximum wait of a call until the number of hosts is known. */
+const INITIAL_WATCH_WAIT_MS = 12_000;
 const WATCH_WAIT_RANGE_MS = {min: 4000, max: 30_000} as const;
 /** Share of the wait that is random, so that hosts do not synchronise. */
 const WATCH_WAIT_JITTER = 0.25;
@@ -140,9 +143,11 @@
   };
 }
 
-function computeWatchWaitMs({countHosts, random}: FollowStoreOptions): number {
+function computeWatchWaitMs({hosts, random}: FollowStoreOptions): number {
   const {min, max} = WATCH_WAIT_RANGE_MS;
-  const baseMs = clamp(WATCH_WAIT_PER_HOST_MS * countHosts(), min, max);
+  const baseMs = hosts.hasHostList
+    ? clamp(WATCH_WAIT_PER_HOST_MS * hosts.count, min, max)
+    : INITIAL_WATCH_WAIT_MS;
   return baseMs * (1 - WATCH_WAIT_JITTER * random());
 }
 
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -139,7 +139,7 @@
     directory,
     rollouts,
     versionTracker,
-    countHosts: () => hosts.count,
+    hosts,
     signal: abortController.signal,
   });
   const rolloutTimer = setInterval(() => rollouts.tick(), ROLLOUT_TICK_MS);
