--- /dev/null
+++ b/packages/gateway/src/control/active_rollout.ts
@@ -0,0 +1,107 @@
+import type {
+  RolloutPhase,
+  RolloutPlan,
+  RolloutSide,
+  RolloutState,
+  VersionEvidence,
+} from '@anvilrudder/core';
+import type {VersionKey} from './version_selector.js';
+
+/** A rollout that an operator has ordered, as known to this host. */
+export interface ActiveRollout {
+  plan: RolloutPlan;
+  /** Undefined until the store has delivered the order in its current era. */
+  revision: number | undefined;
+  /** Final state that the store may have lost, to be written again. */
+  lostState: RolloutState | undefined;
+  readonly evidence: VersionEvidence;
+  lastPhase: RolloutPhase | undefined;
+  /** This host has judged the new version bad, whether written yet or not. */
+  isNewVersionBad: boolean;
+  isWriting: boolean;
+  /** Earliest time of the next state write. */
+  writeAfterMs: number;
+  /** When this host writes the progress, unless another host does so before. */
+  progressAfterMs: number;
+}
+
+/** Properties of a request that determine its side. */
+export interface RolloutKey extends VersionKey {
+  /** Version that the session of the request used last. */
+  readonly sessionVersion: string | undefined;
+}
+
+/** Side of all new requests; undefined if it depends on the request. */
+const SIDE_BY_PHASE: Readonly<Record<RolloutPhase, RolloutSide | undefined>> = {
+  sampling: undefined,
+  shifting: 'new',
+  succeeded: 'new',
+  rolledBack: 'old',
+};
+
+/**
+ * Chooses the side of a request: all to the old one when the new version is bad,
+ * or to the side of the phase; while sampling, a session stays on its version.
+ */
+export function chooseRolloutSide(
+  rollout: ActiveRollout,
+  key: RolloutKey,
+  nowMs: number,
+): RolloutSide {
+  const {plan, evidence} = rollout;
+  const phase = plan.phase(nowMs);
+  // The state may not be written yet, since the store may be unavailable.
+  if (rollout.isNewVersionBad && phase !== 'succeeded') return 'old';
+  const fixed = SIDE_BY_PHASE[phase];
+  if (fixed !== undefined) return fixed;
+  const {previousVersion, session, stickyKey, sessionVersion} = key;
+  if (previousVersion !== undefined) {
+    return evidence.isSuspect() ? 'old' : sideOf(rollout, previousVersion);
+  }
+  if (sessionVersion !== undefined) return sideOf(rollout, sessionVersion);
+  return plan.isSampled(session ?? stickyKey) ? 'new' : 'old';
+}
+
+/** Finds the state that a host has to write to the store now, if any. */
+export function findDueState(
+  rollout: ActiveRollout,
+  phase: RolloutPhase,
+  nowMs: number,
+): RolloutState | undefined {
+  if (rollout.lostState !== undefined) return rollout.lostState;
+  if (phase === 'succeeded' || phase === 'rolledBack') return undefined;
+  const {plan} = rollout;
+  rollout.isNewVersionBad ||= isNewVersionBad(rollout, phase);
+  if (rollout.isNewVersionBad) return 'rolledBack';
+  if (phase === 'shifting' && plan.isSuccessDue(nowMs)) return 'succeeded';
+  return nowMs >= rollout.progressAfterMs ? 'running' : undefined;
+}
+
+/** A version that only looks slow must not receive all requests either. */
+function isNewVersionBad(
+  {evidence}: ActiveRollout,
+  phase: RolloutPhase,
+): boolean {
+  if (evidence.findRegression() !== undefined) return true;
+  return phase === 'shifting' && evidence.looksSlow();
+}
+
+/** True for the states that end a rollout. */
+export function isFinalState(state: RolloutState | undefined): boolean {
+  return state === 'succeeded' || state === 'rolledBack';
+}
+
+/** Final state of a rollout at this host, whether it is written or not. */
+export function resolveFinalState({
+  plan,
+  isNewVersionBad,
+}: ActiveRollout): RolloutState | undefined {
+  const {state} = plan.order;
+  if (isFinalState(state)) return state;
+  return isNewVersionBad ? 'rolledBack' : undefined;
+}
+
+/** Side of a software version in a rollout. */
+export function sideOf(rollout: ActiveRollout, version: string): RolloutSide {
+  return version === rollout.plan.order.target ? 'new' : 'old';
+}
--- a/packages/gateway/src/control/rollout_controller.ts
+++ b/packages/gateway/src/control/rollout_controller.ts
@@ -12,7 +12,16 @@
   type VersionSample,
 } from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
+import {
+  chooseRolloutSide,
+  findDueState,
+  isFinalState,
+  resolveFinalState,
+  sideOf,
+  type ActiveRollout,
+} from './active_rollout.js';
 import type {RolloutStateWriter} from './rollout_state_writer.js';
+import {RolloutWriteTiming} from './rollout_write_timing.js';
 import type {
   VersionSelector,
   VersionKey,
@@ -39,23 +48,6 @@
   readonly sample: VersionSample;
 }
 
-interface ActiveRollout {
-  plan: RolloutPlan;
-  /** Undefined until the store has delivered the order in its current era. */
-  revision: number | undefined;
-  /** Final state that the store may have lost, to be written again. */
-  lostState: RolloutState | undefined;
-  readonly evidence: VersionEvidence;
-  lastPhase: RolloutPhase | undefined;
-  /** This host has judged the new version bad, whether written yet or not. */
-  isNewVersionBad: boolean;
-  isWriting: boolean;
-  /** Earliest time of the next state write. */
-  writeAfterMs: number;
-  /** When this host writes the progress, unless another host does so before. */
-  progressAfterMs: number;
-}
-
 /**
  * Whether an attempt end counts as a failure of the version. Ends that are
  * missing here are caused by load or the network.
@@ -67,25 +59,6 @@
   garbled: true,
 };
 
-/** Side of all new requests; undefined if it depends on the request. */
-const SIDE_BY_PHASE: Readonly<Record<RolloutPhase, RolloutSide | undefined>> = {
-  sampling: undefined,
-  shifting: 'new',
-  succeeded: 'new',
-  rolledBack: 'old',
-};
-
-/** Interval of progress writes, as a share of the duration of the rollout. */
-const PROGRESS_PERIOD_SHARE = 0.2;
-const MIN_PROGRESS_PERIOD_MS = 3000;
-/**
- * Maximum random delay before a write, per host. It is long enough for most
- * hosts to see that another host has already written the same state.
- */
-const WRITE_JITTER_PER_HOST_MS = 100;
-/** Time until the other hosts see what one of them has written. */
-const PROPAGATION_DELAY_MS = 800;
-const MAX_WRITE_JITTER_MS = 2000;
 const WRITE_RETRY_MS = 500;
 
 /**
@@ -98,12 +71,13 @@
   /** Last version of each service while all its servers ran the same one. */
   private readonly stableVersions = new Map<string, string>();
   private readonly sessions: SessionVersions;
-
+  private readonly timing: RolloutWriteTiming;
   private bounds: RolloutBounds;
 
   private constructor(private readonly options: RolloutControllerOptions) {
     this.bounds = options.bounds;
     this.sessions = SessionVersions.create(options.sessionMs);
+    this.timing = RolloutWriteTiming.create(options);
   }
 
   static create(options: RolloutControllerOptions): RolloutController {
@@ -135,8 +109,8 @@
       writeAfterMs: nowMs,
       progressAfterMs:
         order.elapsedMs === undefined
-          ? nowMs + this.drawWriteJitterMs()
-          : this.computeTakeoverMs(order, nowMs),
+          ? nowMs + this.timing.drawJitterMs()
+          : this.timing.computeTakeoverMs(order, nowMs),
     });
     this.options.logger.info('rollout_ordered', {
       service,
@@ -155,7 +129,7 @@
     const nowMs = performance.now();
     for (const rollout of this.rollouts.values()) {
       rollout.revision = undefined;
-      rollout.writeAfterMs = nowMs + this.drawWriteJitterMs();
+      rollout.writeAfterMs = nowMs + this.timing.drawJitterMs();
       const state = resolveFinalState(rollout);
       if (state !== undefined) rollout.lostState = state;
     }
@@ -212,7 +186,7 @@
     for (const rollout of this.rollouts.values()) {
       const phase = rollout.plan.phase(nowMs);
       if (phase !== rollout.lastPhase) this.logPhase(rollout, phase);
-      const state = this.findDueState(rollout, phase, nowMs);
+      const state = findDueState(rollout, phase, nowMs);
       if (state === undefined || rollout.isWriting) continue;
       // The first write of a rollback must not wait.
       const isUrgent =
@@ -235,7 +209,7 @@
     rollout.plan = rollout.plan.withOrder({...order, state}, nowMs);
     rollout.revision = revision;
     if (hasNewProgress)
-      rollout.progressAfterMs = this.computeTakeoverMs(order, nowMs);
+      rollout.progressAfterMs = this.timing.computeTakeoverMs(order, nowMs);
   }
 
   private filterByVersion(
@@ -257,55 +231,10 @@
   }
 
   private chooseSide(rollout: ActiveRollout, key: VersionKey): RolloutSide {
-    const {plan, evidence} = rollout;
     const nowMs = performance.now();
-    const phase = plan.phase(nowMs);
-    // The state may not be written yet, since the store may be unavailable.
-    if (rollout.isNewVersionBad && phase !== 'succeeded') return 'old';
-    const fixed = SIDE_BY_PHASE[phase];
-    if (fixed !== undefined) return fixed;
-    const {previousVersion, session, stickyKey} = key;
-    if (previousVersion !== undefined) {
-      return evidence.isSuspect() ? 'old' : sideOf(rollout, previousVersion);
-    }
+    const {session} = key;
     const sessionVersion = session && this.sessions.find(session, nowMs);
-    if (sessionVersion !== undefined) return sideOf(rollout, sessionVersion);
-    return plan.isSampled(session ?? stickyKey) ? 'new' : 'old';
-  }
-
-  private findDueState(
-    rollout: ActiveRollout,
-    phase: RolloutPhase,
-    nowMs: number,
-  ): RolloutState | undefined {
-    if (rollout.lostState !== undefined) return rollout.lostState;
-    if (phase === 'succeeded' || phase === 'rolledBack') return undefined;
-    const {plan} = rollout;
-    rollout.isNewVersionBad ||= isNewVersionBad(rollout, phase);
-    if (rollout.isNewVersionBad) return 'rolledBack';
-    if (phase === 'shifting' && plan.isSuccessDue(nowMs)) return 'succeeded';
-    return nowMs >= rollout.progressAfterMs ? 'running' : undefined;
-  }
-
-  /** Next time at which the host that wrote the progress writes it again. */
-  private computeNextProgressMs(
-    {durationMs}: RolloutOrder,
-    nowMs: number,
-  ): number {
-    const periodMs = PROGRESS_PERIOD_SHARE * durationMs;
-    return nowMs + Math.max(MIN_PROGRESS_PERIOD_MS, periodMs);
-  }
-
-  /** Time at which another host writes it if it has seen no newer progress. */
-  private computeTakeoverMs(order: RolloutOrder, nowMs: number): number {
-    const dueMs = this.computeNextProgressMs(order, nowMs);
-    return dueMs + PROPAGATION_DELAY_MS + this.drawWriteJitterMs();
-  }
-
-  private drawWriteJitterMs(): number {
-    const {random, countHosts} = this.options;
-    const maxJitterMs = WRITE_JITTER_PER_HOST_MS * countHosts();
-    return random() * Math.min(MAX_WRITE_JITTER_MS, maxJitterMs);
+    return chooseRolloutSide(rollout, {...key, sessionVersion}, nowMs);
   }
 
   private async writeState(
@@ -346,7 +275,7 @@
     // The watch delivers the same state later.
     rollout.plan = rollout.plan.withOrder({...order, state, elapsedMs}, nowMs);
     rollout.revision = result.version;
-    rollout.progressAfterMs = this.computeNextProgressMs(order, nowMs);
+    rollout.progressAfterMs = this.timing.computeNextProgressMs(order, nowMs);
   }
 
   private logPhase(rollout: ActiveRollout, phase: RolloutPhase): void {
@@ -363,33 +292,6 @@
   }
 }
 
-/** A version that only looks slow must not receive all requests either. */
-function isNewVersionBad(
-  {evidence}: ActiveRollout,
-  phase: RolloutPhase,
-): boolean {
-  if (evidence.findRegression() !== undefined) return true;
-  return phase === 'shifting' && evidence.looksSlow();
-}
-
-function isFinalState(state: RolloutState | undefined): boolean {
-  return state === 'succeeded' || state === 'rolledBack';
-}
-
-/** Final state of a rollout at this host, whether it is written or not. */
-function resolveFinalState({
-  plan,
-  isNewVersionBad,
-}: ActiveRollout): RolloutState | undefined {
-  const {state} = plan.order;
-  if (isFinalState(state)) return state;
-  return isNewVersionBad ? 'rolledBack' : undefined;
-}
-
-function sideOf(rollout: ActiveRollout, version: string): RolloutSide {
-  return version === rollout.plan.order.target ? 'new' : 'old';
-}
-
 function haveSameVersion(records: readonly ServerRecord[]): boolean {
   const first = records[0]?.server.softwareVersion;
   return records.every(({server}) => server.softwareVersion === first);
