--- a/packages/entry/test/faults/billing_late_hand_off.test.ts
+++ b/packages/entry/test/faults/billing_late_hand_off.test.ts
@@ -1,29 +1,16 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {BILLING_BATCH_PREFIX, type BillingRecord} from '@anvilrudder/core';
+import {BILLING_BATCH_PREFIX} from '@anvilrudder/core';
 import {createBillingCompactor} from '../../src/control/billing/billing_compactor.js';
 import {createBillingJournal} from '../../src/control/billing/billing_journal.js';
 import {createHeldCopyBuffer} from '../../src/control/billing/held_copy_buffer.js';
 import {readUsage} from '../../src/control/billing/usage_report.js';
+import {createRecord} from '../support/billing_records.js';
 import {MemoryObjectStore} from '../support/memory_object_store.js';
 
 const INCARNATION = 'entry-1-1';
 const SHARD_COUNT = 1;
 
-function createRecord(requestId: string): BillingRecord {
-  return {
-    requestId,
-    organisation: 'hanbit',
-    period: '2026-12',
-    kind: 'icebreaker',
-    model: 'quick',
-    version: 'v1',
-    promptTokens: 10,
-    outputTokens: 20,
-    costMicros: 30,
-  };
-}
-
 /**
  * A journal whose first peer holds a copy but answers too late, so that the
  * second one holds the copies from then on.
--- a/packages/entry/test/faults/billing_table.test.ts
+++ b/packages/entry/test/faults/billing_table.test.ts
@@ -1,10 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {
-  parseTotals,
-  resolveTotalsKey,
-  type BillingRecord,
-} from '@anvilrudder/core';
+import {parseTotals, resolveTotalsKey} from '@anvilrudder/core';
 import {createBillingCompactor} from '../../src/control/billing/billing_compactor.js';
 import {
   createBillingJournal,
@@ -17,25 +13,12 @@
   type HeldCopyBuffer,
 } from '../../src/control/billing/held_copy_buffer.js';
 import {readUsage} from '../../src/control/billing/usage_report.js';
+import {createRecord} from '../support/billing_records.js';
 import {
   MemoryObjectStore,
   type ScriptedFault,
 } from '../support/memory_object_store.js';
 
-function createRecord(requestId: string): BillingRecord {
-  return {
-    requestId,
-    organisation: 'hanbit',
-    period: '2026-12',
-    kind: 'icebreaker',
-    model: 'quick',
-    version: 'v1',
-    promptTokens: 10,
-    outputTokens: 20,
-    costMicros: 30,
-  };
-}
-
 type PeerFault = 'refuses' | 'answerLost';
 
 interface Fixture {
