--- a/packages/gateway/src/control/host_messenger.ts
+++ b/packages/gateway/src/control/host_messenger.ts
@@ -23,10 +23,10 @@
 /** Handles the fields of a datagram; returns false if they are malformed. */
 type FieldHandler = (fields: readonly string[]) => boolean;
 
-/** Parts of shorter prefills are not announced. */
-const MIN_ANNOUNCED_PARTS_MS = 40;
+/** Shorter prefills are not worth a datagram. */
+const MIN_ANNOUNCED_WORK_MS = 40;
 /** Maximum recipients of a datagram; with more hosts, a random subset. */
-const MAX_RECIPIENTS = 96;
+const MAX_RECIPIENTS = 40;
 /** Maximum work that one send can cause; higher values count as malformed. */
 const MAX_WORK_MS = 20_000;
 const WORK_FORMAT = 'w2';
@@ -38,10 +38,10 @@
 const MAX_STORE_VERSION_RECIPIENTS = 4;
 
 /**
- * Exchanges datagrams with the other hosts. A host announces each generation
- * that it sends to a server, so that the others know the load there, each sample
- * of a version in rollout, and the newest versions that it has seen in the store.
- * A lost datagram only leads to a worse or later decision.
+ * Exchanges datagrams with the other hosts. A host announces each send with a
+ * long prefill, so that the others avoid that server, each sample of a version
+ * in rollout, and the newest versions that it has seen in the store. A lost
+ * datagram only leads to a worse or later decision.
  */
 export class HostMessenger {
   private readonly handlers: ReadonlyMap<string, FieldHandler> = new Map([
@@ -65,15 +65,14 @@
     return new HostMessenger(createSocket('udp4'), options);
   }
 
-  /** Announces a request that is sent to a server, and its prefill. */
+  /** Announces the prefill that a send causes at a server. */
   announceWork({serverId, workMs, model, parts}: RemoteWork): void {
-    const isLong = workMs >= MIN_ANNOUNCED_PARTS_MS;
-    const announcedParts = isLong ? parts.slice(0, MAX_ANNOUNCED_PARTS) : [];
+    if (workMs < MIN_ANNOUNCED_WORK_MS) return;
+    const announcedParts = parts.slice(0, MAX_ANNOUNCED_PARTS);
     const encodedParts = announcedParts
       .map(({id, tokens}) => `${id}:${tokens}`)
       .join();
-    const roundedMs = Math.max(1, Math.round(workMs));
-    const fields = [serverId, roundedMs, model, encodedParts];
+    const fields = [serverId, Math.round(workMs), model, encodedParts];
     this.send([WORK_FORMAT, ...fields].join(' '));
   }
 
@@ -122,7 +121,8 @@
     const sender = `${from.address}:${from.port}`;
     const [format, ...fields] = message.toString('latin1').split(' ');
     const handle = this.handlers.get(format);
-    if (!hosts.hasAddress(sender) || handle === undefined || !handle(fields)) {
+    const isKnown = hosts.addresses.includes(sender);
+    if (!isKnown || handle === undefined || !handle(fields)) {
       metrics.count('load_datagrams_ignored_total');
       return;
     }
--- a/packages/gateway/src/control/host_registry.ts
+++ b/packages/gateway/src/control/host_registry.ts
@@ -57,7 +57,6 @@
  */
 export class HostRegistry {
   private otherAddresses: readonly string[] = [];
-  private addressSet: ReadonlySet<string> = new Set();
   private hasListed = false;
   /** False if this host's entry may be missing in the store. */
   private isRegistered = false;
@@ -86,11 +85,6 @@
     return this.otherAddresses;
   }
 
-  /** True for the `ip:port` of another known host. */
-  hasAddress(address: string): boolean {
-    return this.addressSet.has(address);
-  }
-
   /** Registers this host and lists the others until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     const {store, random, firstListMs, listPeriodMs, retryMs} = this.options;
@@ -168,7 +162,6 @@
     } while (after !== undefined);
     const isChanged = foundAddresses.join() !== this.otherAddresses.join();
     this.otherAddresses = foundAddresses;
-    this.addressSet = new Set(foundAddresses);
     this.hasListed = true;
     if (!isListed) {
       this.isRegistered = false;
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -78,14 +78,12 @@
     nowMs,
   );
   if (send === undefined) return {end: 'unsent', backendResponse: undefined};
-  if (request.generation !== undefined) {
-    context.hostMessenger.announceWork({
-      serverId: server.id,
-      workMs,
-      model: modelName,
-      parts: request.generation.parts,
-    });
-  }
+  context.hostMessenger.announceWork({
+    serverId: server.id,
+    workMs,
+    model: modelName,
+    parts: request.generation?.parts ?? [],
+  });
   exchange.attempts += 1;
   exchange.triedServerIds.add(server.id);
   exchange.server = server.id;
