--- a/packages/core/src/forwarding/version_evidence.ts
+++ b/packages/core/src/forwarding/version_evidence.ts
@@ -99,6 +99,14 @@
     );
   }
 
+  /** Counts the failed answers of one side on all routes. */
+  countFailures(side: RolloutSide): number {
+    return [...this.routes].reduce(
+      (sum, route) => sum + (this.findCounts(route, side)?.failures ?? 0),
+      0,
+    );
+  }
+
   /** Finds a regression of the new version; undefined when there is none. */
   findRegression(): RegressionKind | undefined {
     const reason = this.findFailureRegression(REGRESSION_LOG_LIKELIHOOD_RATIO);
--- a/packages/gateway/src/control/rollout_controller.ts
+++ b/packages/gateway/src/control/rollout_controller.ts
@@ -263,7 +263,9 @@
       reason: rollout.evidence.findRegression(),
       looksSlow: rollout.evidence.looksSlow() || undefined,
       newAnswers: rollout.evidence.countRequests('new'),
+      newFailures: rollout.evidence.countFailures('new'),
       oldAnswers: rollout.evidence.countRequests('old'),
+      oldFailures: rollout.evidence.countFailures('old'),
       newSlowness: rollout.evidence.readSlowness('new')?.toFixed(2),
       oldSlowness: rollout.evidence.readSlowness('old')?.toFixed(2),
     });
