Judge a version's failures without answers of the old one

Cause: the failure rate of the old version on a route was estimated as (failures + 0.5) / (answers + 1). Without answers that is one half, so a version that fails half of its requests counts as equally good. Hosts that receive an order late have no answers of the old version, and routes that get another name have none at any host.

Fix: the rate of a route starts from that of the service, and that of a service from 0.02, both weighing as much as four answers. The failures of all routes are also judged together, each against its own route's rate, so that a version which fails everywhere is found although no route has many answers.

--- a/packages/core/src/forwarding/version_evidence.ts
+++ b/packages/core/src/forwarding/version_evidence.ts
@@ -1,4 +1,7 @@
-import {computeErrorEvidence} from '../rollouts/sequential_test.js';
+import {
+  computeStratifiedErrorEvidence,
+  type ErrorStratum,
+} from '../rollouts/sequential_test.js';
 import {clamp} from '../utils/math.js';
 
 /** The old or the new version of a rollout. */
@@ -19,6 +22,11 @@
 
 /** Request counts of one version on one route. */
 interface RouteCounts {
+  readonly requests: number;
+  readonly failures: number;
+}
+
+interface MutableRouteCounts extends RouteCounts {
   requests: number;
   failures: number;
 }
@@ -44,6 +52,11 @@
 /** The same for a suspected one; lower, as a false alarm costs little. */
 const SUSPECT_LOG_LIKELIHOOD_RATIO = Math.log(5);
 const FAILURE_RATE_TOLERANCE = 0.04;
+/** Failure rate of an old version without answers. */
+const USUAL_FAILURE_RATE = 0.02;
+/** Answers that the assumed failure rate weighs as much as. */
+const ASSUMED_RATE_COUNT = 4;
+const NO_REQUESTS: RouteCounts = {requests: 0, failures: 0};
 /** Tolerated difference in slowness (logarithm of a time ratio). */
 const SLOWNESS_TOLERANCE = Math.log(1.3);
 /** Standard errors beyond the tolerance at which a version counts as slow. */
@@ -62,7 +75,7 @@
  * Failures are counted by route, as a version may fail on one route only.
  */
 export class VersionEvidence {
-  private readonly countsByRouteAndSide = new Map<string, RouteCounts>();
+  private readonly countsByRouteAndSide = new Map<string, MutableRouteCounts>();
   private readonly routes = new Set<string>();
   private readonly slowness: Readonly<Record<RolloutSide, SlownessMoments>> = {
     old: {count: 0, sum: 0, squareSum: 0},
@@ -121,20 +134,35 @@
   }
 
   private findFailureRegression(limit: number): RegressionKind | undefined {
-    for (const route of this.routes) {
+    const strata = this.listFailureStrata();
+    // A version may fail on one route only, or on all of them a little.
+    const groups = [...strata.map(stratum => [stratum]), strata];
+    const isFound = groups.some(
+      group => computeStratifiedErrorEvidence(group) > limit,
+    );
+    return isFound ? 'failures' : undefined;
+  }
+
+  /** Lists the answers of the new version by route. */
+  private listFailureStrata(): readonly ErrorStratum[] {
+    const serviceRate = estimateFailureRate(
+      {
+        requests: this.countRequests('old'),
+        failures: this.countFailures('old'),
+      },
+      USUAL_FAILURE_RATE,
+    );
+    return [...this.routes].flatMap(route => {
       const candidate = this.findCounts(route, 'new');
-      if (candidate === undefined) continue;
-      const baseline = this.findCounts(route, 'old');
-      const logLikelihoodRatio = computeErrorEvidence({
-        candidateRequests: candidate.requests,
-        candidateErrors: candidate.failures,
-        baselineRequests: baseline?.requests ?? 0,
-        baselineErrors: baseline?.failures ?? 0,
-        tolerance: FAILURE_RATE_TOLERANCE,
-      });
-      if (logLikelihoodRatio > limit) return 'failures';
-    }
-    return undefined;
+      if (candidate === undefined) return [];
+      const baseline = this.findCounts(route, 'old') ?? NO_REQUESTS;
+      const baselineRate = estimateFailureRate(baseline, serviceRate);
+      return {
+        requests: candidate.requests,
+        errors: candidate.failures,
+        acceptedRate: baselineRate + FAILURE_RATE_TOLERANCE,
+      };
+    });
   }
 
   /**
@@ -188,7 +216,10 @@
     return this.countsByRouteAndSide.get(`${route}|${side}`);
   }
 
-  private getOrCreateCounts(route: string, side: RolloutSide): RouteCounts {
+  private getOrCreateCounts(
+    route: string,
+    side: RolloutSide,
+  ): MutableRouteCounts {
     const key = `${route}|${side}`;
     const known = this.countsByRouteAndSide.get(key);
     if (known !== undefined) return known;
@@ -198,6 +229,17 @@
   }
 }
 
+/** Estimates a failure rate; few answers move it little from the assumed one. */
+function estimateFailureRate(
+  {requests, failures}: RouteCounts,
+  assumedRate: number,
+): number {
+  return (
+    (failures + ASSUMED_RATE_COUNT * assumedRate) /
+    (requests + ASSUMED_RATE_COUNT)
+  );
+}
+
 function addSlowness(moments: SlownessMoments, value: number): void {
   const {min, max} = SLOWNESS_RANGE;
   const bounded = clamp(value, min, max);
--- a/packages/core/src/rollouts/sequential_test.ts
+++ b/packages/core/src/rollouts/sequential_test.ts
@@ -6,6 +6,8 @@
 const ERROR_RATE_FACTORS = [1.5, 2, 4, 8, 16];
 const ERROR_RATE_FLOORS = [0.1, 0.3, 0.6, 0.95];
 const MAX_ERROR_RATE = 0.98;
+/** Higher accepted rates are treated as this one. */
+const MAX_ACCEPTED_ERROR_RATE = 0.9;
 
 /** Scores of two versions and how to compare them. */
 export interface ScoreComparison {
@@ -92,6 +94,14 @@
   readonly tolerance: number;
 }
 
+/** Requests and errors of a candidate among requests of the same kind. */
+export interface ErrorStratum {
+  readonly requests: number;
+  readonly errors: number;
+  /** Error rate up to which the candidate counts as good. */
+  readonly acceptedRate: number;
+}
+
 /**
  * Computes the logarithm of the mean likelihood ratio of a set of higher error
  * rates against the baseline's rate plus the tolerance. The false-positive
@@ -107,22 +117,68 @@
   const {baselineRequests, baselineErrors} = comparison;
   if (candidateErrors === 0) return 0;
   const baselineRate = (baselineErrors + 0.5) / (baselineRequests + 1);
-  const rate = Math.min(0.9, baselineRate + tolerance);
-  const successes = candidateRequests - candidateErrors;
-  const logRatios = listHigherRates(rate).map(
-    higher =>
-      candidateErrors * Math.log(higher / rate) +
-      successes * Math.log((1 - higher) / (1 - rate)),
+  return computeStratifiedErrorEvidence([
+    {
+      requests: candidateRequests,
+      errors: candidateErrors,
+      acceptedRate: baselineRate + tolerance,
+    },
+  ]);
+}
+
+/**
+ * Computes the evidence of {@link computeErrorEvidence} from several kinds of
+ * requests together, each with its own accepted error rate. A candidate that
+ * fails on all of them is found although each has few requests.
+ *
+ * @example
+ * ```ts
+ * computeStratifiedErrorEvidence([
+ *   {requests: 8, errors: 4, acceptedRate: 0.05},
+ *   {requests: 3, errors: 2, acceptedRate: 0.2},
+ * ]);
+ * ```
+ */
+export function computeStratifiedErrorEvidence(
+  strata: readonly ErrorStratum[],
+): number {
+  return computeLogMean(
+    HIGHER_RATES.map(computeHigherRate =>
+      strata.reduce(
+        (sum, stratum) => sum + computeLogRatio(stratum, computeHigherRate),
+        0,
+      ),
+    ),
   );
-  return computeLogMean(logRatios);
 }
 
-function listHigherRates(rate: number): readonly number[] {
-  return [
-    ...ERROR_RATE_FACTORS.map(factor => rate * factor),
-    ...ERROR_RATE_FLOORS,
-    MAX_ERROR_RATE,
-  ].filter(higher => higher > rate && higher <= MAX_ERROR_RATE);
+/** Raises an accepted error rate; returns it unchanged if it is as high. */
+type RateIncrease = (acceptedRate: number) => number;
+
+const HIGHER_RATES: readonly RateIncrease[] = [
+  ...ERROR_RATE_FACTORS.map(
+    (factor): RateIncrease =>
+      rate =>
+        Math.max(rate, Math.min(MAX_ERROR_RATE, rate * factor)),
+  ),
+  ...[...ERROR_RATE_FLOORS, MAX_ERROR_RATE].map(
+    (floor): RateIncrease =>
+      rate =>
+        Math.max(rate, floor),
+  ),
+];
+
+function computeLogRatio(
+  {requests, errors, acceptedRate}: ErrorStratum,
+  computeHigherRate: RateIncrease,
+): number {
+  const rate = Math.min(MAX_ACCEPTED_ERROR_RATE, acceptedRate);
+  const higherRate = computeHigherRate(rate);
+  const successes = requests - errors;
+  return (
+    errors * Math.log(higherRate / rate) +
+    successes * Math.log((1 - higherRate) / (1 - rate))
+  );
 }
 
 function computeLogMean(logs: readonly number[]): number {
--- a/packages/core/test/forwarding/rollout_plan.test.ts
+++ b/packages/core/test/forwarding/rollout_plan.test.ts
@@ -62,6 +62,47 @@
   assert.ok(answers <= 12, `${answers} answers`);
 });
 
+test('a failing version is found on routes on which the old version has not answered', () => {
+  const evidence = VersionEvidence.create();
+  for (let count = 0; count < 60; count += 1) {
+    evidence.record({route: 'a', side: 'old', hasFailed: false, slowness: 0});
+  }
+  for (let count = 0; count < 24; count += 1) {
+    const route = `renamed-${count % 6}`;
+    const hasFailed = count % 4 < 2;
+    evidence.record({route, side: 'new', hasFailed, slowness: undefined});
+  }
+  assert.equal(evidence.findRegression(), 'failures');
+});
+
+test('a failing version is found without any answer of the old version', () => {
+  const evidence = VersionEvidence.create();
+  for (let count = 0; count < 24; count += 1) {
+    const hasFailed = count % 2 === 0;
+    evidence.record({route: 'a', side: 'new', hasFailed, slowness: undefined});
+  }
+  assert.equal(evidence.findRegression(), 'failures');
+});
+
+test('a good version without any answer of the old version is rarely found to be a regression', () => {
+  const random = createRandom(7);
+  let flaggedCount = 0;
+  for (let run = 0; run < 1000; run += 1) {
+    const evidence = VersionEvidence.create();
+    for (let count = 0; count < 60; count += 1) {
+      const hasFailed = random() < 0.03;
+      evidence.record({
+        route: `r${count % 3}`,
+        side: 'new',
+        hasFailed,
+        slowness: undefined,
+      });
+    }
+    if (evidence.findRegression() !== undefined) flaggedCount += 1;
+  }
+  assert.ok(flaggedCount <= 2, `${flaggedCount} of 1000`);
+});
+
 test('a version with half of its answers several times slower is found', () => {
   const random = createRandom(6);
   const evidence = VersionEvidence.create();
