Declare success of a version only behind enough answers

Cause: success was due by the clock, and nothing but the absence of a finding was asked for. A host that had received the order 1.4 s before, and knew least, ended the rollout for all; at success the old servers stop, so there is no way back.

Fix: the step of a rollout and its success ask for answers that would have shown a bad version. All work moves when one that fails two in five requests would have been found, at the latest at 0.94 of the time; success needs those that show three in ten, eight answers since the shift and no doubt. With too few answers a larger share is sampled in the second half (the first half binds sessions). A version in doubt gets no larger share. A service with so few requests that they never suffice succeeds at twice its time. The step stands in the progress in the store, so that a restarted host continues from it.

The schedule's test asserts the same times with the assessment that each needs.

--- a/packages/core/src/forwarding/rollout_plan.ts
+++ b/packages/core/src/forwarding/rollout_plan.ts
@@ -13,11 +13,13 @@
   readonly state: RolloutState | undefined;
   /** Time from the order to the write of the state, as seen by its writer. */
   readonly elapsedMs: number | undefined;
+  /** Index of the step that the writer had reached; 0 if undefined. */
+  readonly step?: number;
 }
 
 /** How a host distributes requests between the two versions. */
 export type RolloutPhase =
-  /** A small share of the sessions uses the new version. */
+  /** A share of the sessions uses the new version. */
   | 'sampling'
   /** All new work goes to the new version, and the old one drains. */
   | 'shifting'
@@ -30,16 +32,49 @@
   readonly exposureShare: number;
 }
 
-/** Share of the exposure used while sampling; the rest is for the shift. */
-const SAMPLING_SHARE = 0.6;
-/** Share of the duration after which all new work goes to the new version. */
+/** What the answers so far say of the new version. */
+export type VersionAssessment =
+  /** Too few to have shown a bad version. */
+  | 'unknown'
+  /** Enough to have shown a bad version. */
+  | 'looksGood'
+  /** The version may be bad; it gets no larger share meanwhile. */
+  | 'doubtful';
+
+/** A step during which a share of the sessions uses the new version. */
+interface SamplingStep {
+  /** Share of the duration after which the step may begin. */
+  readonly startShare: number;
+  /** Sampled share of the sessions, as a multiple of the exposure share. */
+  readonly exposureFactor: number;
+}
+
+/**
+ * A later step is taken only if there are too few answers to judge the new
+ * version, so that the sum of its requests stays small. Sessions must not move
+ * to the new version in the first half.
+ */
+const SAMPLING_STEPS: readonly SamplingStep[] = [
+  {startShare: 0, exposureFactor: 0.6},
+  {startShare: 0.52, exposureFactor: 1.6},
+  {startShare: 0.64, exposureFactor: 4},
+];
+const MAX_SAMPLED_SHARE = 0.6;
+/** Step in which all new work goes to the new version. */
+const SHIFT_STEP = SAMPLING_STEPS.length;
 const SHIFT_START_SHARE = 0.78;
+/** Share after which the shift begins however few answers there are. */
+const LATEST_SHIFT_SHARE = 0.94;
+/** Share of the duration that the old version has to drain. */
+const MIN_SHIFT_SHARE = 0.1;
 /**
- * Success is declared at the latest this share of the duration before the
- * deadline.
+ * Success is declared this share of the duration before the deadline, if the
+ * new version is proven good by then.
  */
 const END_MARGIN_SHARE = 0.06;
 const MIN_END_MARGIN_MS = 1000;
+/** Multiple of the duration after which few answers suffice for success. */
+const OVERDUE_FACTOR = 2;
 
 /** Schedule of one ordered rollout at one host. */
 export class RolloutPlan {
@@ -47,6 +82,10 @@
     readonly order: RolloutOrder,
     private readonly startedMs: number,
     private readonly bounds: RolloutBounds,
+    /** Index of the current step; it only grows. */
+    readonly step: number,
+    /** When this host moved all new work to the new version. */
+    private readonly shiftedMs: number | undefined,
   ) {}
 
   /**
@@ -56,7 +95,7 @@
    * @example
    * ```ts
    * const plan = RolloutPlan.create(order, nowMs, {exposureShare: 0.1});
-   * plan.phase(nowMs); // 'sampling'
+   * plan.phase; // 'sampling'
    * ```
    */
   static create(
@@ -64,7 +103,9 @@
     nowMs: number,
     bounds: RolloutBounds,
   ): RolloutPlan {
-    return new RolloutPlan(order, nowMs - (order.elapsedMs ?? 0), bounds);
+    const startedMs = nowMs - (order.elapsedMs ?? 0);
+    const plan = new RolloutPlan(order, startedMs, bounds, 0, undefined);
+    return plan.withStep(order.step ?? 0, nowMs);
   }
 
   /**
@@ -72,33 +113,71 @@
    * started later than others adopts their earlier start.
    */
   withOrder(order: RolloutOrder, nowMs: number): RolloutPlan {
+    const {bounds, step, shiftedMs} = this;
     const startedMs = nowMs - (order.elapsedMs ?? 0);
     const earliestMs = Math.min(this.startedMs, startedMs);
-    return new RolloutPlan(order, earliestMs, this.bounds);
+    const plan = new RolloutPlan(order, earliestMs, bounds, step, shiftedMs);
+    return plan.withStep(order.step ?? 0, nowMs);
+  }
+
+  /** Returns the schedule at a step, unless it is at a later one already. */
+  withStep(step: number, nowMs: number): RolloutPlan {
+    const next = Math.min(SHIFT_STEP, step);
+    if (next <= this.step) return this;
+    const {order, startedMs, bounds} = this;
+    const shiftedMs = next === SHIFT_STEP ? nowMs : undefined;
+    return new RolloutPlan(order, startedMs, bounds, next, shiftedMs);
+  }
+
+  /** Returns the schedule at the step that is due. */
+  advance(nowMs: number, assessment: VersionAssessment): RolloutPlan {
+    if (assessment === 'doubtful') return this;
+    const elapsedShare = this.elapsedMs(nowMs) / this.order.durationMs;
+    const looksGood = assessment === 'looksGood';
+    const shiftShare = looksGood ? SHIFT_START_SHARE : LATEST_SHIFT_SHARE;
+    if (elapsedShare >= shiftShare) return this.withStep(SHIFT_STEP, nowMs);
+    if (looksGood) return this;
+    const step = SAMPLING_STEPS.findLastIndex(
+      ({startShare}) => elapsedShare >= startShare,
+    );
+    return this.withStep(step, nowMs);
   }
 
   elapsedMs(nowMs: number): number {
     return nowMs - this.startedMs;
   }
 
-  phase(nowMs: number): RolloutPhase {
-    const {state, durationMs} = this.order;
+  get phase(): RolloutPhase {
+    const {state} = this.order;
     if (state === 'succeeded' || state === 'rolledBack') return state;
-    const isShifting = this.elapsedMs(nowMs) >= SHIFT_START_SHARE * durationMs;
-    return isShifting ? 'shifting' : 'sampling';
+    return this.step === SHIFT_STEP ? 'shifting' : 'sampling';
   }
 
-  /** True when success has to be declared to be known before the deadline. */
+  /**
+   * True when success has to be declared to be known before the deadline, and
+   * the old version has had time to drain.
+   */
   isSuccessDue(nowMs: number): boolean {
     const {durationMs} = this.order;
+    const {shiftedMs = Infinity} = this;
     const marginMs = Math.max(MIN_END_MARGIN_MS, END_MARGIN_SHARE * durationMs);
-    return this.elapsedMs(nowMs) >= durationMs - marginMs;
+    const hasDrained = nowMs - shiftedMs >= MIN_SHIFT_SHARE * durationMs;
+    return hasDrained && this.elapsedMs(nowMs) >= durationMs - marginMs;
+  }
+
+  /** True when a service with few requests has been shifted for long enough. */
+  isOverdue(nowMs: number): boolean {
+    const overdueMs = OVERDUE_FACTOR * this.order.durationMs;
+    return this.isSuccessDue(nowMs) && this.elapsedMs(nowMs) >= overdueMs;
   }
 
   /** True for keys whose new sessions use the new version while sampling. */
   isSampled(key: string): boolean {
     const seed = 1;
-    const share = SAMPLING_SHARE * this.bounds.exposureShare;
-    return hashToUnitInterval(`${this.order.target}/${key}`, seed) < share;
+    const {exposureFactor} =
+      SAMPLING_STEPS[Math.min(this.step, SAMPLING_STEPS.length - 1)];
+    const share = exposureFactor * this.bounds.exposureShare;
+    const position = hashToUnitInterval(`${this.order.target}/${key}`, seed);
+    return position < Math.min(MAX_SAMPLED_SHARE, share);
   }
 }
--- a/packages/core/src/forwarding/version_evidence.ts
+++ b/packages/core/src/forwarding/version_evidence.ts
@@ -3,6 +3,7 @@
   type ErrorStratum,
 } from '../rollouts/sequential_test.js';
 import {clamp} from '../utils/math.js';
+import type {VersionAssessment} from './rollout_plan.js';
 
 /** The old or the new version of a rollout. */
 export type RolloutSide = 'old' | 'new';
@@ -51,11 +52,19 @@
 const REGRESSION_LOG_LIKELIHOOD_RATIO = Math.log(2000);
 /** The same for a suspected one; lower, as a false alarm costs little. */
 const SUSPECT_LOG_LIKELIHOOD_RATIO = Math.log(5);
+/** The same for one that must not be declared good yet. */
+const DOUBTFUL_LOG_LIKELIHOOD_RATIO = Math.log(50);
 const FAILURE_RATE_TOLERANCE = 0.04;
+/** Failure rates of the new version that the answers must be able to show. */
+const DETECTABLE_FAILURE_RATE = {beforeShift: 0.4, beforeSuccess: 0.3} as const;
+/** Evidence expected of such a version, so that chance rarely hides it. */
+const DETECTION_MARGIN = 1.5;
+/** Answers with a slowness before all work moves, if the old version has some. */
+const SLOWNESS_COUNT_BEFORE_SHIFT = 12;
 /** Failure rate of an old version without answers. */
 const USUAL_FAILURE_RATE = 0.02;
-/** Answers that the assumed failure rate weighs as much as. */
-const ASSUMED_RATE_COUNT = 4;
+/** Answers that an assumed failure rate weighs as much as. */
+const ASSUMED_RATE_COUNT = {ofService: 4, ofRoute: 20} as const;
 const NO_REQUESTS: RouteCounts = {requests: 0, failures: 0};
 /** Tolerated difference in slowness (logarithm of a time ratio). */
 const SLOWNESS_TOLERANCE = Math.log(1.3);
@@ -133,6 +142,45 @@
     );
   }
 
+  /** Assesses the new version while it is sampled. */
+  assess(): VersionAssessment {
+    if (this.isDoubtful()) return 'doubtful';
+    const {beforeShift} = DETECTABLE_FAILURE_RATE;
+    const hasEnough =
+      this.canShowFailures(beforeShift) && this.canShowSlowness();
+    return hasEnough ? 'looksGood' : 'unknown';
+  }
+
+  /** True if a bad version would have been found, and this one looks good. */
+  isSufficientForSuccess(): boolean {
+    const {beforeSuccess} = DETECTABLE_FAILURE_RATE;
+    return this.canShowFailures(beforeSuccess) && !this.isDoubtful();
+  }
+
+  /** True while the new version may turn out to fail. */
+  isDoubtful(): boolean {
+    return (
+      this.findFailureRegression(DOUBTFUL_LOG_LIKELIHOOD_RATIO) !== undefined
+    );
+  }
+
+  /** True if a version that fails at this rate would have been found by now. */
+  private canShowFailures(failureRate: number): boolean {
+    const strata = this.listFailureStrata().map(stratum => ({
+      ...stratum,
+      errors: stratum.requests * Math.max(failureRate, stratum.acceptedRate),
+    }));
+    const evidence = computeStratifiedErrorEvidence(strata);
+    return evidence > DETECTION_MARGIN * REGRESSION_LOG_LIKELIHOOD_RATIO;
+  }
+
+  private canShowSlowness(): boolean {
+    const isMeasured = this.slowness.old.count >= MIN_SLOWNESS_COUNT;
+    return (
+      !isMeasured || this.slowness.new.count >= SLOWNESS_COUNT_BEFORE_SHIFT
+    );
+  }
+
   private findFailureRegression(limit: number): RegressionKind | undefined {
     const strata = this.listFailureStrata();
     // A version may fail on one route only, or on all of them a little.
@@ -151,12 +199,17 @@
         failures: this.countFailures('old'),
       },
       USUAL_FAILURE_RATE,
+      ASSUMED_RATE_COUNT.ofService,
     );
     return [...this.routes].flatMap(route => {
       const candidate = this.findCounts(route, 'new');
       if (candidate === undefined) return [];
       const baseline = this.findCounts(route, 'old') ?? NO_REQUESTS;
-      const baselineRate = estimateFailureRate(baseline, serviceRate);
+      const baselineRate = estimateFailureRate(
+        baseline,
+        serviceRate,
+        ASSUMED_RATE_COUNT.ofRoute,
+      );
       return {
         requests: candidate.requests,
         errors: candidate.failures,
@@ -233,11 +286,9 @@
 function estimateFailureRate(
   {requests, failures}: RouteCounts,
   assumedRate: number,
+  assumedCount: number,
 ): number {
-  return (
-    (failures + ASSUMED_RATE_COUNT * assumedRate) /
-    (requests + ASSUMED_RATE_COUNT)
-  );
+  return (failures + assumedCount * assumedRate) / (requests + assumedCount);
 }
 
 function addSlowness(moments: SlownessMoments, value: number): void {
--- a/packages/core/test/forwarding/rollout_plan.test.ts
+++ b/packages/core/test/forwarding/rollout_plan.test.ts
@@ -20,11 +20,43 @@
 
 test('a rollout samples, then shifts, and success is due before its deadline', () => {
   const plan = RolloutPlan.create(ORDER, 1000, BOUNDS);
-  assert.equal(plan.phase(1000), 'sampling');
-  assert.equal(plan.phase(11_500), 'sampling');
-  assert.equal(plan.phase(18_000), 'shifting');
-  assert.equal(plan.isSuccessDue(18_000), false);
-  assert.equal(plan.isSuccessDue(20_500), true);
+  assert.equal(plan.phase, 'sampling');
+  assert.equal(plan.advance(11_500, 'looksGood').phase, 'sampling');
+  const shifted = plan.advance(18_000, 'looksGood');
+  assert.equal(shifted.phase, 'shifting');
+  assert.equal(shifted.isSuccessDue(18_000), false);
+  assert.equal(shifted.isSuccessDue(20_500), true);
+});
+
+test('a larger share is sampled only in the second half and with too few answers', () => {
+  const plan = RolloutPlan.create(ORDER, 0, BOUNDS);
+  assert.equal(plan.advance(10_000, 'unknown').step, 0);
+  assert.equal(plan.advance(13_500, 'looksGood').step, 0);
+  const steps = [11_000, 13_500].map(
+    nowMs => plan.advance(nowMs, 'unknown').step,
+  );
+  assert.deepEqual(steps, [1, 2]);
+  const sampled = plan.advance(13_500, 'unknown');
+  const keys = Array.from({length: 1000}, (_, index) => `session-${index}`);
+  assert.ok(keys.every(key => !plan.isSampled(key) || sampled.isSampled(key)));
+});
+
+test('the shift waits for enough answers, but not longer than until shortly before the deadline', () => {
+  const plan = RolloutPlan.create(ORDER, 0, BOUNDS);
+  assert.equal(plan.advance(18_000, 'unknown').phase, 'sampling');
+  assert.equal(plan.advance(18_900, 'unknown').phase, 'shifting');
+});
+
+test('success waits until the old version has had time to drain', () => {
+  const plan = RolloutPlan.create(ORDER, 0, BOUNDS).advance(18_900, 'unknown');
+  assert.equal(plan.isSuccessDue(19_900), false);
+  assert.equal(plan.isSuccessDue(20_900), true);
+});
+
+test('a restarted host continues from the step in the store', () => {
+  const order = {...ORDER, state: 'running', elapsedMs: 16_000, step: 3};
+  const plan = RolloutPlan.create(order as RolloutOrder, 100_000, BOUNDS);
+  assert.equal(plan.phase, 'shifting');
 });
 
 test('sampling stays below the exposure share', () => {
@@ -39,7 +71,7 @@
   const order = {...ORDER, state: 'running', elapsedMs: 15_000} as const;
   const plan = RolloutPlan.create(order, 100_000, BOUNDS);
   assert.equal(plan.elapsedMs(101_000), 16_000);
-  assert.equal(plan.phase(101_000), 'shifting');
+  assert.equal(plan.advance(101_000, 'looksGood').phase, 'shifting');
 });
 
 test('a newer state of the order never moves the start time forward', () => {
@@ -187,3 +219,42 @@
   const looksSlowCount = runs.filter(evidence => evidence.looksSlow()).length;
   assert.ok(looksSlowCount <= 10, `${looksSlowCount} of 1000`);
 });
+
+test('few answers do not prove a version good', () => {
+  const evidence = VersionEvidence.create();
+  const sample = {route: 'r', hasFailed: false, slowness: undefined} as const;
+  for (let count = 0; count < 90; count += 1) {
+    evidence.record({...sample, side: 'old'});
+  }
+  for (let count = 0; count < 12; count += 1) {
+    evidence.record({...sample, side: 'new'});
+  }
+  assert.equal(evidence.assess(), 'unknown');
+  for (let count = 0; count < 14; count += 1) {
+    evidence.record({...sample, side: 'new'});
+  }
+  assert.equal(evidence.assess(), 'looksGood');
+  assert.equal(evidence.isSufficientForSuccess(), false);
+  for (let count = 0; count < 24; count += 1) {
+    evidence.record({...sample, side: 'new'});
+  }
+  assert.equal(evidence.isSufficientForSuccess(), true);
+});
+
+test('a version that may be failing is not proven good, however many answers it has', () => {
+  const evidence = VersionEvidence.create();
+  const sample = {route: 'r', slowness: undefined} as const;
+  for (let count = 0; count < 90; count += 1) {
+    evidence.record({...sample, side: 'old', hasFailed: false});
+  }
+  for (let count = 0; count < 50; count += 1) {
+    evidence.record({...sample, side: 'new', hasFailed: count % 5 === 0});
+  }
+  assert.equal(evidence.isSufficientForSuccess(), false);
+  assert.equal(evidence.assess(), 'doubtful');
+});
+
+test('a version that may be bad gets no larger share', () => {
+  const plan = RolloutPlan.create(ORDER, 0, BOUNDS);
+  assert.equal(plan.advance(30_000, 'doubtful').step, 0);
+});
--- a/packages/gateway/src/control/active_rollout.ts
+++ b/packages/gateway/src/control/active_rollout.ts
@@ -16,6 +16,8 @@
   lostState: RolloutState | undefined;
   readonly evidence: VersionEvidence;
   lastPhase: RolloutPhase | undefined;
+  /** Answers of the new version when all work moved to it. */
+  answersBeforeShift: number;
   /** This host has judged the new version bad, whether written yet or not. */
   isNewVersionBad: boolean;
   isWriting: boolean;
@@ -31,6 +33,9 @@
   readonly sessionVersion: string | undefined;
 }
 
+/** A version may be bad only under the load of all requests. */
+const MIN_ANSWERS_SINCE_SHIFT = 8;
+
 /** Side of all new requests; undefined if it depends on the request. */
 const SIDE_BY_PHASE: Readonly<Record<RolloutPhase, RolloutSide | undefined>> = {
   sampling: undefined,
@@ -46,10 +51,9 @@
 export function chooseRolloutSide(
   rollout: ActiveRollout,
   key: RolloutKey,
-  nowMs: number,
 ): RolloutSide {
   const {plan, evidence} = rollout;
-  const phase = plan.phase(nowMs);
+  const {phase} = plan;
   // The state may not be written yet, since the store may be unavailable.
   if (rollout.isNewVersionBad && phase !== 'succeeded') return 'old';
   const fixed = SIDE_BY_PHASE[phase];
@@ -70,13 +74,29 @@
 ): RolloutState | undefined {
   if (rollout.lostState !== undefined) return rollout.lostState;
   if (phase === 'succeeded' || phase === 'rolledBack') return undefined;
-  const {plan} = rollout;
   rollout.isNewVersionBad ||= isNewVersionBad(rollout, phase);
   if (rollout.isNewVersionBad) return 'rolledBack';
-  if (phase === 'shifting' && plan.isSuccessDue(nowMs)) return 'succeeded';
+  if (phase === 'shifting' && maySucceed(rollout, nowMs)) return 'succeeded';
   return nowMs >= rollout.progressAfterMs ? 'running' : undefined;
 }
 
+/**
+ * Whether the new version has proven good. The absence of a finding does not
+ * suffice, as this host may know few answers.
+ */
+function maySucceed(
+  {plan, evidence, answersBeforeShift}: ActiveRollout,
+  nowMs: number,
+): boolean {
+  if (plan.isOverdue(nowMs)) return !evidence.isDoubtful();
+  const answers = evidence.countRequests('new') - answersBeforeShift;
+  return (
+    plan.isSuccessDue(nowMs) &&
+    answers >= MIN_ANSWERS_SINCE_SHIFT &&
+    evidence.isSufficientForSuccess()
+  );
+}
+
 /** A version that only looks slow must not receive all requests either. */
 function isNewVersionBad(
   {evidence}: ActiveRollout,
--- a/packages/gateway/src/control/rollout_controller.ts
+++ b/packages/gateway/src/control/rollout_controller.ts
@@ -104,6 +104,7 @@
       lostState: undefined,
       evidence: VersionEvidence.create(),
       lastPhase: undefined,
+      answersBeforeShift: 0,
       isNewVersionBad: false,
       isWriting: false,
       writeAfterMs: nowMs,
@@ -184,7 +185,8 @@
   tick(): void {
     const nowMs = performance.now();
     for (const rollout of this.rollouts.values()) {
-      const phase = rollout.plan.phase(nowMs);
+      this.advance(rollout, nowMs);
+      const {phase} = rollout.plan;
       if (phase !== rollout.lastPhase) this.logPhase(rollout, phase);
       const state = findDueState(rollout, phase, nowMs);
       if (state === undefined || rollout.isWriting) continue;
@@ -197,6 +199,17 @@
     }
   }
 
+  private advance(rollout: ActiveRollout, nowMs: number): void {
+    const {plan, evidence} = rollout;
+    rollout.plan = plan.advance(nowMs, evidence.assess());
+    if (rollout.plan.step === plan.step) return;
+    // The other hosts and a restarted one continue from the step in the store.
+    rollout.progressAfterMs = Math.min(
+      rollout.progressAfterMs,
+      nowMs + this.timing.drawJitterMs(),
+    );
+  }
+
   private updateOrder(
     rollout: ActiveRollout,
     order: RolloutOrder,
@@ -231,10 +244,10 @@
   }
 
   private chooseSide(rollout: ActiveRollout, key: VersionKey): RolloutSide {
-    const nowMs = performance.now();
     const {session} = key;
-    const sessionVersion = session && this.sessions.find(session, nowMs);
-    return chooseRolloutSide(rollout, {...key, sessionVersion}, nowMs);
+    const sessionVersion =
+      session && this.sessions.find(session, performance.now());
+    return chooseRolloutSide(rollout, {...key, sessionVersion});
   }
 
   private async writeState(
@@ -243,12 +256,12 @@
     revision: number,
   ): Promise<void> {
     const {logger, stateWriter, random} = this.options;
-    const {order} = rollout.plan;
+    const {order, step} = rollout.plan;
     const {service, target} = order;
     const elapsedMs = Math.round(rollout.plan.elapsedMs(performance.now()));
     rollout.isWriting = true;
     const result = await stateWriter.writeState(
-      {service, target, state, elapsedMs},
+      {service, target, state, elapsedMs, step},
       revision,
     );
     rollout.isWriting = false;
@@ -260,6 +273,7 @@
       state,
       result: result.status,
       elapsedMs,
+      step,
       reason: rollout.evidence.findRegression(),
       looksSlow: rollout.evidence.looksSlow() || undefined,
       newAnswers: rollout.evidence.countRequests('new'),
@@ -275,7 +289,10 @@
     if (result.status !== 'written' || isOutdated) return;
     rollout.lostState = undefined;
     // The watch delivers the same state later.
-    rollout.plan = rollout.plan.withOrder({...order, state, elapsedMs}, nowMs);
+    rollout.plan = rollout.plan.withOrder(
+      {...order, state, elapsedMs, step},
+      nowMs,
+    );
     rollout.revision = result.version;
     rollout.progressAfterMs = this.timing.computeNextProgressMs(order, nowMs);
   }
@@ -283,6 +300,8 @@
   private logPhase(rollout: ActiveRollout, phase: RolloutPhase): void {
     const {service, target} = rollout.plan.order;
     rollout.lastPhase = phase;
+    if (phase === 'shifting')
+      rollout.answersBeforeShift = rollout.evidence.countRequests('new');
     if (phase === 'succeeded') this.stableVersions.set(service, target);
     this.options.logger.info('rollout_phase', {
       service,
--- a/packages/gateway/src/control/rollout_state_writer.ts
+++ b/packages/gateway/src/control/rollout_state_writer.ts
@@ -9,6 +9,8 @@
   readonly state: RolloutState;
   /** Time since the rollout was ordered. */
   readonly elapsedMs: number;
+  /** Index of the step that the rollout has reached. */
+  readonly step: number;
 }
 
 /** Result of writing a rollout state. */
