Share the counts and findings of a rollout between hosts

Cause: each host judged by its own answers of the old version and by single datagrams for answers of the new one. A datagram that was lost, or that came before the host knew the order, was lost for good; a host to which the store did not show the order counted nothing; a finding reached the others through the store alone.

Fix: a host announces the order, its step, its finding and its own counts of both versions by route; they only grow and replace its earlier ones, so that losses, repetitions, reordering and restarts do no harm. A finding of one host stops the new version at all, and whoever can write writes it. The datagram r1 replaces s1; hosts of two builds judge by their own answers while both run.

--- a/packages/core/src/forwarding/rollout_plan.ts
+++ b/packages/core/src/forwarding/rollout_plan.ts
@@ -39,7 +39,7 @@
   /** Enough to have shown a bad version. */
   | 'looksGood'
   /** The version may be bad; it gets no larger share meanwhile. */
-  | 'doubtful';
+  | 'suspect';
 
 /** A step during which a share of the sessions uses the new version. */
 interface SamplingStep {
@@ -113,11 +113,19 @@
    * started later than others adopts their earlier start.
    */
   withOrder(order: RolloutOrder, nowMs: number): RolloutPlan {
-    const {bounds, step, shiftedMs} = this;
-    const startedMs = nowMs - (order.elapsedMs ?? 0);
-    const earliestMs = Math.min(this.startedMs, startedMs);
-    const plan = new RolloutPlan(order, earliestMs, bounds, step, shiftedMs);
-    return plan.withStep(order.step ?? 0, nowMs);
+    const {startedMs, bounds, step, shiftedMs} = this;
+    const plan = new RolloutPlan(order, startedMs, bounds, step, shiftedMs);
+    return plan
+      .withElapsed(order.elapsedMs ?? 0, nowMs)
+      .withStep(order.step ?? 0, nowMs);
+  }
+
+  /** Returns the schedule with the earlier start that another host knows. */
+  withElapsed(elapsedMs: number, nowMs: number): RolloutPlan {
+    const startedMs = nowMs - elapsedMs;
+    if (startedMs >= this.startedMs) return this;
+    const {order, bounds, step, shiftedMs} = this;
+    return new RolloutPlan(order, startedMs, bounds, step, shiftedMs);
   }
 
   /** Returns the schedule at a step, unless it is at a later one already. */
@@ -131,7 +139,7 @@
 
   /** Returns the schedule at the step that is due. */
   advance(nowMs: number, assessment: VersionAssessment): RolloutPlan {
-    if (assessment === 'doubtful') return this;
+    if (assessment === 'suspect') return this;
     const elapsedShare = this.elapsedMs(nowMs) / this.order.durationMs;
     const looksGood = assessment === 'looksGood';
     const shiftShare = looksGood ? SHIFT_START_SHARE : LATEST_SHIFT_SHARE;
--- a/packages/gateway/src/control/active_rollout.ts
+++ b/packages/gateway/src/control/active_rollout.ts
@@ -18,7 +18,7 @@
   lastPhase: RolloutPhase | undefined;
   /** Answers of the new version when all work moved to it. */
   answersBeforeShift: number;
-  /** This host has judged the new version bad, whether written yet or not. */
+  /** A host has judged the new version bad, whether written yet or not. */
   isNewVersionBad: boolean;
   isWriting: boolean;
   /** Earliest time of the next state write. */
@@ -88,7 +88,7 @@
   {plan, evidence, answersBeforeShift}: ActiveRollout,
   nowMs: number,
 ): boolean {
-  if (plan.isOverdue(nowMs)) return !evidence.isDoubtful();
+  if (plan.isOverdue(nowMs)) return !evidence.isSuspect();
   const answers = evidence.countRequests('new') - answersBeforeShift;
   return (
     plan.isSuccessDue(nowMs) &&
--- a/packages/gateway/src/control/host_messenger.ts
+++ b/packages/gateway/src/control/host_messenger.ts
@@ -1,9 +1,14 @@
+import {randomUUID} from 'node:crypto';
 import {createSocket, type RemoteInfo, type Socket} from 'node:dgram';
 import type {PromptPart, RemoteWork, ServerTable} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {ListenAddress} from '../config/settings.js';
 import type {HostRegistry} from './host_registry.js';
-import type {RemoteSample} from './rollout_controller.js';
+import {
+  decodeRolloutAnnouncement,
+  encodeRolloutAnnouncement,
+  type RolloutAnnouncement,
+} from './rollout_announcement.js';
 import type {SeenVersion} from './store_version_tracker.js';
 
 /** Dependencies of the messenger between hosts. */
@@ -11,8 +16,11 @@
   readonly listen: ListenAddress;
   readonly hosts: HostRegistry;
   readonly servers: ServerTable;
-  /** Called with a sample of a new version from another host. */
-  readonly onSample: (sample: RemoteSample) => void;
+  /** Called with what a run of another host tells about a rollout. */
+  readonly onRollout: (
+    member: string,
+    announcement: RolloutAnnouncement,
+  ) => void;
   /** Called with the newest store version that another host has seen. */
   readonly onStoreVersion: (seen: SeenVersion) => void;
   readonly logger: Logger;
@@ -21,7 +29,7 @@
 }
 
 /** Handles the fields of a datagram; returns false if they are malformed. */
-type FieldHandler = (fields: readonly string[]) => boolean;
+type FieldHandler = (fields: readonly string[], sender: string) => boolean;
 
 /** Shorter prefills are not worth a datagram. */
 const MIN_ANNOUNCED_WORK_MS = 40;
@@ -32,24 +40,27 @@
 const WORK_FORMAT = 'w2';
 /** Maximum prompt parts in a datagram, so that it fits into one packet. */
 const MAX_ANNOUNCED_PARTS = 12;
-const SAMPLE_FORMAT = 's1';
+const ROLLOUT_FORMAT = 'r1';
 const STORE_VERSION_FORMAT = 'n1';
 /** Maximum recipients of a store version, which most hosts see themselves. */
 const MAX_STORE_VERSION_RECIPIENTS = 4;
 
 /**
  * Exchanges datagrams with the other hosts. A host announces each send with a
- * long prefill, so that the others avoid that server, each sample of a version
- * in rollout, and the newest versions that it has seen in the store. A lost
+ * long prefill, so that the others avoid that server, its counts of a version in
+ * rollout, and the newest versions that it has seen in the store. A lost
  * datagram only leads to a worse or later decision.
  */
 export class HostMessenger {
   private readonly handlers: ReadonlyMap<string, FieldHandler> = new Map([
     [WORK_FORMAT, fields => this.receiveWork(fields)],
-    [SAMPLE_FORMAT, fields => this.receiveSample(fields)],
+    [ROLLOUT_FORMAT, (fields, sender) => this.receiveRollout(fields, sender)],
     [STORE_VERSION_FORMAT, fields => this.receiveStoreVersion(fields)],
   ]);
 
+  /** Distinguishes this run of the host from earlier ones. */
+  private readonly runId = randomUUID();
+
   private constructor(
     private readonly socket: Socket,
     private readonly options: HostMessengerOptions,
@@ -76,11 +87,10 @@
     this.send([WORK_FORMAT, ...fields].join(' '));
   }
 
-  /** Announces a sample of a new version. */
-  announceSample({service, version, sample}: RemoteSample): void {
-    const {route, hasFailed, slowness} = sample;
-    const fields = [route, hasFailed ? 1 : 0, slowness?.toFixed(2) ?? ''];
-    this.send([SAMPLE_FORMAT, service, version, ...fields].join(' '));
+  /** Announces the answers and findings of this host on a rollout. */
+  announceRollout(announcement: RolloutAnnouncement): void {
+    const fields = encodeRolloutAnnouncement(announcement);
+    this.send([ROLLOUT_FORMAT, this.runId, ...fields].join(' '));
   }
 
   /** Announces the version of an object in the store to some of the hosts. */
@@ -122,7 +132,7 @@
     const [format, ...fields] = message.toString('latin1').split(' ');
     const handle = this.handlers.get(format);
     const isKnown = hosts.addresses.includes(sender);
-    if (!isKnown || handle === undefined || !handle(fields)) {
+    if (!isKnown || handle === undefined || !handle(fields, sender)) {
       metrics.count('load_datagrams_ignored_total');
       return;
     }
@@ -155,21 +165,11 @@
     return true;
   }
 
-  private receiveSample(fields: readonly string[]): boolean {
-    const [service, version, route, failed, slowness] = fields;
-    if (slowness === undefined) return false;
-    const value = slowness === '' ? undefined : Number(slowness);
-    if (Number.isNaN(value)) return false;
-    this.options.onSample({
-      service,
-      version,
-      sample: {
-        route,
-        side: 'new',
-        hasFailed: failed === '1',
-        slowness: value,
-      },
-    });
+  private receiveRollout(fields: readonly string[], sender: string): boolean {
+    const [runId, ...rest] = fields;
+    const announcement = decodeRolloutAnnouncement(rest);
+    if (announcement === undefined) return false;
+    this.options.onRollout(`${sender}/${runId}`, announcement);
     return true;
   }
 }
--- /dev/null
+++ b/packages/gateway/src/control/rollout_announcement.ts
@@ -0,0 +1,114 @@
+import type {AnswerRow, RolloutSide} from '@anvilrudder/core';
+
+/** What a host tells the others about a rollout. */
+export interface RolloutAnnouncement {
+  readonly service: string;
+  readonly target: string;
+  readonly durationMs: number;
+  /** Time since the order, as known to the sender. */
+  readonly elapsedMs: number;
+  /** Index of the step that the sender has reached. */
+  readonly step: number;
+  /** The sender has found the new version bad. */
+  readonly isVersionBad: boolean;
+  /** Answers that the sender has counted. */
+  readonly rows: readonly AnswerRow[];
+}
+
+const SIDES: readonly RolloutSide[] = ['old', 'new'];
+const ROW_FIELD_COUNT = 7;
+
+/**
+ * Encodes an announcement as fields without spaces.
+ *
+ * @example
+ * ```ts
+ * decodeRolloutAnnouncement(encodeRolloutAnnouncement(announcement));
+ * ```
+ */
+export function encodeRolloutAnnouncement(
+  announcement: RolloutAnnouncement,
+): readonly string[] {
+  const {service, target, durationMs, elapsedMs, step} = announcement;
+  return [
+    encodeURIComponent(service),
+    encodeURIComponent(target),
+    String(Math.round(durationMs)),
+    String(Math.round(elapsedMs)),
+    String(step),
+    announcement.isVersionBad ? '1' : '0',
+    announcement.rows.map(encodeRow).join(','),
+  ];
+}
+
+/** Decodes an announcement; undefined if it is malformed. */
+export function decodeRolloutAnnouncement(
+  fields: readonly string[],
+): RolloutAnnouncement | undefined {
+  const [service, target, duration, elapsed, stepField, bad, rowFields] =
+    fields;
+  if (rowFields === undefined) return undefined;
+  const [durationMs, elapsedMs, step] = [duration, elapsed, stepField].map(
+    Number,
+  );
+  if (!(durationMs > 0 && elapsedMs >= 0)) return undefined;
+  if (!Number.isSafeInteger(step) || step < 0) return undefined;
+  const rows = decodeRows(rowFields);
+  const names = [service, target].map(decodeName);
+  if (rows === undefined || names.includes(undefined)) return undefined;
+  return {
+    service: names[0] ?? '',
+    target: names[1] ?? '',
+    durationMs,
+    elapsedMs,
+    step,
+    isVersionBad: bad === '1',
+    rows,
+  };
+}
+
+function encodeRow({route, side, counters}: AnswerRow): string {
+  const {requests, failures, slowness} = counters;
+  return [
+    encodeURIComponent(route),
+    side,
+    requests,
+    failures,
+    slowness.count,
+    slowness.sum.toFixed(2),
+    slowness.squareSum.toFixed(2),
+  ].join(':');
+}
+
+function decodeRows(text: string): readonly AnswerRow[] | undefined {
+  if (text === '') return [];
+  const rows = text.split(',').map(decodeRow);
+  return rows.every(row => row !== undefined) ? rows : undefined;
+}
+
+function decodeRow(text: string): AnswerRow | undefined {
+  const fields = text.split(':');
+  if (fields.length !== ROW_FIELD_COUNT) return undefined;
+  const route = decodeName(fields[0]);
+  const side = SIDES.find(known => known === fields[1]);
+  const numbers = fields.slice(2).map(Number);
+  if (route === undefined || side === undefined) return undefined;
+  if (!numbers.every(Number.isFinite)) return undefined;
+  const [requests, failures, count, sum, squareSum] = numbers;
+  const isConsistent =
+    failures >= 0 && failures <= requests && count >= 0 && count <= requests;
+  if (!isConsistent) return undefined;
+  return {
+    route,
+    side,
+    counters: {requests, failures, slowness: {count, sum, squareSum}},
+  };
+}
+
+function decodeName(text: string): string | undefined {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/gateway/src/control/rollout_controller.ts
+++ b/packages/gateway/src/control/rollout_controller.ts
@@ -9,7 +9,6 @@
   type RolloutSide,
   type RolloutState,
   type ServerRecord,
-  type VersionSample,
 } from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
 import {
@@ -20,6 +19,8 @@
   sideOf,
   type ActiveRollout,
 } from './active_rollout.js';
+import type {RolloutAnnouncement} from './rollout_announcement.js';
+import {RolloutAnnouncer} from './rollout_announcer.js';
 import type {RolloutStateWriter} from './rollout_state_writer.js';
 import {RolloutWriteTiming} from './rollout_write_timing.js';
 import type {
@@ -37,15 +38,8 @@
   readonly random: () => number;
   /** Number of hosts that control the same rollouts, including this one. */
   readonly countHosts: () => number;
-  /** Called with each sample of a new version, to announce it to the hosts. */
-  readonly onNewSample: (sample: RemoteSample) => void;
-}
-
-/** A sample of a new version, as exchanged between hosts. */
-export interface RemoteSample {
-  readonly service: string;
-  readonly version: string;
-  readonly sample: VersionSample;
+  /** Sends an announcement to the other hosts. */
+  readonly announce: (announcement: RolloutAnnouncement) => void;
 }
 
 /**
@@ -71,13 +65,17 @@
   /** Last version of each service while all its servers ran the same one. */
   private readonly stableVersions = new Map<string, string>();
   private readonly sessions: SessionVersions;
+  /** Versions whose order was withdrawn, by service. */
+  private readonly withdrawnTargets = new Map<string, string>();
   private readonly timing: RolloutWriteTiming;
+  private readonly announcer: RolloutAnnouncer;
   private bounds: RolloutBounds;
 
   private constructor(private readonly options: RolloutControllerOptions) {
     this.bounds = options.bounds;
     this.sessions = SessionVersions.create(options.sessionMs);
     this.timing = RolloutWriteTiming.create(options);
+    this.announcer = RolloutAnnouncer.create(options);
   }
 
   static create(options: RolloutControllerOptions): RolloutController {
@@ -93,26 +91,12 @@
   putOrder(order: RolloutOrder, revision: number): void {
     const {service, target} = order;
     const known = this.rollouts.get(service);
-    const nowMs = performance.now();
+    this.withdrawnTargets.delete(service);
     if (known !== undefined && known.plan.order.target === target) {
       this.updateOrder(known, order, revision);
       return;
     }
-    this.rollouts.set(service, {
-      plan: RolloutPlan.create(order, nowMs, this.bounds),
-      revision,
-      lostState: undefined,
-      evidence: VersionEvidence.create(),
-      lastPhase: undefined,
-      answersBeforeShift: 0,
-      isNewVersionBad: false,
-      isWriting: false,
-      writeAfterMs: nowMs,
-      progressAfterMs:
-        order.elapsedMs === undefined
-          ? nowMs + this.timing.drawJitterMs()
-          : this.timing.computeTakeoverMs(order, nowMs),
-    });
+    this.addRollout(order, revision);
     this.options.logger.info('rollout_ordered', {
       service,
       target,
@@ -122,6 +106,26 @@
     });
   }
 
+  /**
+   * Takes over what another host tells about a rollout. A host that can't read
+   * the store learns of the order this way, and counts its own answers too.
+   *
+   * @param member identifies one run of the sender.
+   */
+  receiveAnnouncement(member: string, announcement: RolloutAnnouncement): void {
+    const {service, target, elapsedMs, step} = announcement;
+    const rollout = this.rollouts.get(service) ?? this.addHeard(announcement);
+    if (rollout === undefined || rollout.plan.order.target !== target) return;
+    const nowMs = performance.now();
+    rollout.plan = rollout.plan
+      .withElapsed(elapsedMs, nowMs)
+      .withStep(step, nowMs);
+    rollout.evidence.merge(member, announcement.rows);
+    if (!announcement.isVersionBad || rollout.isNewVersionBad) return;
+    rollout.isNewVersionBad = true;
+    this.options.logger.info('rollout_found_bad', {service, target, member});
+  }
+
   /**
    * Records that the store has returned from an older copy. A rollout that had
    * ended stays ended; its state is written again if the copy lacks it.
@@ -138,6 +142,8 @@
 
   /** Removes an order that was withdrawn. */
   removeOrder(service: string): void {
+    const target = this.rollouts.get(service)?.plan.order.target;
+    if (target !== undefined) this.withdrawnTargets.set(service, target);
     this.rollouts.delete(service);
   }
 
@@ -170,15 +176,7 @@
     // After sampling, full load and cold caches slow down the new version.
     const isSampling = rollout.lastPhase === 'sampling';
     const slowness = isSampling ? outcome.slowness : undefined;
-    const sample = {route, side, hasFailed, slowness};
-    rollout.evidence.record(sample);
-    if (side === 'new') this.options.onNewSample({service, version, sample});
-  }
-
-  /** Records a sample of a new version from another host. */
-  recordRemote({service, version, sample}: RemoteSample): void {
-    const rollout = this.rollouts.get(service);
-    if (rollout?.plan.order.target === version) rollout.evidence.record(sample);
+    rollout.evidence.record({route, side, hasFailed, slowness});
   }
 
   /** Evaluates each rollout and writes its state to the store if it is due. */
@@ -189,6 +187,7 @@
       const {phase} = rollout.plan;
       if (phase !== rollout.lastPhase) this.logPhase(rollout, phase);
       const state = findDueState(rollout, phase, nowMs);
+      this.announcer.announceIfDue(rollout, nowMs);
       if (state === undefined || rollout.isWriting) continue;
       // The first write of a rollback must not wait.
       const isUrgent =
@@ -199,6 +198,44 @@
     }
   }
 
+  private addHeard({
+    service,
+    target,
+    durationMs,
+    elapsedMs,
+    step,
+  }: RolloutAnnouncement): ActiveRollout | undefined {
+    if (this.withdrawnTargets.get(service) === target) return undefined;
+    const state = undefined;
+    this.options.logger.info('rollout_heard', {service, target, elapsedMs});
+    const order = {service, target, durationMs, elapsedMs, state, step};
+    return this.addRollout(order, undefined);
+  }
+
+  private addRollout(
+    order: RolloutOrder,
+    revision: number | undefined,
+  ): ActiveRollout {
+    const nowMs = performance.now();
+    const rollout: ActiveRollout = {
+      plan: RolloutPlan.create(order, nowMs, this.bounds),
+      revision,
+      lostState: undefined,
+      evidence: VersionEvidence.create(),
+      lastPhase: undefined,
+      answersBeforeShift: 0,
+      isNewVersionBad: false,
+      isWriting: false,
+      writeAfterMs: nowMs,
+      progressAfterMs:
+        order.elapsedMs === undefined
+          ? nowMs + this.timing.drawJitterMs()
+          : this.timing.computeTakeoverMs(order, nowMs),
+    };
+    this.rollouts.set(order.service, rollout);
+    return rollout;
+  }
+
   private advance(rollout: ActiveRollout, nowMs: number): void {
     const {plan, evidence} = rollout;
     rollout.plan = plan.advance(nowMs, evidence.assess());
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,10 +6,8 @@
   type HostEntry,
 } from './control/host_registry.js';
 export * from './control/host_messenger.js';
-export {
-  RolloutController,
-  type RemoteSample,
-} from './control/rollout_controller.js';
+export type {RolloutAnnouncement} from './control/rollout_announcement.js';
+export {RolloutController} from './control/rollout_controller.js';
 export type {
   RolloutProgressCodec,
   RolloutProgress,
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -90,7 +90,8 @@
     listen: settings.listen.hosts,
     hosts,
     servers,
-    onSample: sample => rollouts.recordRemote(sample),
+    onRollout: (member, announcement) =>
+      rollouts.receiveAnnouncement(member, announcement),
     onStoreVersion: seen => versionTracker.recordRemoteVersion(seen),
   });
   const versionTracker = StoreVersionTracker.create({
@@ -109,7 +110,7 @@
     sessionMs: settings.rollouts.sessionMs,
     random: dependencies.random,
     countHosts: () => hosts.count,
-    onNewSample: sample => hostMessenger.announceSample(sample),
+    announce: announcement => hostMessenger.announceRollout(announcement),
   });
   const context: GatewayContext = {
     ...dependencies,
