Back off when the store does not answer the write of a rollback

Cause: the write of a rollback waits for no delay, so that the first one is immediate; each later one was as well, five a second from each host.

Fix: after a write without an answer the usual delay of 0.5 to 1 s holds. A conflict is still followed at once, under the revision that the watch brings.

Test: 20 writes in 4 s before, at most 9 now.

--- a/packages/gateway/src/control/active_rollout.ts
+++ b/packages/gateway/src/control/active_rollout.ts
@@ -21,6 +21,8 @@
   /** A host has judged the new version bad, whether written yet or not. */
   isNewVersionBad: boolean;
   isWriting: boolean;
+  /** The last write got no answer. */
+  isStoreSilent: boolean;
   /** Earliest time of the next state write. */
   writeAfterMs: number;
   /** When this host writes the progress, unless another host does so before. */
--- a/packages/gateway/src/control/rollout_controller.ts
+++ b/packages/gateway/src/control/rollout_controller.ts
@@ -189,9 +189,11 @@
       const state = findDueState(rollout, phase, nowMs);
       this.announcer.announceIfDue(rollout, nowMs);
       if (state === undefined || rollout.isWriting) continue;
-      // The first write of a rollback must not wait.
+      // A rollback must not wait, unless the store does not answer.
       const isUrgent =
-        state === 'rolledBack' && rollout.lostState === undefined;
+        state === 'rolledBack' &&
+        rollout.lostState === undefined &&
+        !rollout.isStoreSilent;
       if (!isUrgent && nowMs < rollout.writeAfterMs) continue;
       if (rollout.revision === undefined) continue;
       void this.writeState(rollout, state, rollout.revision);
@@ -226,6 +228,7 @@
       answersBeforeShift: 0,
       isNewVersionBad: false,
       isWriting: false,
+      isStoreSilent: false,
       writeAfterMs: nowMs,
       progressAfterMs:
         order.elapsedMs === undefined
@@ -302,6 +305,7 @@
       revision,
     );
     rollout.isWriting = false;
+    rollout.isStoreSilent = result.status === 'unanswered';
     const nowMs = performance.now();
     rollout.writeAfterMs = nowMs + WRITE_RETRY_MS * (1 + random());
     logger.info('rollout_declared', {
