Quarantine a prompt part that crashes servers

Cause: a lost attempt was remembered for its server, never for what the request held. Each request with the part went to up to three servers, and the ejection of the crashed ones left the others with more requests at the next crash.

No log line named a part.

Fix: the hosts together count, for each part that requests may share, the crashes during which a request with it waited for its answer. An answer that begins clears it, so parts of sound requests stay clear; three crashes in a row quarantine it, six and briefly if servers have answered on it before. Crashes of one moment have one cause, so a lost failure domain makes no part a suspect; parts seen only together are refused only together. Requests with the part are refused before they are sent, 503 'quarantined' with the time left in Retry-After; one that waits at a server is broken off with 502, as it may have run; none is sent again. At most 5,000 parts are remembered; datagrams (c1): one a crash, one a cleared suspect, up to 16 quarantined parts every 2 s.

--- a/packages/cli/src/commands/trace.ts
+++ b/packages/cli/src/commands/trace.ts
@@ -22,10 +22,13 @@
   'server_doubtful',
 ]);
 
+/** Event that tells why requests with a prompt part are refused. */
+const PART_EVENT = 'part_quarantined';
+
 /**
  * Prints the log lines of one request from the logs of several processes,
- * sorted by time, together with the state changes of the servers that these
- * lines name.
+ * sorted by time, together with the state changes of the servers and the
+ * quarantines of the prompt parts that these lines name.
  *
  * @example
  * ```ts
@@ -46,7 +49,12 @@
     line =>
       SERVER_STATE_EVENTS.has(line['event']) && servers.has(line['server']),
   );
-  const sortedLines = [...requestLines, ...serverLines].sort((a, b) =>
+  const parts = new Set(requestLines.map(line => line['part']));
+  const partLines = lines.filter(
+    line => line['event'] === PART_EVENT && parts.has(line['part']),
+  );
+  const relatedLines = [...requestLines, ...serverLines, ...partLines];
+  const sortedLines = relatedLines.sort((a, b) =>
     (a['time'] ?? '').localeCompare(b['time'] ?? ''),
   );
   if (requestLines.length === 0) {
--- a/packages/cli/test/trace.test.ts
+++ b/packages/cli/test/trace.test.ts
@@ -27,6 +27,19 @@
   );
 });
 
+test('trace adds the quarantine of the prompt part because of which a request was refused', async () => {
+  const log = [
+    'time=2026-12-04T10:00:01.000Z level=warn program=anvilrudder-gateway host=e1 event=part_quarantined part=91bd remainingMs=600000',
+    'time=2026-12-04T10:00:01.100Z level=warn program=anvilrudder-gateway host=e1 event=part_quarantined part=77aa remainingMs=600000',
+    'time=2026-12-04T10:00:02.000Z level=info program=anvilrudder-gateway host=e1 event=request_settled request=r3 outcome=quarantined status=503 part=91bd',
+  ].join('\n');
+  const io = createFakeIo({a: log});
+  assert.equal(await runCli(['trace', 'r3', '--log', 'a'], io), 0);
+  const events = io.output.trim().split('\n');
+  assert.equal(events.length, 2);
+  assert.match(events[0], /part_quarantined .*part=91bd/);
+});
+
 test('trace reports that a request is not in the logs', async () => {
   const io = createFakeIo({a: FIRST_HOST});
   assert.equal(await runCli(['trace', 'none', '--log', 'a'], io), 1);
--- a/packages/core/src/errors/error_codes.ts
+++ b/packages/core/src/errors/error_codes.ts
@@ -112,6 +112,13 @@
     isRetryable: true,
     description: 'No backend server in service can take the request.',
   },
+  quarantined: {
+    httpStatus: 503,
+    execution: 'notRun',
+    isRetryable: true,
+    description:
+      'A part of the prompt made servers crash and is not sent for a while.',
+  },
   not_ready: {
     httpStatus: 503,
     execution: 'notRun',
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -14,4 +14,5 @@
 export * from './server_table.js';
 export * from './session_versions.js';
 export * from './version_evidence.js';
+export * from './crash_suspects.js';
 export * from './decode_time_estimator.js';
--- a/packages/gateway/src/control/host_messenger.ts
+++ b/packages/gateway/src/control/host_messenger.ts
@@ -3,6 +3,11 @@
 import type {PromptPart, RemoteWork, ServerTable} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {ListenAddress} from '../config/settings.js';
+import {
+  decodeCrashAnnouncement,
+  encodeCrashAnnouncement,
+  type CrashAnnouncement,
+} from './crash_announcement.js';
 import type {HostRegistry} from './host_registry.js';
 import {
   decodeRolloutAnnouncement,
@@ -21,6 +26,8 @@
     member: string,
     announcement: RolloutAnnouncement,
   ) => void;
+  /** Called with what another host tells about crashes of servers. */
+  readonly onCrash: (announcement: CrashAnnouncement) => void;
   /** Called with the newest store version that another host has seen. */
   readonly onStoreVersion: (seen: SeenVersion) => void;
   readonly logger: Logger;
@@ -41,6 +48,7 @@
 /** Maximum prompt parts in a datagram, so that it fits into one packet. */
 const MAX_ANNOUNCED_PARTS = 12;
 const ROLLOUT_FORMAT = 'r1';
+const CRASH_FORMAT = 'c1';
 const STORE_VERSION_FORMAT = 'n1';
 /** Maximum recipients of a store version, which most hosts see themselves. */
 const MAX_STORE_VERSION_RECIPIENTS = 4;
@@ -55,6 +63,7 @@
   private readonly handlers: ReadonlyMap<string, FieldHandler> = new Map([
     [WORK_FORMAT, fields => this.receiveWork(fields)],
     [ROLLOUT_FORMAT, (fields, sender) => this.receiveRollout(fields, sender)],
+    [CRASH_FORMAT, fields => this.receiveCrash(fields)],
     [STORE_VERSION_FORMAT, fields => this.receiveStoreVersion(fields)],
   ]);
 
@@ -93,6 +102,12 @@
     this.send([ROLLOUT_FORMAT, this.runId, ...fields].join(' '));
   }
 
+  /** Announces crashes of servers and the parts that cause them. */
+  announceCrash(announcement: CrashAnnouncement): void {
+    const fields = encodeCrashAnnouncement(announcement);
+    this.send([CRASH_FORMAT, ...fields].join(' '));
+  }
+
   /** Announces the version of an object in the store to some of the hosts. */
   announceStoreVersion({kind, version, era}: SeenVersion): void {
     const fields = [kind, version, ...(era === undefined ? [] : [era])];
@@ -165,6 +180,13 @@
     return true;
   }
 
+  private receiveCrash(fields: readonly string[]): boolean {
+    const announcement = decodeCrashAnnouncement(fields);
+    if (announcement === undefined) return false;
+    this.options.onCrash(announcement);
+    return true;
+  }
+
   private receiveRollout(fields: readonly string[], sender: string): boolean {
     const [runId, ...rest] = fields;
     const announcement = decodeRolloutAnnouncement(rest);
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -6,6 +6,7 @@
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {GatewaySettings} from './config/settings.js';
+import type {CrashGuard} from './control/crash_guard.js';
 import type {HostRegistry} from './control/host_registry.js';
 import type {HostMessenger} from './control/host_messenger.js';
 import type {RetryBudgets} from './control/retry_budgets.js';
@@ -29,6 +30,7 @@
   readonly prefillEstimator: PrefillTimeEstimator;
   readonly decodeEstimator: DecodeTimeEstimator;
   readonly versions: VersionSelector;
+  readonly crashGuard: CrashGuard;
   readonly random: Random;
   /** True once a graceful shutdown has begun. */
   readonly isStopping: () => boolean;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,6 @@
 export * from './config/settings.js';
+export type {CrashAnnouncement} from './control/crash_announcement.js';
+export {CrashGuard} from './control/crash_guard.js';
 export * from './control/follow_store.js';
 export {
   HostRegistry,
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -51,6 +51,30 @@
 export async function dispatchRequest(
   context: GatewayContext,
   exchange: OpenExchange,
+): Promise<void> {
+  const {generation} = exchange.admitted.request;
+  const part = context.crashGuard.findQuarantined(generation);
+  if (part !== undefined) {
+    context.metrics.count('quarantined_requests_total');
+    exchange.quarantine(part);
+    throw createExchangeError(context, exchange);
+  }
+  const unwatch =
+    generation &&
+    context.crashGuard.watch({
+      generation,
+      onQuarantined: quarantined => exchange.quarantine(quarantined),
+    });
+  try {
+    await sendUntilAnswered(context, exchange);
+  } finally {
+    unwatch?.();
+  }
+}
+
+async function sendUntilAnswered(
+  context: GatewayContext,
+  exchange: OpenExchange,
 ): Promise<void> {
   let target = chooseTarget(context, exchange, chooseInitialModel(exchange));
   if (target === undefined) throw createExchangeError(context, exchange);
--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -146,6 +146,7 @@
     escalatedMs: roundMs(exchange?.escalatedMs),
     expectedFirstMs: roundMs(exchange?.expectedFirstMs),
     resumptions: exchange?.resumptions || undefined,
+    part: exchange?.quarantinedPart?.partId,
     firstMs: roundMs(exchange?.firstMs),
     totalMs: roundMs(totalMs),
     limitMs: admitted?.route.timeLimitMs,
--- a/packages/gateway/src/stages/open_exchange.ts
+++ b/packages/gateway/src/stages/open_exchange.ts
@@ -4,11 +4,13 @@
   RouterError,
   type ForwardOrganisation,
   type ForwardRoute,
+  type QuarantinedPart,
 } from '@anvilrudder/core';
 import type {ForwardedRequest} from '../ports.js';
 
 /** Reason for ending an exchange before its response is complete. */
-export type ExchangeStop = 'callerLeft' | 'timeLimit' | 'shutdown';
+export type ExchangeStop =
+  'callerLeft' | 'timeLimit' | 'shutdown' | 'quarantined';
 
 /** An admitted request, its route and the response to its caller. */
 export interface AdmittedRequest {
@@ -44,6 +46,8 @@
   resumptions = 0;
   firstMs: number | undefined;
   lastEventId: string | undefined;
+  /** Part of the prompt because of which it was not sent, or not again. */
+  quarantinedPart: QuarantinedPart | undefined;
   private stopReason: ExchangeStop | undefined;
   private readonly controller = new AbortController();
   private readonly timer: NodeJS.Timeout;
@@ -89,6 +93,13 @@
     this.controller.abort();
   }
 
+  /** Stops the exchange because of a part, unless its answer has begun. */
+  quarantine(part: QuarantinedPart): void {
+    if (this.admitted.response.headersSent) return;
+    this.quarantinedPart ??= part;
+    this.stop('quarantined');
+  }
+
   /** Clears the timer; to be called once the response has ended. */
   close(): void {
     clearTimeout(this.timer);
@@ -102,6 +113,12 @@
         retryAfterMs,
       });
     }
+    if (this.quarantinedPart !== undefined && !this.mayHaveRun) {
+      return RouterError.create('A part of the prompt is quarantined.', {
+        code: 'quarantined',
+        retryAfterMs: this.quarantinedPart.remainingMs,
+      });
+    }
     if (this.mayHaveRun) {
       return RouterError.create('The outcome of the request is unknown.', {
         code: 'outcome_unknown',
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -35,22 +35,28 @@
   exchange: OpenExchange,
   backendResponse: BackendResponse,
 ): Promise<RelayResult> {
-  const {response} = exchange.admitted;
+  const {response, request} = exchange.admitted;
+  const {generation} = request;
+  const {send, sentMs} = backendResponse;
   const splitter = EventSplitter.create();
   let chunkCount = 0;
   let firstMs = 0;
   let lastMs = 0;
-  const finish = (end: RelayEnd): RelayResult => ({
-    end,
-    durationMs: lastMs - firstMs,
-  });
+  const finish = (end: RelayEnd): RelayResult => {
+    if (end === 'broken' && chunkCount === 0 && generation)
+      context.crashGuard.recordCrash(send.server, generation, sentMs);
+    return {end, durationMs: lastMs - firstMs};
+  };
   try {
     for await (const chunk of backendResponse.stream.chunks) {
       const {bytes, lastId} = splitter.push(chunk);
       if (bytes.length === 0) continue;
       if (exchange.stopped !== undefined) return finish('stopped');
       lastMs = performance.now();
-      if (chunkCount === 0) firstMs = lastMs;
+      if (chunkCount === 0) {
+        firstMs = lastMs;
+        if (generation) context.crashGuard.recordAnswer(generation);
+      }
       chunkCount += 1;
       if (!response.headersSent) writeStreamHead(exchange, backendResponse);
       if (lastId !== undefined) exchange.lastEventId = lastId;
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -142,6 +142,9 @@
       exchange.attempts -= 1;
     }
     const isExchangeStopped = exchange.stopped !== undefined;
+    const {generation} = request;
+    if (error.failure === 'cut' && generation && !isExchangeStopped)
+      context.crashGuard.recordCrash(server, generation, nowMs);
     endSend(context, exchange, send, isExchangeStopped ? undefined : end);
     return {end, backendResponse: undefined};
   }
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -10,6 +10,7 @@
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {GatewaySettings, ListenAddress} from './config/settings.js';
 import {followStore, type FollowedKinds} from './control/follow_store.js';
+import {CrashGuard} from './control/crash_guard.js';
 import {HostRegistry} from './control/host_registry.js';
 import {HostMessenger} from './control/host_messenger.js';
 import {RetryBudgets} from './control/retry_budgets.js';
@@ -58,7 +59,7 @@
 const REREGISTRATION_MS = 1900;
 /** Heartbeats that a server misses before its registration expires. */
 const HEARTBEATS_BEFORE_EXPIRY = 3;
-const ROLLOUT_TICK_MS = 200;
+const TICK_MS = 200;
 /** Prefill time per token of a model without observations. */
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.02;
 
@@ -90,10 +91,16 @@
     listen: settings.listen.hosts,
     hosts,
     servers,
+    onCrash: announcement => crashGuard.receive(announcement),
     onRollout: (member, announcement) =>
       rollouts.receiveAnnouncement(member, announcement),
     onStoreVersion: seen => versionTracker.recordRemoteVersion(seen),
   });
+  const crashGuard = CrashGuard.create({
+    logger,
+    metrics,
+    announce: announcement => hostMessenger.announceCrash(announcement),
+  });
   const versionTracker = StoreVersionTracker.create({
     logger,
     era: dependencies.store.era,
@@ -118,6 +125,7 @@
     servers,
     pools,
     versions: rollouts,
+    crashGuard,
     retryBudgets: RetryBudgets.create(settings.repeats, hosts),
     hosts,
     hostMessenger,
@@ -143,7 +151,10 @@
     hosts,
     signal: abortController.signal,
   });
-  const rolloutTimer = setInterval(() => rollouts.tick(), ROLLOUT_TICK_MS);
+  const tickTimer = setInterval(() => {
+    rollouts.tick();
+    crashGuard.tick();
+  }, TICK_MS);
   hosts.run(abortController.signal).catch((error: unknown) => {
     logger.error('host_registry_fault', {message: String(error)});
   });
@@ -183,7 +194,7 @@
     logger.info('gateway_stopping', {graceMs: stopGraceMs});
     await drainCallerServer(callerServer, stopGraceMs);
     abortController.abort();
-    clearInterval(rolloutTimer);
+    clearInterval(tickTimer);
     pools.closeAll();
     hostMessenger.close();
     for (const server of [readinessServer, metricsServer]) {
