Limit the bytes of a response besides its body

Cause: the HTTP parser limits header fields alone; status text and chunk extensions are neither stored nor limited, and the timeouts ask for time, not for bytes.

Fix: a connection to a backend server is closed behind 256 KiB that belong to no body, one of the store's client behind 16 MiB in all (a list has 8 MiB at most).

Test: three of the cases of endless_responses were red before.

--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -6,6 +6,7 @@
   type ExchangeOptions,
   type HttpStream,
 } from './http_exchange.js';
+import {ResponseByteLimit} from './response_byte_limit.js';
 
 /** Options of {@link ConnectionPool}. */
 export interface ConnectionPoolOptions {
@@ -48,10 +49,14 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 
+/** Maximum size of a response without its body. */
+const MAX_OVERHEAD_BYTES = 256 * 1024;
+
 /** A connection that carries one request at a time. */
 class PooledConnection {
   private readonly client: Client;
   private hasSocketFailed = false;
+  private byteLimit: ResponseByteLimit | undefined;
   isClosed = false;
   idleSinceMs = 0;
 
@@ -91,6 +96,11 @@
     this.client.dispatch({method, path, headers, body}, handler);
   }
 
+  /** Records bytes of the body of a response. */
+  countBody(bytes: number): void {
+    this.byteLimit?.countBody(bytes);
+  }
+
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
@@ -100,6 +110,7 @@
   // This listener must run before that of undici, which treats a connection
   // reset as the normal end of a response that ends with the connection.
   private watchSocket(socket: Socket): void {
+    this.byteLimit = ResponseByteLimit.watch(socket, MAX_OVERHEAD_BYTES);
     socket.once('error', () => {
       this.hasSocketFailed = true;
     });
@@ -112,14 +123,17 @@
  */
 function createDispatchHandler(
   exchange: HttpExchange,
+  onBodyBytes: (bytes: number) => void,
   onConnectionFree: (isReusable: boolean) => void,
 ): Dispatcher.DispatchHandler {
   return {
     onRequestStart: controller => exchange.onRequestStart(controller),
     onResponseStart: (controller, status, headers) =>
       exchange.onResponseStart(controller, status, headers),
-    onResponseData: (controller, chunk) =>
-      exchange.onResponseData(controller, chunk),
+    onResponseData: (controller, chunk) => {
+      onBodyBytes(chunk.length);
+      exchange.onResponseData(controller, chunk);
+    },
     onResponseEnd: () => {
       exchange.onResponseEnd();
       onConnectionFree(true);
@@ -202,7 +216,12 @@
       this.release(connection, isReusable);
     };
     try {
-      connection.dispatch(request, createDispatchHandler(exchange, release));
+      const handler = createDispatchHandler(
+        exchange,
+        bytes => connection.countBody(bytes),
+        release,
+      );
+      connection.dispatch(request, handler);
     } catch (error) {
       exchange.fail('connect', error);
       release(false);
--- a/packages/clients/src/http/http_transport.ts
+++ b/packages/clients/src/http/http_transport.ts
@@ -1,11 +1,13 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import {Agent} from 'undici';
+import type {Socket} from 'node:net';
+import {Agent, buildConnector} from 'undici';
 import {createTransportError} from '../errors/transport_error.js';
 import {
   HttpExchange,
   type ExchangeOptions,
   type HttpStream,
 } from './http_exchange.js';
+import {ResponseByteLimit} from './response_byte_limit.js';
 
 /** Options of {@link HttpTransport}. */
 export interface HttpTransportOptions {
@@ -46,6 +48,24 @@
 const MIB = 1024 * 1024;
 const DEFAULT_MAX_RESPONSE_BYTES = 8 * MIB;
 
+/** Maximum size of a response, whatever its parts. */
+const MAX_TOTAL_BYTES = 16 * MIB;
+
+/** Creates a connector whose connections bear no response without end. */
+function createLimitedConnector(timeoutMs: number): buildConnector.connector {
+  const connect = buildConnector({timeout: timeoutMs});
+  return (target, callback) => {
+    connect(target, (error, socket) => {
+      if (error) {
+        callback(error, null);
+        return;
+      }
+      ResponseByteLimit.watch(socket as Socket, MAX_TOTAL_BYTES);
+      callback(null, socket as Socket);
+    });
+  };
+}
+
 function resolveAgentOptions(options: HttpTransportOptions): Agent.Options {
   const keepAliveTimeout = options.keepAliveTimeoutMs ?? 2000;
   return {
@@ -53,7 +73,7 @@
     pipelining: 1,
     keepAliveTimeout,
     keepAliveMaxTimeout: keepAliveTimeout,
-    connect: {timeout: options.connectTimeoutMs ?? 1000},
+    connect: createLimitedConnector(options.connectTimeoutMs ?? 1000),
     headersTimeout: 0,
     bodyTimeout: 0,
   };
