End a stream whose event has no end

Cause: an incomplete event was buffered without a bound.

Fix: behind 1 MiB of one event the stream counts as broken, is logged as event_too_large and goes on at another server where the route allows it. It is no crash of the server.

--- a/packages/gateway/src/stages/event_splitter.ts
+++ b/packages/gateway/src/stages/event_splitter.ts
@@ -1,6 +1,8 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const EMPTY = Buffer.alloc(0);
+/** Maximum size of one event. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 
 /** Complete events and the last event id among them. */
 export interface CompleteEvents {
@@ -36,6 +38,11 @@
     return this.incomplete.length > 0;
   }
 
+  /** True once the last event is too large to wait for its end. */
+  get isEventTooLarge(): boolean {
+    return this.incomplete.length > MAX_EVENT_BYTES;
+  }
+
   /** Adds a chunk and returns the events that it completes. */
   push(chunk: Buffer): CompleteEvents {
     const buffered =
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -42,6 +42,14 @@
   let chunkCount = 0;
   let firstMs = 0;
   let lastMs = 0;
+  const endOversized = (): RelayResult => {
+    const {id} = request;
+    context.logger.warn('event_too_large', {
+      request: id,
+      server: send.server.id,
+    });
+    return {end: 'broken', durationMs: lastMs - firstMs};
+  };
   const finish = (end: RelayEnd): RelayResult => {
     if (end === 'broken' && chunkCount === 0 && generation)
       context.crashGuard.recordCrash(send.server, generation, sentMs);
@@ -50,6 +58,7 @@
   try {
     for await (const chunk of backendResponse.stream.chunks) {
       const {bytes, lastId} = splitter.push(chunk);
+      if (splitter.isEventTooLarge) return endOversized();
       if (bytes.length === 0) continue;
       if (exchange.stopped !== undefined) return finish('stopped');
       lastMs = performance.now();
