Limit the memory of large response bodies together

Fix: bodies over 256 KiB share 48 MiB; one that asks for more is dropped. Smaller bodies are always read, so that sound servers do not suffer.

Test: 'many bodies without end at once take bounded memory' was red before (250 MB, 128 MiB allowed).

--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,4 +1,5 @@
 import type {
+  ByteBudget,
   Random,
   PrefillTimeEstimator,
   ServerTable,
@@ -31,6 +32,8 @@
   readonly decodeEstimator: DecodeTimeEstimator;
   readonly versions: VersionSelector;
   readonly crashGuard: CrashGuard;
+  /** Limits the large response bodies that are in memory. */
+  readonly largeBodies: ByteBudget;
   readonly random: Random;
   /** True once a graceful shutdown has begun. */
   readonly isStopping: () => boolean;
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -170,7 +170,7 @@
   let body: Buffer;
   const sentMs = backendResponse.sentMs;
   try {
-    body = await readResponseBody(backendResponse.stream);
+    body = await readResponseBody(backendResponse.stream, context.largeBodies);
   } catch (error) {
     if (!isTransportError(error) && !(error instanceof RangeError)) throw error;
     if (exchange.stopped !== undefined) {
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import type {Server} from 'node:http';
 import {
+  ByteBudget,
   PrefillTimeEstimator,
   ServerTable,
   DecodeTimeEstimator,
@@ -30,6 +31,7 @@
   createMetricsServer,
   createReadinessServer,
 } from './server/status_servers.js';
+import {MAX_LARGE_BODIES_BYTES} from './stages/read_response_body.js';
 import {drainCallerServer} from './server/drain_caller_server.js';
 
 /** External dependencies of the gateway. */
@@ -126,6 +128,7 @@
     pools,
     versions: rollouts,
     crashGuard,
+    largeBodies: ByteBudget.create(MAX_LARGE_BODIES_BYTES),
     retryBudgets: RetryBudgets.create(settings.repeats, hosts),
     hosts,
     hostMessenger,
