--- a/packages/gateway/src/control/rollout_controller.ts
+++ b/packages/gateway/src/control/rollout_controller.ts
@@ -7,7 +7,6 @@
   type RolloutOrder,
   type RolloutPhase,
   type RolloutSide,
-  type RolloutState,
   type ServerRecord,
 } from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
@@ -21,6 +20,7 @@
 } from './active_rollout.js';
 import type {RolloutAnnouncement} from './rollout_announcement.js';
 import {RolloutAnnouncer} from './rollout_announcer.js';
+import {RolloutReporter} from './rollout_reporter.js';
 import type {RolloutStateWriter} from './rollout_state_writer.js';
 import {RolloutWriteTiming} from './rollout_write_timing.js';
 import type {
@@ -53,8 +53,6 @@
   garbled: true,
 };
 
-const WRITE_RETRY_MS = 500;
-
 /**
  * Controls the rollouts that operators have ordered: selects the version for
  * each request, evaluates the new version, and writes the progress and the
@@ -69,6 +67,7 @@
   private readonly withdrawnTargets = new Map<string, string>();
   private readonly timing: RolloutWriteTiming;
   private readonly announcer: RolloutAnnouncer;
+  private readonly reporter: RolloutReporter;
   private bounds: RolloutBounds;
 
   private constructor(private readonly options: RolloutControllerOptions) {
@@ -76,6 +75,7 @@
     this.sessions = SessionVersions.create(options.sessionMs);
     this.timing = RolloutWriteTiming.create(options);
     this.announcer = RolloutAnnouncer.create(options);
+    this.reporter = RolloutReporter.create({...options, timing: this.timing});
   }
 
   static create(options: RolloutControllerOptions): RolloutController {
@@ -196,7 +196,7 @@
         !rollout.isStoreSilent;
       if (!isUrgent && nowMs < rollout.writeAfterMs) continue;
       if (rollout.revision === undefined) continue;
-      void this.writeState(rollout, state, rollout.revision);
+      void this.reporter.report(rollout, state, rollout.revision);
     }
   }
 
@@ -290,54 +290,6 @@
     return chooseRolloutSide(rollout, {...key, sessionVersion});
   }
 
-  private async writeState(
-    rollout: ActiveRollout,
-    state: RolloutState,
-    revision: number,
-  ): Promise<void> {
-    const {logger, stateWriter, random} = this.options;
-    const {order, step} = rollout.plan;
-    const {service, target} = order;
-    const elapsedMs = Math.round(rollout.plan.elapsedMs(performance.now()));
-    rollout.isWriting = true;
-    const result = await stateWriter.writeState(
-      {service, target, state, elapsedMs, step},
-      revision,
-    );
-    rollout.isWriting = false;
-    rollout.isStoreSilent = result.status === 'unanswered';
-    const nowMs = performance.now();
-    rollout.writeAfterMs = nowMs + WRITE_RETRY_MS * (1 + random());
-    logger.info('rollout_declared', {
-      service,
-      target,
-      state,
-      result: result.status,
-      elapsedMs,
-      step,
-      reason: rollout.evidence.findRegression(),
-      looksSlow: rollout.evidence.looksSlow() || undefined,
-      newAnswers: rollout.evidence.countRequests('new'),
-      newFailures: rollout.evidence.countFailures('new'),
-      oldAnswers: rollout.evidence.countRequests('old'),
-      oldFailures: rollout.evidence.countFailures('old'),
-      newSlowness: rollout.evidence.readSlowness('new')?.toFixed(2),
-      oldSlowness: rollout.evidence.readSlowness('old')?.toFixed(2),
-    });
-    // A write that was answered before the store returned from an older copy
-    // may be lost.
-    const isOutdated = rollout.revision !== revision;
-    if (result.status !== 'written' || isOutdated) return;
-    rollout.lostState = undefined;
-    // The watch delivers the same state later.
-    rollout.plan = rollout.plan.withOrder(
-      {...order, state, elapsedMs, step},
-      nowMs,
-    );
-    rollout.revision = result.version;
-    rollout.progressAfterMs = this.timing.computeNextProgressMs(order, nowMs);
-  }
-
   private logPhase(rollout: ActiveRollout, phase: RolloutPhase): void {
     const {service, target} = rollout.plan.order;
     rollout.lastPhase = phase;
