--- a/packages/gateway/src/control/host_registry.ts
+++ b/packages/gateway/src/control/host_registry.ts
@@ -24,10 +24,10 @@
   readonly logger: Logger;
   readonly random: () => number;
   /**
-   * Mean delay between registering and the first list, by when hosts that were
+   * Mean delay between registering and the second list, by when hosts that were
    * started together have registered. Default 3000.
    */
-  readonly firstListMs?: number;
+  readonly secondListMs?: number;
   /** Mean time between two lists. Default 15000. */
   readonly listPeriodMs?: number;
   /**
@@ -38,7 +38,7 @@
 }
 
 const DEFAULTS = {
-  firstListMs: 3000,
+  secondListMs: 3000,
   listPeriodMs: 15_000,
   retryMs: 2000,
 } as const satisfies Partial<HostRegistryOptions>;
@@ -75,7 +75,7 @@
     return this.otherAddresses.length + 1;
   }
 
-  /** True once the other hosts have been listed. */
+  /** True once the hosts that were started together have been listed. */
   get hasHostList(): boolean {
     return this.hasListed;
   }
@@ -87,7 +87,7 @@
 
   /** Registers this host and lists the others until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const {store, random, firstListMs, listPeriodMs, retryMs} = this.options;
+    const {store, random, secondListMs, listPeriodMs, retryMs} = this.options;
     const jitter = (): number => 0.5 + random();
     const stopListening = store.era?.onChange(() => {
       this.isRegistered = false;
@@ -112,10 +112,13 @@
           await this.register();
           // An entry written in an earlier era may be lost.
           this.isRegistered = era === undefined || era === store.era?.current;
-          waitMs = firstListMs * jitter();
+          // A restarted host ignores what others tell it until it knows them.
+          if (!this.hasListed) await this.list();
+          waitMs = secondListMs * jitter();
           continue;
         }
         await this.list();
+        this.hasListed = true;
         waitMs = (this.isRegistered ? listPeriodMs : retryMs) * jitter();
       } catch (error) {
         if (!isObjectStoreError(error)) throw error;
@@ -162,7 +165,6 @@
     } while (after !== undefined);
     const isChanged = foundAddresses.join() !== this.otherAddresses.join();
     this.otherAddresses = foundAddresses;
-    this.hasListed = true;
     if (!isListed) {
       this.isRegistered = false;
       logger.info('host_unlisted', {address});
