--- a/packages/gateway/src/control/rollout_announcer.ts
+++ b/packages/gateway/src/control/rollout_announcer.ts
@@ -17,6 +17,8 @@
   readonly revision: number;
   readonly isVersionBad: boolean;
   readonly step: number;
+  /** When this host learnt that the rollout was rolled back. */
+  readonly endedMs: number | undefined;
 }
 
 const NOT_ANNOUNCED: AnnouncedState = {
@@ -25,6 +27,7 @@
   revision: 0,
   isVersionBad: false,
   step: 0,
+  endedMs: undefined,
 };
 
 /**
@@ -34,6 +37,8 @@
 const PERIOD_PER_HOST_MS = 40;
 const PERIOD_RANGE_MS = {min: 200, max: 2000} as const;
 const REPEAT_MS = 2000;
+/** Time for which the end of a rollout is announced, to hosts that lag behind. */
+const END_ANNOUNCEMENTS_MS = 60_000;
 /** Rows of one announcement, so that it fits into one packet. */
 const MAX_ROWS = 12;
 
@@ -51,6 +56,11 @@
   announceIfDue(rollout: ActiveRollout, nowMs: number): void {
     if (rollout.plan.phase === 'succeeded') return;
     const before = this.states.get(rollout) ?? NOT_ANNOUNCED;
+    const endedMs =
+      rollout.plan.phase === 'rolledBack'
+        ? (before.endedMs ?? nowMs)
+        : undefined;
+    if (nowMs - (endedMs ?? nowMs) > END_ANNOUNCEMENTS_MS) return;
     const isVersionBad = hasFoundBad(rollout);
     const {step} = rollout.plan;
     const isUrgent =
@@ -68,6 +78,7 @@
       revision,
       isVersionBad,
       step,
+      endedMs,
     });
   }
 
