Relay a stream without length and chunks in chunks

Cause: the caller's response had the framing of the server's, so the end of the connection was its only end, whether the stream was whole or not; the incomplete event is held back, so nothing showed that it had been broken off.

Fix: streams are relayed in chunks. A whole one ends with the last chunk, one that breaks off without it. Weighed: resetting the connection, which may cost the caller events on the way.

--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -1,11 +1,7 @@
 import {once} from 'node:events';
 import {isTransportError} from '@anvilrudder/clients';
 import type {GatewayContext} from '../gateway_context.js';
-import {
-  copyEndToEndHeaders,
-  delimitByClose,
-  isDelimitedByClose,
-} from './response_headers.js';
+import {copyEndToEndHeaders} from './response_headers.js';
 import {EventSplitter} from './event_splitter.js';
 import type {OpenExchange} from './open_exchange.js';
 import type {BackendResponse} from './send_attempt.js';
@@ -23,7 +19,8 @@
 /**
  * Relays the events of one server, each once it is complete. The head is
  * written with the first event; a resumed stream keeps the head from its first
- * server.
+ * server. The caller gets chunks, also where only the end of the connection
+ * delimits the stream, so that one that breaks off does not look complete.
  *
  * @example
  * ```ts
@@ -101,7 +98,6 @@
   const {response, arrivedMs} = exchange.admitted;
   const headers = copyEndToEndHeaders(backendResponse.stream.headers);
   delete headers['content-length'];
-  if (isDelimitedByClose(backendResponse.stream)) delimitByClose(response);
   response.writeHead(backendResponse.stream.status, headers);
   exchange.firstMs = performance.now() - arrivedMs;
 }
