Begin with a short quarantine of a prompt part, and double it

Found in review: a part that no server has answered on and that was the victim of three lost connections in a row was refused for ten minutes by all hosts, as nothing is sent on it that could clear it.

The first quarantine takes a minute, each further one twice as long, an hour at most; behind it one crash suffices for the next, at hosts that adopted it too. So a part that does crash servers reaches one in a minute, then in two, then in four.

Tests: the length of the next quarantine, and that an adopted one is renewed at once.

--- a/packages/core/src/forwarding/crash_suspects.ts
+++ b/packages/core/src/forwarding/crash_suspects.ts
@@ -30,13 +30,18 @@
   /** Crashes with different causes. */
   crashCount: number;
   lastCrashMs: number;
+  quarantineCount: number;
   quarantinedUntilMs: number;
 }
 
 /** Crashes without an answer in between after which a part is quarantined. */
 const CRASHES_BEFORE_QUARANTINE = {unanswered: 3, answered: 6} as const;
-/** Shorter for parts that servers have answered on before. */
-const QUARANTINE_MS = {unanswered: 600_000, answered: 10_000} as const;
+/**
+ * First quarantine of a part; each further one takes twice as long. Shorter for
+ * parts that servers have answered on before.
+ */
+const QUARANTINE_MS = {unanswered: 60_000, answered: 10_000} as const;
+const MAX_QUARANTINE_MS = 3_600_000;
 /**
  * Crashes within this time have one cause, such as a failing failure domain,
  * unless a request was sent to the second server behind the first crash.
@@ -123,8 +128,10 @@
     const record = this.touchRecord(partId);
     record.companionIds ??= companionIds;
     record.lastCrashMs = nowMs;
-    const untilMs = Math.min(remainingMs, QUARANTINE_MS.unanswered);
-    record.quarantinedUntilMs = nowMs + untilMs;
+    record.crashCount = CRASHES_BEFORE_QUARANTINE.answered;
+    record.quarantineCount += 1;
+    const durationMs = Math.min(MAX_QUARANTINE_MS, remainingMs);
+    record.quarantinedUntilMs = nowMs + durationMs;
     return true;
   }
 
@@ -155,7 +162,9 @@
     const history = this.answeredIds.has(partId) ? 'answered' : 'unanswered';
     if (record.crashCount < CRASHES_BEFORE_QUARANTINE[history]) return [];
     if (nowMs < record.quarantinedUntilMs) return [];
-    record.quarantinedUntilMs = nowMs + QUARANTINE_MS[history];
+    const durationMs = QUARANTINE_MS[history] * 2 ** record.quarantineCount;
+    record.quarantineCount += 1;
+    record.quarantinedUntilMs = nowMs + Math.min(MAX_QUARANTINE_MS, durationMs);
     return [this.findQuarantine(partId, nowMs) ?? []].flat();
   }
 
@@ -181,6 +190,7 @@
       companionIds: undefined,
       crashCount: 0,
       lastCrashMs: -Infinity,
+      quarantineCount: 0,
       quarantinedUntilMs: -Infinity,
     };
     this.records.delete(partId);
--- a/packages/core/test/forwarding/crash_suspects.test.ts
+++ b/packages/core/test/forwarding/crash_suspects.test.ts
@@ -110,6 +110,8 @@
   assert.equal(suspects.adopt(part, 100), false);
   assert.equal(suspects.findQuarantined(PARTS, 4000)?.remainingMs, 1000);
   assert.equal(suspects.findQuarantined(PARTS, 5000), undefined);
+  crash(suspects, 1, 6000, ['poison']);
+  assert.notEqual(suspects.findQuarantined(PARTS, 6000), undefined);
 });
 
 test('a part that crashes a server again behind its quarantine is quarantined at once', () => {
@@ -120,7 +122,8 @@
   const endMs = 2000 + remainingMs;
   assert.deepEqual(suspects.listQuarantined(endMs), []);
   crash(suspects, 9, endMs + 1000, ['poison']);
-  assert.equal(suspects.listQuarantined(endMs + 1000).length, 1);
+  const [next] = suspects.listQuarantined(endMs + 1000);
+  assert.equal(next.remainingMs, 2 * remainingMs);
 });
 
 test('the number of remembered parts is bounded', () => {
