--- a/packages/entry/src/cli/entry_command.ts
+++ b/packages/entry/src/cli/entry_command.ts
@@ -1,4 +1,5 @@
 import {readFileSync} from 'node:fs';
+import {HangupListener} from '@anvilrudder/clients';
 import {formatFinding} from '@anvilrudder/core';
 import {defineCommand, type ArgsDef} from 'citty';
 import {parseSettings} from '../config/parse_settings.js';
@@ -34,6 +35,7 @@
   },
   args: ENTRY_OPTIONS,
   async run({args}) {
+    const hangups = HangupListener.create();
     const settings = loadSettings(args.config);
     if (settings === undefined) {
       process.exitCode = ENTRY_EXIT_CODES.invalidSettings;
@@ -44,7 +46,7 @@
       return;
     }
     const entry = await startEntry(settings, {settingsFile: args.config});
-    process.on('SIGHUP', () => {
+    hangups.handle(() => {
       void entry.reload();
     });
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
--- a/packages/entry/test/config/settings_reloader.test.ts
+++ b/packages/entry/test/config/settings_reloader.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
-import {spawn} from 'node:child_process';
+import {execFileSync, spawn} from 'node:child_process';
 import {createHash} from 'node:crypto';
-import {mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {open} from 'node:fs/promises';
 import {once} from 'node:events';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -173,6 +174,35 @@
   }
 });
 
+test('a SIGHUP while the entry reads its settings does not end it', async t => {
+  const {resolvePath} = await startWithSettingsFiles(t);
+  const path = resolvePath(8);
+  const text = readFileSync(resolvePath(0), 'utf8')
+    .replace('host: entry-0', 'host: entry-8')
+    .replace('level: error', 'level: info');
+  // The entry waits until the test has written to the pipe.
+  execFileSync('mkfifo', [path]);
+  const main = fileURLToPath(new URL('../../src/main.js', import.meta.url));
+  const entry = spawn(process.execPath, [main, '--config', path]);
+  t.after(() => entry.kill('SIGKILL'));
+  let lines = '';
+  entry.stdout.on('data', (chunk: Buffer) => {
+    lines += String(chunk);
+  });
+  const pipe = await open(path, 'w');
+  // A reload reads the file that has taken the place of the pipe.
+  rmSync(path);
+  writeFileSync(path, text);
+  entry.kill('SIGHUP');
+  await pipe.writeFile(text);
+  await pipe.close();
+  await waitUntil(
+    () => entry.signalCode !== null || lines.includes('event=entry_started'),
+    'the entry has started or ended',
+  );
+  assert.equal(entry.signalCode, null);
+});
+
 test('SIGHUP reloads settings and logs findings and fields that need a restart', async t => {
   const {resolvePath} = await startWithSettingsFiles(t);
   const path = resolvePath(9);
