Log why a send goes to a version while two versions run

The logs named neither the session of a request nor why a version was chosen, so the hypotheses of the incident could not be told apart. The selector now returns the basis of its choice with the servers, and each send logs version_chosen with a hash of its session while two versions of its service run. No choice changes.

--- a/packages/gateway/src/control/active_rollout.ts
+++ b/packages/gateway/src/control/active_rollout.ts
@@ -5,7 +5,7 @@
   RolloutState,
   VersionEvidence,
 } from '@anvilrudder/core';
-import type {VersionKey} from './version_selector.js';
+import type {VersionBasis, VersionKey} from './version_selector.js';
 
 /** A rollout that an operator has ordered, as known to this host. */
 export interface ActiveRollout {
@@ -35,6 +35,12 @@
   readonly sessionVersion: string | undefined;
 }
 
+/** The side of a request, and why. */
+export interface SideChoice {
+  readonly side: RolloutSide;
+  readonly basis: VersionBasis;
+}
+
 /** A version may be bad only under the load of all requests. */
 const MIN_ANSWERS_SINCE_SHIFT = 8;
 
@@ -53,19 +59,24 @@
 export function chooseRolloutSide(
   rollout: ActiveRollout,
   key: RolloutKey,
-): RolloutSide {
+): SideChoice {
   const {plan, evidence} = rollout;
   const {phase} = plan;
   // The state may not be written yet, since the store may be unavailable.
-  if (rollout.isNewVersionBad && phase !== 'succeeded') return 'old';
+  if (rollout.isNewVersionBad && phase !== 'succeeded')
+    return {side: 'old', basis: 'foundBad'};
   const fixed = SIDE_BY_PHASE[phase];
-  if (fixed !== undefined) return fixed;
+  if (fixed !== undefined) return {side: fixed, basis: 'phase'};
   const {previousVersion, session, stickyKey, sessionVersion} = key;
   if (previousVersion !== undefined) {
-    return evidence.isSuspect() ? 'old' : sideOf(rollout, previousVersion);
+    if (evidence.isSuspect()) return {side: 'old', basis: 'suspected'};
+    return {side: sideOf(rollout, previousVersion), basis: 'sameRequest'};
   }
-  if (sessionVersion !== undefined) return sideOf(rollout, sessionVersion);
-  return plan.isSampled(session ?? stickyKey) ? 'new' : 'old';
+  if (sessionVersion !== undefined)
+    return {side: sideOf(rollout, sessionVersion), basis: 'remembered'};
+  return plan.isSampled(session ?? stickyKey)
+    ? {side: 'new', basis: 'sampled'}
+    : {side: 'old', basis: 'notSampled'};
 }
 
 /** Finds the state that a host has to write to the store now, if any. */
--- a/packages/gateway/src/control/rollout_controller.ts
+++ b/packages/gateway/src/control/rollout_controller.ts
@@ -6,7 +6,6 @@
   type RolloutBounds,
   type RolloutOrder,
   type RolloutPhase,
-  type RolloutSide,
   type ServerRecord,
 } from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
@@ -17,6 +16,7 @@
   resolveFinalState,
   sideOf,
   type ActiveRollout,
+  type SideChoice,
 } from './active_rollout.js';
 import type {RolloutAnnouncement} from './rollout_announcement.js';
 import {RolloutAnnouncer} from './rollout_announcer.js';
@@ -27,6 +27,7 @@
   VersionSelector,
   VersionKey,
   VersionOutcome,
+  VersionSelection,
 } from './version_selector.js';
 
 /** Dependencies and limits of a rollout controller. */
@@ -151,15 +152,16 @@
     service: string,
     records: readonly ServerRecord[],
     key: VersionKey,
-  ): readonly ServerRecord[] {
+  ): VersionSelection {
     if (haveSameVersion(records)) {
       if (records.length > 0 && !this.rollouts.has(service)) {
         this.stableVersions.set(service, records[0].server.softwareVersion);
       }
-      return records;
+      return {records, basis: undefined};
     }
-    const chosen = this.filterByVersion(service, records, key);
-    return chosen.length > 0 ? chosen : records;
+    const selection = this.selectVersion(service, records, key);
+    if (selection.records.length > 0) return selection;
+    return {records, basis: 'noServerLeft'};
   }
 
   recordSend(session: string, version: string): void {
@@ -265,25 +267,27 @@
       rollout.progressAfterMs = this.timing.computeTakeoverMs(order, nowMs);
   }
 
-  private filterByVersion(
+  private selectVersion(
     service: string,
     records: readonly ServerRecord[],
     key: VersionKey,
-  ): readonly ServerRecord[] {
+  ): VersionSelection {
     const rollout = this.rollouts.get(service);
     if (rollout === undefined) {
       const stableVersion = this.stableVersions.get(service);
-      return records.filter(
+      const stable = records.filter(
         ({server}) => server.softwareVersion === stableVersion,
       );
+      return {records: stable, basis: 'stable'};
     }
-    const side = this.chooseSide(rollout, key);
-    return records.filter(
+    const {side, basis} = this.chooseSide(rollout, key);
+    const ofSide = records.filter(
       ({server}) => sideOf(rollout, server.softwareVersion) === side,
     );
+    return {records: ofSide, basis};
   }
 
-  private chooseSide(rollout: ActiveRollout, key: VersionKey): RolloutSide {
+  private chooseSide(rollout: ActiveRollout, key: VersionKey): SideChoice {
     const {session} = key;
     const sessionVersion =
       session && this.sessions.find(session, performance.now());
--- a/packages/gateway/src/control/version_selector.ts
+++ b/packages/gateway/src/control/version_selector.ts
@@ -9,6 +9,32 @@
   readonly previousVersion: string | undefined;
 }
 
+/** Why a request goes to a version while several versions run. */
+export type VersionBasis =
+  /** The rollout has moved all new work to one version. */
+  | 'phase'
+  /** The new version was found to be bad. */
+  | 'foundBad'
+  /** A retry avoids the new version, which may be bad. */
+  | 'suspected'
+  /** An earlier send of the same request went there. */
+  | 'sameRequest'
+  /** An earlier request of the session went there from this host. */
+  | 'remembered'
+  | 'sampled'
+  | 'notSampled'
+  /** No rollout is known; the version is the one that ran alone before. */
+  | 'stable'
+  /** The chosen version has no server that the request may go to. */
+  | 'noServerLeft';
+
+/** The servers that a request may go to, and why. */
+export interface VersionSelection {
+  readonly records: readonly ServerRecord[];
+  /** Undefined if all servers run the same version. */
+  readonly basis: VersionBasis | undefined;
+}
+
 /** Outcome of one send to a version. */
 export interface VersionOutcome {
   readonly service: string;
@@ -21,12 +47,12 @@
 
 /** Selects the software version of a service for a request. */
 export interface VersionSelector {
-  /** Returns the servers whose version the request may be sent to. */
+  /** Selects the servers whose version the request may be sent to. */
   select(
     service: string,
     records: readonly ServerRecord[],
     key: VersionKey,
-  ): readonly ServerRecord[];
+  ): VersionSelection;
   /** Records that a request of a session was sent to a version. */
   recordSend(session: string, version: string): void;
   /** Records the outcome of a send. */
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -10,6 +10,7 @@
   type PlacementChoice,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
+import type {VersionBasis} from '../control/version_selector.js';
 import type {OpenExchange} from './open_exchange.js';
 
 /** The backend server and model for the next send of an exchange. */
@@ -21,6 +22,8 @@
   readonly modelName: string;
   /** Forecast of the time to the first event, before correction. */
   readonly forecastMs: number | undefined;
+  /** Why its version was chosen; undefined if only one runs. */
+  readonly versionBasis: VersionBasis | undefined;
 }
 
 /** Minimum time that a server in another failure domain must save. */
@@ -53,11 +56,15 @@
   const {generation} = request;
   const modelName = model ?? generation?.model ?? '';
   const nowMs = performance.now();
-  const ofVersion = context.versions.select(service.name, eligible, {
-    session: request.session,
-    stickyKey: readStickyKey(exchange),
-    previousVersion: exchange.softwareVersion,
-  });
+  const {records: ofVersion, basis} = context.versions.select(
+    service.name,
+    eligible,
+    {
+      session: request.session,
+      stickyKey: readStickyKey(exchange),
+      previousVersion: exchange.softwareVersion,
+    },
+  );
   const choice = chooseServer({
     candidates: ofVersion.filter(
       ({availability}) => !isPaused(availability, nowMs),
@@ -75,7 +82,14 @@
   });
   if (choice === undefined) return undefined;
   const forecastMs = generation && forecastFirstEventMs(choice, nowMs);
-  return {...choice, service, model, modelName, forecastMs};
+  return {
+    ...choice,
+    service,
+    model,
+    modelName,
+    forecastMs,
+    versionBasis: basis,
+  };
 }
 
 /**
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -4,6 +4,7 @@
   type TransportError,
 } from '@anvilrudder/clients';
 import {
+  hashToUint32,
   isNeverSent,
   isProvenNotRun,
   type AttemptEnd,
@@ -89,6 +90,7 @@
   exchange.server = server.id;
   exchange.softwareVersion = server.softwareVersion;
   exchange.model = model;
+  logVersion(context, exchange, target);
   const pool = context.pools.get(server, service.maxConnections);
   const mayHaveRunBefore = exchange.mayHaveRun;
   if (request.session !== undefined) {
@@ -174,6 +176,25 @@
   });
 }
 
+/** Logs the version of a send while several versions of its service run. */
+function logVersion(
+  {logger}: GatewayContext,
+  {admitted, attempts}: OpenExchange,
+  {record, service, versionBasis}: SendTarget,
+): void {
+  if (versionBasis === undefined) return;
+  const {id, session} = admitted.request;
+  logger.info('version_chosen', {
+    request: id,
+    // The same on all hosts, and short whatever the caller sends.
+    sessionHash: session && hashToUint32(session).toString(16),
+    service: service.name,
+    version: record.server.softwareVersion,
+    basis: versionBasis,
+    attempt: attempts,
+  });
+}
+
 /** Records what a response says about further requests to its server. */
 function recordAvailability(
   {servers, logger}: GatewayContext,
