Log the session of each settled request

version_chosen tells the session only while two versions run; which version its requests before the order went to, and by which host, stood in no line. request_settled now names the session by the same hash.

--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -11,6 +11,7 @@
 import {readRequestBody} from '../server/read_request_body.js';
 import {admitRequest, type AdmittedRoute} from './admit.js';
 import {dispatchRequest} from './dispatch.js';
+import {hashSession} from './hash_session.js';
 import {OpenExchange} from './open_exchange.js';
 
 /** Limits that apply until the first configuration has arrived. */
@@ -130,6 +131,7 @@
   context.metrics.recordMs('request_seconds', {outcome}, totalMs);
   context.logger.info('request_settled', {
     request: request.id,
+    sessionHash: hashSession(request.session),
     organisation: admitted?.organisation?.name,
     route: admitted?.route.name,
     kind: admitted?.route.kind,
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -4,7 +4,6 @@
   type TransportError,
 } from '@anvilrudder/clients';
 import {
-  hashToUint32,
   isNeverSent,
   isProvenNotRun,
   type AttemptEnd,
@@ -14,6 +13,7 @@
 import type {GatewayContext} from '../gateway_context.js';
 import type {ResponseHead} from '../ports.js';
 import type {SendTarget} from './choose_target.js';
+import {hashSession} from './hash_session.js';
 import type {OpenExchange} from './open_exchange.js';
 
 /** The response of a backend server to one send. */
@@ -186,8 +186,7 @@
   const {id, session} = admitted.request;
   logger.info('version_chosen', {
     request: id,
-    // The same on all hosts, and short whatever the caller sends.
-    sessionHash: session && hashToUint32(session).toString(16),
+    sessionHash: hashSession(session),
     service: service.name,
     version: record.server.softwareVersion,
     basis: versionBasis,
