Read durations of the settings with their unit

Cause: the template wrote seconds as milliseconds by putting three zeros behind them. With 6.5 s this gives 6.5000, which is 6.5 ms. The same would have made 7.5 ms of a grace period of 7.5 s.

--- a/packages/gateway/src/config/settings.ts
+++ b/packages/gateway/src/config/settings.ts
@@ -47,6 +47,14 @@
 
 type FieldPath = readonly string[];
 
+const MS_BY_UNIT: Readonly<Record<string, number>> = {ms: 1, s: 1000};
+
+/** Returns undefined for a text that is no duration. */
+function parseDurationMs(text: string): number | undefined {
+  const match = /^(\d+(?:\.\d+)?)(ms|s)$/.exec(text);
+  return match === null ? undefined : Number(match[1]) * MS_BY_UNIT[match[2]];
+}
+
 /** Reads and validates fields, and collects a finding for each invalid one. */
 class FieldReader {
   readonly findings: Finding[] = [];
@@ -70,6 +78,20 @@
     return minimum;
   }
 
+  /** Reads a number of milliseconds, or a text with its unit. */
+  readDurationMs(path: FieldPath, minimumMs: number): number {
+    const value: unknown = this.document.getIn(path);
+    const durationMs =
+      typeof value === 'string' ? parseDurationMs(value) : value;
+    if (typeof durationMs === 'number' && durationMs >= minimumMs)
+      return durationMs;
+    this.report(
+      path,
+      `must be a duration of at least ${minimumMs} ms, such as 1500 or 1.5s`,
+    );
+    return minimumMs;
+  }
+
   readAddress(path: FieldPath): ListenAddress {
     const match = /^([0-9.]+):(\d{1,5})$/.exec(this.readString(path));
     const port = Number(match?.[2] ?? NaN);
@@ -144,17 +166,17 @@
       hosts: reader.readAddress(['listen', 'hosts']),
     },
     storeAddress: reader.readString(['storeAddress']),
-    heartbeatMs: reader.readNumber(['heartbeatMs'], 1),
-    stopGraceMs: reader.readNumber(['stopGraceMs'], 0),
+    heartbeatMs: reader.readDurationMs(['heartbeatMs'], 1),
+    stopGraceMs: reader.readDurationMs(['stopGraceMs'], 0),
     repeats: {
       ratio: reader.readNumber(['repeats', 'ratio'], 0),
       extra: reader.readNumber(['repeats', 'extra'], 0),
-      windowMs: reader.readNumber(['repeats', 'windowMs'], 1),
+      windowMs: reader.readDurationMs(['repeats', 'windowMs'], 1),
     },
     rollouts: {
       exposureShare: reader.readNumber(['rollouts', 'exposureShare'], 0),
       exposureSlack: reader.readNumber(['rollouts', 'exposureSlack'], 0),
-      sessionMs: reader.readNumber(['rollouts', 'sessionMs'], 0),
+      sessionMs: reader.readDurationMs(['rollouts', 'sessionMs'], 0),
     },
   };
 }
