Keep the limit that a server names, over all hosts together

What callers saw: servers in need that named a limit of their requests got more than one and a half times of it (LIMIT: 12 in 4 s at 1 a second, 11 allowed), and would serve all of their callers worse.

Cause: no host read Server-Limit. A server's word on what it accepts was known for leaving and for pauses, which concern one host alone, and not for what concerns all of them.

Evidence: in the record the requests of i-73b5fefd4f do not fall when it names its limit, and no log line names it.

A limit is kept in one place with leaving and pauses. A few hosts, found by all alike from a hash of server and host, share it evenly: one for each request a second, and three more, as each may begin at once, so that the sum of 4 s is at most 5 N + 3 where 6 N + 5 is allowed. The hosts tell each other of a limit at once and every 2 s, and of its end three times. A request waits for its turn for up to 2 s and a quarter of its time; otherwise it is refused at once with the time of the next turn. A header that is no decimal number is logged and changes nothing.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -12,6 +12,7 @@
 export * from './routing_table.js';
 export * from './server_availability.js';
 export * from './server_health.js';
+export * from './server_limit.js';
 export * from './server_table.js';
 export * from './session_versions.js';
 export * from './version_evidence.js';
--- a/packages/core/src/forwarding/placement.ts
+++ b/packages/core/src/forwarding/placement.ts
@@ -2,6 +2,7 @@
 import type {Random} from '../utils/random.js';
 import type {GenerationDemand, PromptPart} from './exchange_types.js';
 import {isEjected, computeFailureRate} from './server_health.js';
+import {computeLimitDelayMs} from './server_limit.js';
 import {
   estimateRemoteRunning,
   estimateBacklogMs,
@@ -170,7 +171,9 @@
     random,
   } = request;
   const {server, health} = record;
-  const waiting = estimateBacklogMs(record, nowMs);
+  const waiting =
+    estimateBacklogMs(record, nowMs) +
+    computeLimitDelayMs(record.availability.limit, nowMs);
   const runningCount = estimateRunning(request, record);
   const running =
     (runningCount * RUNNING_COST_MS * REFERENCE_SLOTS) / server.slots;
--- a/packages/core/src/forwarding/server_availability.ts
+++ b/packages/core/src/forwarding/server_availability.ts
@@ -1,4 +1,5 @@
 import type {RegisteredServer} from './exchange_types.js';
+import {computeLimitDelayMs, type ServerLimit} from './server_limit.js';
 
 /** What the responses of a server say about further requests from this host. */
 export interface ServerAvailability {
@@ -6,11 +7,14 @@
   readonly isLeaving: boolean;
   /** The server wants no requests from this host before this time. */
   readonly pausedUntilMs: number;
+  /** Undefined if the server has named no limit. */
+  readonly limit: ServerLimit | undefined;
 }
 
 export const INITIAL_AVAILABILITY: ServerAvailability = {
   isLeaving: false,
   pausedUntilMs: -Infinity,
+  limit: undefined,
 };
 
 /** A server that asks for a longer pause is tried again after this time. */
@@ -52,6 +56,26 @@
   };
 }
 
+/**
+ * Computes the time until this host may send a request to a server.
+ *
+ * @returns Infinity if the server is leaving or only other hosts send there.
+ * @example
+ * ```ts
+ * const delayMs = computeSendDelayMs(record.availability, performance.now());
+ * ```
+ */
+export function computeSendDelayMs(
+  {isLeaving, pausedUntilMs, limit}: ServerAvailability,
+  nowMs: number,
+): number {
+  if (isLeaving) return Infinity;
+  return Math.max(0, pausedUntilMs - nowMs, computeLimitDelayMs(limit, nowMs));
+}
+
+/** Time after which a caller may find a host that sends to limited servers. */
+const OTHER_HOST_DELAY_MS = 1000;
+
 /**
  * Computes the time until the first of several servers may receive requests.
  *
@@ -67,6 +91,6 @@
 ): number {
   const staying = availabilities.filter(({isLeaving}) => !isLeaving);
   if (staying.length === 0) return 0;
-  const firstEndMs = Math.min(...staying.map(a => a.pausedUntilMs));
-  return Math.max(0, firstEndMs - nowMs);
+  const delayMs = Math.min(...staying.map(a => computeSendDelayMs(a, nowMs)));
+  return delayMs === Infinity ? OTHER_HOST_DELAY_MS : delayMs;
 }
--- a/packages/core/src/forwarding/server_table.ts
+++ b/packages/core/src/forwarding/server_table.ts
@@ -17,6 +17,11 @@
   RegisteredServer,
 } from './exchange_types.js';
 import {PrefixCacheEstimate} from './prefix_cache_estimate.js';
+import {
+  computeLimitDelayMs,
+  takeFromLimit,
+  type ServerLimit,
+} from './server_limit.js';
 
 /** State of one server, as known to this host. */
 export interface ServerRecord {
@@ -54,6 +59,8 @@
   readonly server: RegisteredServer;
   /** Time that the server needs for it before the first event. */
   readonly workMs: number;
+  /** The request may be written from then on, as the server has a limit. */
+  readonly notBeforeMs: number;
 }
 
 /** Work caused at a server by a request of another host. */
@@ -113,6 +120,13 @@
     record.availability = pauseServer(record.availability, pauseMs, nowMs);
   }
 
+  /** Sets what this host may send to a server with a limit; undefined ends it. */
+  setLimit(server: RegisteredServer, limit: ServerLimit | undefined): void {
+    const record = this.findRun(server);
+    if (record === undefined) return;
+    record.availability = {...record.availability, limit};
+  }
+
   /** True if a request may be sent to this run of the server now. */
   mayReceive(server: RegisteredServer, nowMs: number): boolean {
     const record = this.findRun(server);
@@ -158,6 +172,7 @@
   ): InFlightSend | undefined {
     const record = this.records.get(id);
     if (record === undefined) return undefined;
+    const notBeforeMs = takeSend(record, nowMs);
     record.inFlight += 1;
     record.unansweredWorkMs += workMs;
     addBacklog(record, workMs, nowMs);
@@ -165,6 +180,7 @@
     const send: MutableSend = {
       server: record.server,
       workMs,
+      notBeforeMs,
       isUnanswered: true,
     };
     return send;
@@ -251,6 +267,18 @@
   };
 }
 
+/** Takes a request from the server's limit; returns when it may be written. */
+function takeSend(record: MutableRecord, nowMs: number): number {
+  const {limit} = record.availability;
+  if (limit === undefined) return nowMs;
+  const delayMs = computeLimitDelayMs(limit, nowMs);
+  record.availability = {
+    ...record.availability,
+    limit: takeFromLimit(limit, nowMs),
+  };
+  return nowMs + (Number.isFinite(delayMs) ? delayMs : 0);
+}
+
 function markRecordLeaving(record: MutableRecord): void {
   record.availability = {...record.availability, isLeaving: true};
 }
--- a/packages/gateway/src/control/host_messenger.ts
+++ b/packages/gateway/src/control/host_messenger.ts
@@ -9,6 +9,11 @@
   type CrashAnnouncement,
 } from './crash_announcement.js';
 import type {HostRegistry} from './host_registry.js';
+import {
+  decodeLimitAnnouncement,
+  encodeLimitAnnouncement,
+  type LimitAnnouncement,
+} from './limit_announcement.js';
 import {
   decodeRolloutAnnouncement,
   encodeRolloutAnnouncement,
@@ -29,6 +34,8 @@
   ) => void;
   /** Called with what another host tells about crashes of servers. */
   readonly onCrash: (announcement: CrashAnnouncement) => void;
+  /** Called with what another host tells about the limit of a server. */
+  readonly onLimit: (announcement: LimitAnnouncement) => void;
   /** Called with the newest store version that another host has seen. */
   readonly onStoreVersion: (seen: SeenVersion) => void;
   readonly logger: Logger;
@@ -43,6 +50,10 @@
 const MIN_ANNOUNCED_WORK_MS = 40;
 /** Maximum recipients of a datagram; with more hosts, a random subset. */
 const MAX_RECIPIENTS = 40;
+const MAX_RECIPIENTS_BY_REACH: Readonly<Record<AnnouncementReach, number>> = {
+  allHosts: Infinity,
+  someHosts: MAX_RECIPIENTS,
+};
 /** Maximum work that one send can cause; higher values count as malformed. */
 const MAX_WORK_MS = 20_000;
 const WORK_FORMAT = 'w2';
@@ -50,6 +61,7 @@
 const MAX_ANNOUNCED_PARTS = 12;
 const ROLLOUT_FORMAT = 'r1';
 const CRASH_FORMAT = 'c1';
+const LIMIT_FORMAT = 'l1';
 const STORE_VERSION_FORMAT = 'n1';
 /** Maximum recipients of a store version, which most hosts see themselves. */
 const MAX_STORE_VERSION_RECIPIENTS = 4;
@@ -65,6 +77,7 @@
     [WORK_FORMAT, fields => this.receiveWork(fields)],
     [ROLLOUT_FORMAT, (fields, sender) => this.receiveRollout(fields, sender)],
     [CRASH_FORMAT, fields => this.receiveCrash(fields)],
+    [LIMIT_FORMAT, fields => this.receiveLimit(fields)],
     [STORE_VERSION_FORMAT, fields => this.receiveStoreVersion(fields)],
   ]);
 
@@ -105,7 +118,7 @@
     const fields = encodeRolloutAnnouncement(announcement);
     this.send(
       [ROLLOUT_FORMAT, this.runId, ...fields].join(' '),
-      reach === 'allHosts' ? Infinity : MAX_RECIPIENTS,
+      MAX_RECIPIENTS_BY_REACH[reach],
     );
   }
 
@@ -115,6 +128,18 @@
     this.send([CRASH_FORMAT, ...fields].join(' '));
   }
 
+  /** Announces the limit of a server, or its end. */
+  announceLimit(
+    announcement: LimitAnnouncement,
+    reach: AnnouncementReach,
+  ): void {
+    const fields = encodeLimitAnnouncement(announcement);
+    this.send(
+      [LIMIT_FORMAT, ...fields].join(' '),
+      MAX_RECIPIENTS_BY_REACH[reach],
+    );
+  }
+
   /** Announces the version of an object in the store to some of the hosts. */
   announceStoreVersion({kind, version, era}: SeenVersion): void {
     const fields = [kind, version, ...(era === undefined ? [] : [era])];
@@ -194,6 +219,13 @@
     return true;
   }
 
+  private receiveLimit(fields: readonly string[]): boolean {
+    const announcement = decodeLimitAnnouncement(fields);
+    if (announcement === undefined) return false;
+    this.options.onLimit(announcement);
+    return true;
+  }
+
   private receiveRollout(fields: readonly string[], sender: string): boolean {
     const [runId, ...rest] = fields;
     const announcement = decodeRolloutAnnouncement(rest);
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -12,6 +12,7 @@
 import type {HostMessenger} from './control/host_messenger.js';
 import type {RetryBudgets} from './control/retry_budgets.js';
 import type {RoutingState} from './control/routing_state.js';
+import type {ServerLimits} from './control/server_limits.js';
 import type {ServerPools} from './control/server_pools.js';
 import type {VersionSelector} from './control/version_selector.js';
 import type {CallerCodec} from './ports.js';
@@ -32,6 +33,7 @@
   readonly decodeEstimator: DecodeTimeEstimator;
   readonly versions: VersionSelector;
   readonly crashGuard: CrashGuard;
+  readonly serverLimits: ServerLimits;
   /** Limits the large response bodies that are in memory. */
   readonly largeBodies: ByteBudget;
   readonly random: Random;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,8 @@
   RolloutProgress,
   StateWriteResult,
 } from './control/rollout_state_writer.js';
+export type {LimitAnnouncement} from './control/limit_announcement.js';
+export {ServerLimits} from './control/server_limits.js';
 export * from './control/store_version_tracker.js';
 export * from './control/watch_kind.js';
 export * from './ports.js';
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -38,6 +38,12 @@
   readonly lastEventId: string | undefined;
 }
 
+/** What a response says about the limit of requests to its server. */
+export type LimitNotice =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'limit'; readonly requestsPerS: number}
+  | {readonly kind: 'unreadable'; readonly text: string};
+
 /** Information from the headers of a backend server's response. */
 export interface ResponseHead {
   readonly requestId: string | undefined;
@@ -53,6 +59,8 @@
   readonly isServerLeaving: boolean;
   /** Time for which the server wants no more requests from this host. */
   readonly retryAfterMs: number | undefined;
+  /** Requests a second that the server accepts from all hosts together. */
+  readonly limit: LimitNotice;
 }
 
 /** Translates between the HTTP headers and the types of the gateway. */
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -1,6 +1,7 @@
 import {
   chooseServer,
   computePauseLeftMs,
+  computeSendDelayMs,
   hashToUnitInterval,
   isPaused,
   pickDestination,
@@ -22,10 +23,20 @@
   readonly modelName: string;
   /** Forecast of the time to the first event, before correction. */
   readonly forecastMs: number | undefined;
+  /** Wait until the limit of the server allows the send. */
+  readonly limitDelayMs: number;
   /** Why its version was chosen; undefined if only one runs. */
   readonly versionBasis: VersionBasis | undefined;
 }
 
+/**
+ * Longest wait for a server with a limit; a request that would wait longer is
+ * rejected with the time after which it may come back.
+ */
+const MAX_LIMIT_DELAY_MS = 2000;
+/** Share of the remaining time that the wait may take. */
+const MAX_LIMIT_DELAY_SHARE = 0.25;
+
 /** Minimum time that a server in another failure domain must save. */
 const CROSSING_COST_MS = 8;
 
@@ -56,6 +67,10 @@
   const {generation} = request;
   const modelName = model ?? generation?.model ?? '';
   const nowMs = performance.now();
+  const maxDelayMs = Math.min(
+    MAX_LIMIT_DELAY_MS,
+    exchange.remainingMs * MAX_LIMIT_DELAY_SHARE,
+  );
   const {records: ofVersion, basis} = context.versions.select(
     service.name,
     eligible,
@@ -67,7 +82,9 @@
   );
   const choice = chooseServer({
     candidates: ofVersion.filter(
-      ({availability}) => !isPaused(availability, nowMs),
+      ({availability}) =>
+        !isPaused(availability, nowMs) &&
+        computeSendDelayMs(availability, nowMs) <= maxDelayMs,
     ),
     failureDomain: context.settings.failureDomain,
     hostCount: context.hosts.count,
@@ -88,6 +105,7 @@
     model,
     modelName,
     forecastMs,
+    limitDelayMs: computeSendDelayMs(choice.record.availability, nowMs),
     versionBasis: basis,
   };
 }
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -290,6 +290,11 @@
   const {min, max} = RETRY_AFTER_MS;
   const jitterMs = min + context.random() * (max - min);
   const pauseMs = computeServicePauseMs(context, exchange);
+  if (pauseMs > 0) {
+    const request = exchange.admitted.request.id;
+    context.metrics.count('postponed_requests_total');
+    context.logger.info('no_server_accepts', {request, waitMs: pauseMs});
+  }
   return exchange.createFinalError(pauseMs + jitterMs);
 }
 
--- a/packages/gateway/src/stages/escalate.ts
+++ b/packages/gateway/src/stages/escalate.ts
@@ -49,9 +49,9 @@
   const {route, request, arrivedMs} = exchange.admitted;
   const nowMs = performance.now();
   const tokens = request.generation?.maxOutputTokens ?? 0;
-  const expectedFirstMs = context.prefillEstimator.forecastMs(
-    next.forecastMs ?? 0,
-  );
+  const expectedFirstMs =
+    next.limitDelayMs +
+    context.prefillEstimator.forecastMs(next.forecastMs ?? 0);
   exchange.expectedFirstMs = expectedFirstMs;
   return shouldEscalate({
     confidence: exchange.confidence,
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -1,4 +1,5 @@
 import {
+  delay,
   isTransportError,
   type HttpStream,
   type TransportError,
@@ -94,7 +95,10 @@
   const pool = context.pools.get(server, service.maxConnections);
   const mayHaveRunBefore = exchange.mayHaveRun;
   recordSession(context, exchange, server);
+  let sentMs = nowMs;
   try {
+    await waitForTurn(exchange, send);
+    sentMs = performance.now();
     const stream = await pool.open({
       method: request.method,
       path: request.path,
@@ -117,11 +121,11 @@
     });
     const head = context.codec.decodeResponseHead(stream.headers);
     const end = classifyHead(request.id, stream.status, head);
-    recordAvailability(context, server, stream.status, head);
+    recordAvailability(context, send, stream.status, head, sentMs);
     if (isProvenNotRun(end)) exchange.mayHaveRun = mayHaveRunBefore;
     context.servers.markAnswering(send);
     if (end === 'answered')
-      observePrefillTime(context, exchange, target, nowMs);
+      observePrefillTime(context, exchange, target, sentMs);
     return {
       end,
       backendResponse: {
@@ -129,7 +133,7 @@
         head,
         send,
         target,
-        sentMs: nowMs,
+        sentMs,
         headMs: performance.now(),
       },
     };
@@ -144,7 +148,7 @@
     const isExchangeStopped = exchange.stopped !== undefined;
     const {generation} = request;
     if (error.failure === 'cut' && generation && !isExchangeStopped)
-      context.crashGuard.recordCrash(server, generation, nowMs);
+      context.crashGuard.recordCrash(server, generation, sentMs);
     endSend(context, exchange, send, isExchangeStopped ? undefined : end);
     return {end, backendResponse: undefined};
   }
@@ -175,6 +179,15 @@
   });
 }
 
+/** Waits until the limit of the server allows the request. */
+async function waitForTurn(
+  {signal}: OpenExchange,
+  {notBeforeMs}: InFlightSend,
+): Promise<void> {
+  const waitMs = notBeforeMs - performance.now();
+  if (waitMs > 0) await delay(waitMs, signal);
+}
+
 function recordSession(
   {versions}: GatewayContext,
   {admitted}: OpenExchange,
@@ -205,13 +218,15 @@
 
 /** Records what a response says about further requests to its server. */
 function recordAvailability(
-  {servers, logger}: GatewayContext,
-  server: RegisteredServer,
+  {servers, serverLimits, logger}: GatewayContext,
+  {server}: InFlightSend,
   status: number,
   head: ResponseHead,
+  sentMs: number,
 ): void {
   // The response comes from another server at the same address.
   if (status === MISDIRECTED_STATUS) return;
+  serverLimits.recordResponse(server, head.limit, sentMs);
   if (
     head.isServerLeaving &&
     !servers.find(server.id)?.availability.isLeaving
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -17,6 +17,7 @@
 import {RetryBudgets} from './control/retry_budgets.js';
 import {RoutingState} from './control/routing_state.js';
 import {ServerDirectory} from './control/server_directory.js';
+import {ServerLimits} from './control/server_limits.js';
 import {ServerPools} from './control/server_pools.js';
 import {StoreVersionTracker} from './control/store_version_tracker.js';
 import {
@@ -94,6 +95,7 @@
     hosts,
     servers,
     onCrash: announcement => crashGuard.receive(announcement),
+    onLimit: announcement => serverLimits.receive(announcement),
     onRollout: (member, announcement) =>
       rollouts.receiveAnnouncement(member, announcement),
     onStoreVersion: seen => versionTracker.recordRemoteVersion(seen),
@@ -103,6 +105,14 @@
     metrics,
     announce: announcement => hostMessenger.announceCrash(announcement),
   });
+  const serverLimits = ServerLimits.create({
+    ...dependencies,
+    servers,
+    address: formatAddress(settings.listen.hosts),
+    listOtherAddresses: () => hosts.addresses,
+    announce: (announcement, reach) =>
+      hostMessenger.announceLimit(announcement, reach),
+  });
   const versionTracker = StoreVersionTracker.create({
     logger,
     era: dependencies.store.era,
@@ -129,6 +139,7 @@
     pools,
     versions: rollouts,
     crashGuard,
+    serverLimits,
     largeBodies: ByteBudget.create(MAX_LARGE_BODIES_BYTES),
     retryBudgets: RetryBudgets.create(settings.repeats, hosts),
     hosts,
@@ -158,6 +169,7 @@
   const tickTimer = setInterval(() => {
     rollouts.tick();
     crashGuard.tick();
+    serverLimits.tick();
   }, TICK_MS);
   hosts.run(abortController.signal).catch((error: unknown) => {
     logger.error('host_registry_fault', {message: String(error)});
