Compare the slowness of a version with that of the old one at the same time

Cause: the mean of all slowness values of the old version since the order was compared with that of the new one. Both fall as caches fill and load settles (the old version's running mean from 1.02 to 0.45 in 13 s; 0.17 to 0.5 among the answers of the last seconds), and the new version's samples are late ones. Their mean of 0.74 was 0.29 over 0.45, just under the tolerance of 0.3.

Each host now relates an answer to the mean of its recent answers of the old version, and the pooled values are these differences.

--- a/packages/core/src/forwarding/version_evidence.ts
+++ b/packages/core/src/forwarding/version_evidence.ts
@@ -10,6 +10,7 @@
   type RolloutSide,
 } from './pooled_answers.js';
 import type {VersionAssessment} from './rollout_plan.js';
+import {SlownessBaseline} from './slowness_baseline.js';
 
 /** Observation of one answer of a version. */
 export interface VersionSample {
@@ -86,6 +87,7 @@
  */
 export class VersionEvidence {
   private readonly answers = PooledAnswers.create();
+  private readonly baseline = SlownessBaseline.create();
 
   private constructor() {}
 
@@ -103,7 +105,18 @@
 
   /** Counts an answer that this host has received. */
   record({route, side, hasFailed, slowness}: VersionSample): void {
-    this.answers.record(route, side, {hasFailed, slowness});
+    const relativeSlowness = this.relateSlowness(side, slowness);
+    this.answers.record(route, side, {hasFailed, slowness: relativeSlowness});
+  }
+
+  private relateSlowness(
+    side: RolloutSide,
+    slowness: number | undefined,
+  ): number | undefined {
+    if (slowness === undefined) return undefined;
+    const relative = this.baseline.relate(slowness);
+    if (side === 'old') this.baseline.record(slowness);
+    return relative;
   }
 
   /**
