--- a/packages/core/src/forwarding/placement.ts
+++ b/packages/core/src/forwarding/placement.ts
@@ -3,11 +3,8 @@
 import type {GenerationDemand, PromptPart} from './exchange_types.js';
 import {isEjected, computeFailureRate} from './server_health.js';
 import {computeLimitDelayMs} from './server_limit.js';
-import {
-  estimateRemoteRunning,
-  estimateBacklogMs,
-  type ServerRecord,
-} from './server_table.js';
+import {estimateBacklogMs, estimateRemoteRunning} from './server_load.js';
+import type {ServerRecord} from './server_table.js';
 
 /** Input for choosing a server for a request. */
 export interface PlacementRequest {
--- a/packages/gateway/src/control/active_rollout.ts
+++ b/packages/gateway/src/control/active_rollout.ts
@@ -1,11 +1,13 @@
-import type {
+import {
   HeldSessions,
-  RolloutPhase,
   RolloutPlan,
-  RolloutSide,
-  RolloutState,
-  SessionUse,
   VersionEvidence,
+  type RolloutBounds,
+  type RolloutOrder,
+  type RolloutPhase,
+  type RolloutSide,
+  type RolloutState,
+  type SessionUse,
 } from '@anvilrudder/core';
 import type {VersionBasis, VersionKey} from './version_selector.js';
 
@@ -34,6 +36,47 @@
   progressAfterMs: number;
 }
 
+/**
+ * Time in which the hosts tell each other of the sessions that they have seen on
+ * the old version, also those that receive the order a little later.
+ */
+const SESSION_EXCHANGE_MS = 1500;
+
+/** What is known of an order when a host begins to follow it. */
+export interface NewRollout {
+  readonly order: RolloutOrder;
+  /** Undefined if another host has told of the order. */
+  readonly revision: number | undefined;
+  readonly bounds: RolloutBounds;
+  readonly nowMs: number;
+  readonly progressAfterMs: number;
+}
+
+/** Creates the state of a rollout that this host begins to follow. */
+export function createActiveRollout({
+  order,
+  revision,
+  bounds,
+  nowMs,
+  progressAfterMs,
+}: NewRollout): ActiveRollout {
+  return {
+    plan: RolloutPlan.create(order, nowMs, bounds),
+    revision,
+    lostState: undefined,
+    evidence: VersionEvidence.create(),
+    heldSessions: HeldSessions.create(),
+    sampleSessionsAfterMs: nowMs + SESSION_EXCHANGE_MS,
+    lastPhase: undefined,
+    answersBeforeShift: 0,
+    isNewVersionBad: false,
+    isWriting: false,
+    isStoreSilent: false,
+    writeAfterMs: nowMs,
+    progressAfterMs,
+  };
+}
+
 /** The side of a request, and why. */
 export interface SideChoice {
   readonly side: RolloutSide;
--- a/packages/gateway/src/control/rollout_controller.ts
+++ b/packages/gateway/src/control/rollout_controller.ts
@@ -1,8 +1,5 @@
 import {
-  HeldSessions,
-  RolloutPlan,
   SessionVersions,
-  VersionEvidence,
   type AttemptEnd,
   type RolloutBounds,
   type RolloutOrder,
@@ -13,6 +10,7 @@
 import type {Logger} from '@anvilrudder/observability';
 import {
   chooseRolloutSide,
+  createActiveRollout,
   findDueState,
   holdSession,
   isFinalState,
@@ -45,12 +43,6 @@
   readonly announce: SendAnnouncement;
 }
 
-/**
- * Time in which the hosts tell each other of the sessions that they have seen on
- * the old version, also those that receive the order a little later.
- */
-const SESSION_EXCHANGE_MS = 1500;
-
 /**
  * Whether an attempt end counts as a failure of the version. Ends that are
  * missing here are caused by load or the network.
@@ -232,24 +224,16 @@
     revision: number | undefined,
   ): ActiveRollout {
     const nowMs = performance.now();
-    const rollout: ActiveRollout = {
-      plan: RolloutPlan.create(order, nowMs, this.bounds),
+    const rollout = createActiveRollout({
+      order,
       revision,
-      lostState: undefined,
-      evidence: VersionEvidence.create(),
-      heldSessions: HeldSessions.create(),
-      sampleSessionsAfterMs: nowMs + SESSION_EXCHANGE_MS,
-      lastPhase: undefined,
-      answersBeforeShift: 0,
-      isNewVersionBad: false,
-      isWriting: false,
-      isStoreSilent: false,
-      writeAfterMs: nowMs,
+      nowMs,
+      bounds: this.bounds,
       progressAfterMs:
         order.elapsedMs === undefined
           ? nowMs + this.timing.drawJitterMs()
           : this.timing.computeTakeoverMs(order, nowMs),
-    };
+    });
     this.rollouts.set(order.service, rollout);
     for (const use of this.sessions.list(order.service, nowMs))
       holdSession(rollout, use);
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -6,12 +6,9 @@
   delimitByClose,
   isDelimitedByClose,
 } from './response_headers.js';
-import {
-  chooseTarget,
-  computeServicePauseMs,
-  type SendTarget,
-} from './choose_target.js';
+import {chooseTarget, type SendTarget} from './choose_target.js';
 import {planEscalation} from './escalate.js';
+import {createExchangeError} from './exchange_error.js';
 import {
   observeBufferedResponse,
   observeDecodeSpeed,
@@ -35,9 +32,6 @@
 /** Timers may fire early by up to this time. */
 const TIMER_SLACK_MS = 1;
 
-/** Range of the random part of the retry delay for callers. */
-const RETRY_AFTER_MS = {min: 200, max: 700} as const;
-
 /**
  * Sends an admitted request to backend servers until a response has been
  * relayed to the caller.
@@ -283,21 +277,6 @@
   }
 }
 
-function createExchangeError(
-  context: GatewayContext,
-  exchange: OpenExchange,
-): Error {
-  const {min, max} = RETRY_AFTER_MS;
-  const jitterMs = min + context.random() * (max - min);
-  const pauseMs = computeServicePauseMs(context, exchange);
-  if (pauseMs > 0) {
-    const request = exchange.admitted.request.id;
-    context.metrics.count('postponed_requests_total');
-    context.logger.info('no_server_accepts', {request, waitMs: pauseMs});
-  }
-  return exchange.createFinalError(pauseMs + jitterMs);
-}
-
 function logAttempt(
   context: GatewayContext,
   exchange: OpenExchange,
--- /dev/null
+++ b/packages/gateway/src/stages/record_send.ts
@@ -0,0 +1,69 @@
+import type {InFlightSend, RegisteredServer} from '@anvilrudder/core';
+import type {GatewayContext} from '../gateway_context.js';
+import type {ResponseHead} from '../ports.js';
+import type {SendTarget} from './choose_target.js';
+import {hashSession} from './hash_session.js';
+import type {OpenExchange} from './open_exchange.js';
+
+export const MISDIRECTED_STATUS = 421;
+const UNAVAILABLE_STATUS = 503;
+
+/** Records that a request of a session begins or ends at a server. */
+export function recordSession(
+  {versions}: GatewayContext,
+  {admitted}: OpenExchange,
+  {service, softwareVersion}: RegisteredServer,
+): void {
+  const {session} = admitted.request;
+  if (session === undefined) return;
+  versions.recordSession({service, session, version: softwareVersion});
+}
+
+/** Logs the version of a send while several versions of its service run. */
+export function logVersion(
+  {logger}: GatewayContext,
+  {admitted, attempts}: OpenExchange,
+  {record, service, versionBasis}: SendTarget,
+): void {
+  if (versionBasis === undefined) return;
+  const {id, session} = admitted.request;
+  logger.info('version_chosen', {
+    request: id,
+    sessionHash: hashSession(session),
+    service: service.name,
+    version: record.server.softwareVersion,
+    basis: versionBasis,
+    attempt: attempts,
+  });
+}
+
+/** Records what a response says about further requests to its server. */
+export function recordAvailability(
+  {servers, serverLimits, logger}: GatewayContext,
+  {server}: InFlightSend,
+  status: number,
+  head: ResponseHead,
+  sentMs: number,
+): void {
+  // The response comes from another server at the same address.
+  if (status === MISDIRECTED_STATUS) return;
+  serverLimits.recordResponse(server, head.limit, sentMs);
+  if (
+    head.isServerLeaving &&
+    !servers.find(server.id)?.availability.isLeaving
+  ) {
+    servers.markLeaving(server);
+    logger.info('server_leaving', {server: server.id});
+  }
+  if (!asksForPause(status, head)) return;
+  servers.pause(server, head.retryAfterMs, performance.now());
+  logger.info('server_paused', {server: server.id, pauseMs: head.retryAfterMs});
+}
+
+/** True if a response asks for no more requests for some time. */
+export function asksForPause(
+  status: number,
+  head: ResponseHead,
+): head is ResponseHead & {readonly retryAfterMs: number} {
+  return status === UNAVAILABLE_STATUS && head.retryAfterMs !== undefined;
+}
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -9,13 +9,18 @@
   isProvenNotRun,
   type AttemptEnd,
   type InFlightSend,
-  type RegisteredServer,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import type {ResponseHead} from '../ports.js';
 import type {SendTarget} from './choose_target.js';
-import {hashSession} from './hash_session.js';
 import type {OpenExchange} from './open_exchange.js';
+import {
+  asksForPause,
+  logVersion,
+  MISDIRECTED_STATUS,
+  recordAvailability,
+  recordSession,
+} from './record_send.js';
 
 /** The response of a backend server to one send. */
 export interface BackendResponse {
@@ -36,9 +41,7 @@
   readonly backendResponse: BackendResponse | undefined;
 }
 
-const MISDIRECTED_STATUS = 421;
 const FIRST_SERVER_ERROR_STATUS = 500;
-const UNAVAILABLE_STATUS = 503;
 
 /**
  * Maximum idle time of a reused connection; after a longer time the server may
@@ -188,64 +191,6 @@
   if (waitMs > 0) await delay(waitMs, signal);
 }
 
-function recordSession(
-  {versions}: GatewayContext,
-  {admitted}: OpenExchange,
-  {service, softwareVersion}: RegisteredServer,
-): void {
-  const {session} = admitted.request;
-  if (session === undefined) return;
-  versions.recordSession({service, session, version: softwareVersion});
-}
-
-/** Logs the version of a send while several versions of its service run. */
-function logVersion(
-  {logger}: GatewayContext,
-  {admitted, attempts}: OpenExchange,
-  {record, service, versionBasis}: SendTarget,
-): void {
-  if (versionBasis === undefined) return;
-  const {id, session} = admitted.request;
-  logger.info('version_chosen', {
-    request: id,
-    sessionHash: hashSession(session),
-    service: service.name,
-    version: record.server.softwareVersion,
-    basis: versionBasis,
-    attempt: attempts,
-  });
-}
-
-/** Records what a response says about further requests to its server. */
-function recordAvailability(
-  {servers, serverLimits, logger}: GatewayContext,
-  {server}: InFlightSend,
-  status: number,
-  head: ResponseHead,
-  sentMs: number,
-): void {
-  // The response comes from another server at the same address.
-  if (status === MISDIRECTED_STATUS) return;
-  serverLimits.recordResponse(server, head.limit, sentMs);
-  if (
-    head.isServerLeaving &&
-    !servers.find(server.id)?.availability.isLeaving
-  ) {
-    servers.markLeaving(server);
-    logger.info('server_leaving', {server: server.id});
-  }
-  if (!asksForPause(status, head)) return;
-  servers.pause(server, head.retryAfterMs, performance.now());
-  logger.info('server_paused', {server: server.id, pauseMs: head.retryAfterMs});
-}
-
-function asksForPause(
-  status: number,
-  head: ResponseHead,
-): head is ResponseHead & {readonly retryAfterMs: number} {
-  return status === UNAVAILABLE_STATUS && head.retryAfterMs !== undefined;
-}
-
 function observePrefillTime(
   context: GatewayContext,
   exchange: OpenExchange,
