--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -7,6 +7,7 @@
 export * from './prefix_cache_estimate.js';
 export * from './placement.js';
 export * from './prefill_time_estimator.js';
+export * from './request_digest.js';
 export * from './windowed_retry_budget.js';
 export * from './rollout_plan.js';
 export * from './routing_table.js';
--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -132,6 +132,7 @@
   context.logger.info('request_settled', {
     request: request.id,
     sessionHash: hashSession(request.session),
+    requestDigest: exchange?.digest,
     organisation: admitted?.organisation?.name,
     route: admitted?.route.name,
     kind: admitted?.route.kind,
--- a/packages/gateway/src/stages/open_exchange.ts
+++ b/packages/gateway/src/stages/open_exchange.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {
+  digestRequest,
   isRetryableKind,
   RouterError,
   type ForwardOrganisation,
@@ -31,6 +32,8 @@
   /** Ids of the backend servers that the request was sent to. */
   readonly triedServerIds = new Set<string>();
   readonly endMs: number;
+  /** The same on all hosts for repeats of the request. */
+  readonly digest: string;
   attempts = 0;
   /** A server may have run the request, or may still run it. */
   mayHaveRun = false;
@@ -56,6 +59,7 @@
     const {arrivedMs, request, route} = admitted;
     const waitMs = Math.min(route.timeLimitMs, request.deadlineMs ?? Infinity);
     this.endMs = arrivedMs + Math.max(0, waitMs - RESPONSE_MARGIN_MS);
+    this.digest = digestAdmitted(admitted);
     this.lastEventId = request.lastEventId;
     const leftMs = Math.max(0, this.endMs - performance.now());
     this.timer = setTimeout(() => this.stop('timeLimit'), leftMs);
@@ -130,3 +134,19 @@
     });
   }
 }
+
+function digestAdmitted({
+  request,
+  organisation,
+  body,
+}: AdmittedRequest): string {
+  const {method, hostName, path, generation} = request;
+  return digestRequest({
+    method,
+    hostName,
+    path,
+    organisation: organisation?.name,
+    partIds: generation?.parts.map(({id}) => id) ?? [],
+    body,
+  });
+}
