--- a/packages/cli/src/commands/trace.ts
+++ b/packages/cli/src/commands/trace.ts
@@ -22,13 +22,16 @@
   'server_doubtful',
 ]);
 
-/** Event that tells why requests with a prompt part are refused. */
-const PART_EVENT = 'part_quarantined';
+/** Events that tell why requests are refused, and what names their cause. */
+const CAUSE_FIELD_BY_EVENT: ReadonlyMap<string, string> = new Map([
+  ['part_quarantined', 'part'],
+  ['request_quarantined', 'requestDigest'],
+]);
 
 /**
  * Prints the log lines of one request from the logs of several processes,
  * sorted by time, together with the state changes of the servers and the
- * quarantines of the prompt parts that these lines name.
+ * quarantines of the request and of the prompt parts that these lines name.
  *
  * @example
  * ```ts
@@ -49,11 +52,8 @@
     line =>
       SERVER_STATE_EVENTS.has(line['event']) && servers.has(line['server']),
   );
-  const parts = new Set(requestLines.map(line => line['part']));
-  const partLines = lines.filter(
-    line => line['event'] === PART_EVENT && parts.has(line['part']),
-  );
-  const relatedLines = [...requestLines, ...serverLines, ...partLines];
+  const quarantineLines = lines.filter(line => isCauseOf(line, requestLines));
+  const relatedLines = [...requestLines, ...serverLines, ...quarantineLines];
   const sortedLines = relatedLines.sort((a, b) =>
     (a['time'] ?? '').localeCompare(b['time'] ?? ''),
   );
@@ -66,6 +66,13 @@
   return EXIT_CODES.ok;
 }
 
+/** True if a line tells of the quarantine of what a request holds. */
+function isCauseOf(line: LogLine, requestLines: readonly LogLine[]): boolean {
+  const field = CAUSE_FIELD_BY_EVENT.get(line['event']);
+  if (field === undefined) return false;
+  return requestLines.some(({[field]: cause}) => cause === line[field]);
+}
+
 /** Parses a log line, skipping any prefix that a log shipper added to it. */
 function parseLine(text: string): readonly LogLine[] {
   const start = text.indexOf(LINE_START);
--- a/packages/cli/test/trace.test.ts
+++ b/packages/cli/test/trace.test.ts
@@ -40,6 +40,19 @@
   assert.match(events[0], /part_quarantined .*part=91bd/);
 });
 
+test('trace adds the quarantine of the request that it prints', async () => {
+  const log = [
+    'time=2026-12-04T10:00:01.000Z level=warn program=anvilrudder-gateway host=e1 event=request_quarantined requestDigest=Xy remainingMs=60000',
+    'time=2026-12-04T10:00:01.100Z level=warn program=anvilrudder-gateway host=e1 event=request_quarantined requestDigest=Zz remainingMs=60000',
+    'time=2026-12-04T10:00:02.000Z level=info program=anvilrudder-gateway host=e1 event=request_settled request=r3 outcome=quarantined status=503 requestDigest=Xy',
+  ].join('\n');
+  const io = createFakeIo({a: log});
+  assert.equal(await runCli(['trace', 'r3', '--log', 'a'], io), 0);
+  const events = io.output.trim().split('\n');
+  assert.equal(events.length, 2);
+  assert.match(events[0], /request_quarantined .*requestDigest=Xy/);
+});
+
 test('trace reports that a request is not in the logs', async () => {
   const io = createFakeIo({a: FIRST_HOST});
   assert.equal(await runCli(['trace', 'none', '--log', 'a'], io), 1);
--- a/packages/core/src/errors/error_codes.ts
+++ b/packages/core/src/errors/error_codes.ts
@@ -117,7 +117,7 @@
     execution: 'notRun',
     isRetryable: true,
     description:
-      'A part of the prompt made servers crash and is not sent for a while.',
+      'The request, or a part of its prompt, made servers crash and is not sent for a while.',
   },
   not_ready: {
     httpStatus: 503,
--- a/packages/core/src/forwarding/crash_suspects.ts
+++ b/packages/core/src/forwarding/crash_suspects.ts
@@ -1,46 +1,66 @@
-import type {PromptPart} from './exchange_types.js';
+import {RecentIds} from '../utils/recent_ids.js';
+import {isRequestId} from './suspect_ids.js';
 
-/** A run of a server that crashed with requests whose answer had not begun. */
+/** A run of a server that crashed with a request in flight. */
 export interface ServerCrash {
   /** Identifies the run of the server. */
   readonly serverRun: string;
-  /** Parts of these requests that other requests may share. */
-  readonly partIds: readonly string[];
-  /** Time from the send of the requests to the crash. */
+  /** What may have caused the crash, see {@link listSuspectIds}. */
+  readonly suspectIds: readonly string[];
+  /** Time from the send of the request to the crash. */
   readonly waitedMs: number;
+  /** True if the server had begun to answer the request. */
+  readonly hasBegun: boolean;
 }
 
-/** A prompt part that is not sent to servers for a while. */
-export interface QuarantinedPart {
-  readonly partId: string;
+/** A request or prompt part that is not sent to servers for a while. */
+export interface Quarantine {
+  readonly suspectId: string;
   /**
-   * Parts that were with it in each crash and are not cleared. A request without
-   * one of them is sent, as that one may be the cause.
+   * Suspects that were with it in each crash and are not cleared. A request
+   * without one of them is sent, as that one may be the cause.
    */
   readonly companionIds: readonly string[];
   /** Time until its requests are sent again. */
   readonly remainingMs: number;
 }
 
-interface PartRecord {
+interface SuspectRecord {
   /** Times of the crashes since the last answer, by run of a server. */
   readonly crashMsByRun: Map<string, number>;
-  /** Other parts that were in all requests with this one that crashed. */
+  /** Other suspects that were in all requests with this one that crashed. */
   companionIds: readonly string[] | undefined;
   /** Crashes with different causes. */
   crashCount: number;
+  /** True if a server had begun to answer before it crashed. */
+  hasBegun: boolean;
   lastCrashMs: number;
   quarantineCount: number;
   quarantinedUntilMs: number;
 }
 
-/** Crashes without an answer in between after which a part is quarantined. */
-const CRASHES_BEFORE_QUARANTINE = {unanswered: 3, answered: 6} as const;
+type AnswerHistory = 'unanswered' | 'begun' | 'answered';
+
+/**
+ * Crashes without an answer in between after which a suspect is quarantined. A
+ * part is shared by many sound requests, a whole request only by its repeats.
+ */
+const CRASHES_BEFORE_QUARANTINE: Readonly<
+  Record<'part' | 'request', Readonly<Record<AnswerHistory, number>>>
+> = {
+  part: {unanswered: 3, begun: 3, answered: 6},
+  request: {unanswered: 2, begun: 3, answered: 6},
+};
 /**
- * First quarantine of a part; each further one takes twice as long. Shorter for
- * parts that servers have answered on before.
+ * First quarantine of a suspect; each further one takes longer. Shorter for those that servers have answered before.
  */
-const QUARANTINE_MS = {unanswered: 60_000, answered: 10_000} as const;
+const QUARANTINE_MS: Readonly<Record<AnswerHistory, number>> = {
+  unanswered: 60_000,
+  begun: 60_000,
+  answered: 10_000,
+};
+/** Factor between one quarantine of a suspect and the next. */
+const QUARANTINE_GROWTH = {part: 2, request: 8} as const;
 const MAX_QUARANTINE_MS = 3_600_000;
 /**
  * Crashes within this time have one cause, such as a failing failure domain,
@@ -49,22 +69,22 @@
 const SAME_CAUSE_MS = 250;
 /** Time within which all hosts report the crash of one server. */
 const REPORT_MS = 1000;
-/** A part is forgotten this long after its last crash or quarantine. */
+/** A suspect is forgotten this long after its last crash or quarantine. */
 const CRASH_MEMORY_MS = 120_000;
-/** Maximum number of parts that are remembered, suspects and answered ones. */
-const MAX_PARTS = 5000;
+/** Maximum number of suspects, and of answered ones of each kind. */
+const MAX_SUSPECTS = 5000;
 
 /**
- * Finds prompt parts that make servers crash as soon as they begin an answer on
- * them. A part becomes a suspect with each crash during which a request with it
- * waited for its answer, and is cleared by an answer that begins. The last part
- * of a prompt belongs to one request and is never a suspect.
+ * Finds requests and prompt parts that make servers crash. They become suspects
+ * with each crash during which a server ran them, and are cleared by an answer: a
+ * part by one that begins, a request by a whole one. The last part of a prompt
+ * belongs to one request and is a suspect only as that request.
  */
 export class CrashSuspects {
-  /** Least recently crashed parts first. */
-  private readonly records = new Map<string, PartRecord>();
-  /** Parts that servers have answered on, least recently used first. */
-  private readonly answeredIds = new Set<string>();
+  /** Least recently crashed suspects first. */
+  private readonly records = new Map<string, SuspectRecord>();
+  private readonly answeredPartIds = RecentIds.create(MAX_SUSPECTS);
+  private readonly answeredRequestIds = RecentIds.create(MAX_SUSPECTS);
 
   private constructor() {}
 
@@ -72,15 +92,19 @@
    * @example
    * ```ts
    * const suspects = CrashSuspects.create();
-   * suspects.recordCrash({serverRun: 'i-1', partIds: ['a'], waitedMs: 40}, nowMs);
-   * suspects.findQuarantined(parts, nowMs); // undefined after one crash
+   * const suspectIds = listSuspectIds(digest, parts);
+   * suspects.recordCrash(
+   *   {serverRun: 'i-1', suspectIds, waitedMs: 40, hasBegun: false},
+   *   nowMs,
+   * );
+   * suspects.findQuarantined(suspectIds, nowMs); // undefined after one crash
    * ```
    */
   static create(): CrashSuspects {
     return new CrashSuspects();
   }
 
-  /** Number of parts with a crash since their last answer. */
+  /** Number of suspects with a crash since their last answer. */
   get size(): number {
     return this.records.size;
   }
@@ -88,17 +112,15 @@
   /**
    * Records a crash, seen by this host or another one.
    *
-   * @returns the parts that are quarantined from now on.
+   * @returns the suspects that are quarantined from now on.
    */
-  recordCrash(
-    {serverRun, partIds, waitedMs}: ServerCrash,
-    nowMs: number,
-  ): readonly QuarantinedPart[] {
+  recordCrash(crash: ServerCrash, nowMs: number): readonly Quarantine[] {
+    const {serverRun, suspectIds, waitedMs} = crash;
     this.forgetOldRecords(nowMs);
-    return partIds.flatMap(partId => {
-      const record = this.touchRecord(partId);
-      record.companionIds = (record.companionIds ?? partIds).filter(
-        id => id !== partId && partIds.includes(id),
+    return suspectIds.flatMap(suspectId => {
+      const record = this.touchRecord(suspectId);
+      record.companionIds = (record.companionIds ?? suspectIds).filter(
+        id => id !== suspectId && suspectIds.includes(id),
       );
       const reportedMs = record.crashMsByRun.get(serverRun) ?? -Infinity;
       if (nowMs - reportedMs < REPORT_MS) return [];
@@ -106,120 +128,206 @@
       const sinceLastMs = nowMs - record.lastCrashMs;
       if (sinceLastMs < SAME_CAUSE_MS && waitedMs >= sinceLastMs) return [];
       record.crashCount += 1;
+      record.hasBegun ||= crash.hasBegun;
       record.lastCrashMs = nowMs;
-      return this.quarantineIfDue(partId, record, nowMs);
+      return this.quarantineIfDue(suspectId, record, nowMs);
     });
   }
 
   /**
-   * Records that an answer has begun on parts, which clears them.
+   * Records an answer on suspects, which clears them.
    *
-   * @returns the ids of those that were suspects.
+   * @returns the ids of those that had crashed a server.
+   */
+  recordAnswer(suspectIds: readonly string[]): readonly string[] {
+    for (const id of suspectIds) this.getAnsweredIds(id).add(id);
+    return suspectIds.filter(id => this.records.delete(id));
+  }
+
+  /**
+   * Lists the suspects that servers have answered before and on which too few
+   * have crashed since to doubt it.
    */
-  recordAnswer(partIds: readonly string[]): readonly string[] {
-    for (const partId of partIds) this.rememberAnswered(partId);
-    return partIds.filter(partId => this.records.delete(partId));
+  listKnownSound(suspectIds: readonly string[]): readonly string[] {
+    return suspectIds.filter(id => {
+      const crashCount = this.records.get(id)?.crashCount ?? 0;
+      const {answered} = CRASHES_BEFORE_QUARANTINE[getKind(id)];
+      return this.getAnsweredIds(id).has(id) && crashCount < answered;
+    });
+  }
+
+  /**
+   * Records that servers have answered suspects for another host before. Their
+   * crashes still count, but it takes more of them to quarantine the suspects.
+   */
+  recordKnownSound(suspectIds: readonly string[]): void {
+    for (const id of suspectIds) {
+      this.getAnsweredIds(id).add(id);
+      const record = this.records.get(id);
+      if (record === undefined) continue;
+      const {answered} = CRASHES_BEFORE_QUARANTINE[getKind(id)];
+      if (record.crashCount >= answered) continue;
+      record.quarantinedUntilMs = -Infinity;
+      record.quarantineCount = 0;
+    }
   }
 
   /** Takes over a quarantine that another host has decided on. */
-  adopt(part: QuarantinedPart, nowMs: number): boolean {
-    const {partId, companionIds, remainingMs} = part;
-    if (this.findQuarantine(partId, nowMs) !== undefined) return false;
-    const record = this.touchRecord(partId);
+  adopt(quarantine: Quarantine, nowMs: number): boolean {
+    const {suspectId, companionIds, remainingMs} = quarantine;
+    if (this.findQuarantine(suspectId, nowMs) !== undefined) return false;
+    const record = this.touchRecord(suspectId);
     record.companionIds ??= companionIds;
     record.lastCrashMs = nowMs;
-    record.crashCount = CRASHES_BEFORE_QUARANTINE.answered;
+    const history = this.readHistory(suspectId, record);
+    record.crashCount = CRASHES_BEFORE_QUARANTINE[getKind(suspectId)][history];
     record.quarantineCount += 1;
     const durationMs = Math.min(MAX_QUARANTINE_MS, remainingMs);
     record.quarantinedUntilMs = nowMs + durationMs;
     return true;
   }
 
-  /** Finds a part because of which a request must not be sent to a server. */
+  /** Finds a suspect because of which a request must not be sent. */
   findQuarantined(
-    parts: readonly PromptPart[],
+    suspectIds: readonly string[],
     nowMs: number,
-  ): QuarantinedPart | undefined {
+  ): Quarantine | undefined {
     if (this.records.size === 0) return undefined;
-    const partIds = listSharedPartIds(parts);
-    return partIds
-      .map(partId => this.findQuarantine(partId, nowMs))
-      .find(part => part?.companionIds.every(id => partIds.includes(id)));
+    return suspectIds
+      .map(id => this.findQuarantine(id, nowMs))
+      .find(found => found?.companionIds.every(id => suspectIds.includes(id)));
   }
 
-  /** Lists the parts that are quarantined. */
-  listQuarantined(nowMs: number): readonly QuarantinedPart[] {
+  /**
+   * Finds a suspect because of which a request may be sent only as a trial: by
+   * one host, one request at a time and to one server. That holds for requests
+   * that have crashed a server, and behind a quarantine until an answer.
+   */
+  findOnTrial(
+    suspectIds: readonly string[],
+    nowMs: number,
+  ): string | undefined {
+    if (this.records.size === 0) return undefined;
+    return suspectIds.find(id => this.isOnTrial(id, suspectIds, nowMs));
+  }
+
+  /** Lists the suspects that are quarantined. */
+  listQuarantined(nowMs: number): readonly Quarantine[] {
     return [...this.records.keys()].flatMap(
-      partId => this.findQuarantine(partId, nowMs) ?? [],
+      id => this.findQuarantine(id, nowMs) ?? [],
+    );
+  }
+
+  private isOnTrial(
+    suspectId: string,
+    suspectIds: readonly string[],
+    nowMs: number,
+  ): boolean {
+    const record = this.records.get(suspectId);
+    if (record === undefined || isForgotten(record, nowMs)) return false;
+    const {companionIds = [], quarantineCount} = record;
+    const hasBeenQuarantined = quarantineCount > 0;
+    if (
+      !hasBeenQuarantined &&
+      this.readHistory(suspectId, record) === 'answered'
+    )
+      return false;
+    return (
+      (hasBeenQuarantined || isRequestId(suspectId)) &&
+      companionIds.every(id => !this.records.has(id) || suspectIds.includes(id))
     );
   }
 
   private quarantineIfDue(
-    partId: string,
-    record: PartRecord,
+    suspectId: string,
+    record: SuspectRecord,
     nowMs: number,
-  ): readonly QuarantinedPart[] {
-    const history = this.answeredIds.has(partId) ? 'answered' : 'unanswered';
-    if (record.crashCount < CRASHES_BEFORE_QUARANTINE[history]) return [];
+  ): readonly Quarantine[] {
+    const history = this.readHistory(suspectId, record);
+    const kind = getKind(suspectId);
+    if (record.crashCount < CRASHES_BEFORE_QUARANTINE[kind][history]) return [];
     if (nowMs < record.quarantinedUntilMs) return [];
-    const durationMs = QUARANTINE_MS[history] * 2 ** record.quarantineCount;
+    const durationMs =
+      QUARANTINE_MS[history] *
+      QUARANTINE_GROWTH[kind] ** record.quarantineCount;
     record.quarantineCount += 1;
     record.quarantinedUntilMs = nowMs + Math.min(MAX_QUARANTINE_MS, durationMs);
-    return [this.findQuarantine(partId, nowMs) ?? []].flat();
+    return [this.findQuarantine(suspectId, nowMs) ?? []].flat();
+  }
+
+  private readHistory(
+    suspectId: string,
+    {hasBegun}: SuspectRecord,
+  ): AnswerHistory {
+    if (this.getAnsweredIds(suspectId).has(suspectId)) return 'answered';
+    return hasBegun ? 'begun' : 'unanswered';
   }
 
   private findQuarantine(
-    partId: string,
+    suspectId: string,
     nowMs: number,
-  ): QuarantinedPart | undefined {
-    const record = this.records.get(partId);
+  ): Quarantine | undefined {
+    const record = this.records.get(suspectId);
     if (record === undefined || record.quarantinedUntilMs <= nowMs) {
       return undefined;
     }
     const {companionIds = [], quarantinedUntilMs} = record;
     return {
-      partId,
+      suspectId,
       companionIds: companionIds.filter(id => this.records.has(id)),
       remainingMs: quarantinedUntilMs - nowMs,
     };
   }
 
-  private touchRecord(partId: string): PartRecord {
-    const record = this.records.get(partId) ?? {
+  private touchRecord(suspectId: string): SuspectRecord {
+    const record = this.records.get(suspectId) ?? {
       crashMsByRun: new Map(),
       companionIds: undefined,
       crashCount: 0,
+      hasBegun: false,
       lastCrashMs: -Infinity,
       quarantineCount: 0,
       quarantinedUntilMs: -Infinity,
     };
-    this.records.delete(partId);
-    this.records.set(partId, record);
+    this.records.delete(suspectId);
+    this.records.set(suspectId, record);
     return record;
   }
 
-  private rememberAnswered(partId: string): void {
-    this.answeredIds.delete(partId);
-    this.answeredIds.add(partId);
-    if (this.answeredIds.size <= MAX_PARTS) return;
-    const [oldest] = this.answeredIds;
-    this.answeredIds.delete(oldest);
+  private getAnsweredIds(suspectId: string): RecentIds {
+    return isRequestId(suspectId)
+      ? this.answeredRequestIds
+      : this.answeredPartIds;
   }
 
   private forgetOldRecords(nowMs: number): void {
-    for (const [partId, record] of this.records) {
-      const {lastCrashMs, quarantinedUntilMs} = record;
-      const lastMs = Math.max(lastCrashMs, quarantinedUntilMs);
-      const isOld = nowMs - lastMs > CRASH_MEMORY_MS;
-      if (!isOld && this.records.size < MAX_PARTS) return;
-      this.records.delete(partId);
+    for (const [suspectId, record] of this.records) {
+      if (!isForgotten(record, nowMs)) break;
+      this.records.delete(suspectId);
     }
+    while (this.records.size >= MAX_SUSPECTS) this.forgetOne(nowMs);
   }
+
+  /** Forgets the oldest suspect, quarantined ones last. */
+  private forgetOne(nowMs: number): void {
+    for (const id of this.records.keys()) {
+      if (this.findQuarantine(id, nowMs) !== undefined) continue;
+      this.records.delete(id);
+      return;
+    }
+    const [oldest] = this.records.keys();
+    this.records.delete(oldest);
+  }
+}
+
+function getKind(suspectId: string): 'part' | 'request' {
+  return isRequestId(suspectId) ? 'request' : 'part';
 }
 
-/** Lists the ids of the parts of a prompt that other requests may share. */
-export function listSharedPartIds(
-  parts: readonly PromptPart[],
-): readonly string[] {
-  return parts.slice(0, -1).map(({id}) => id);
+function isForgotten(
+  {lastCrashMs, quarantinedUntilMs}: SuspectRecord,
+  nowMs: number,
+): boolean {
+  const lastMs = Math.max(lastCrashMs, quarantinedUntilMs);
+  return nowMs - lastMs > CRASH_MEMORY_MS;
 }
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -17,6 +17,7 @@
 export * from './server_load.js';
 export * from './server_table.js';
 export * from './session_versions.js';
+export * from './suspect_ids.js';
 export * from './version_evidence.js';
 export * from './crash_suspects.js';
 export * from './decode_time_estimator.js';
--- a/packages/core/src/forwarding/server_limit.ts
+++ b/packages/core/src/forwarding/server_limit.ts
@@ -1,4 +1,4 @@
-import {hashToUint32} from '../utils/hash.js';
+import {rankHost} from '../utils/hash.js';
 
 /**
  * The requests a second that a server accepts from all hosts together, and the
@@ -58,11 +58,8 @@
     otherAddresses.length + 1,
     Math.floor(requestsPerS) + EXTRA_SENDER_COUNT,
   );
-  const ownRank = hashToUint32(`${serverId}/${address}`);
-  const precedingCount = otherAddresses.filter(
-    other => hashToUint32(`${serverId}/${other}`) > ownRank,
-  ).length;
-  return precedingCount < senderCount ? requestsPerS / senderCount : 0;
+  const rank = rankHost(serverId, address, otherAddresses);
+  return rank < senderCount ? requestsPerS / senderCount : 0;
 }
 
 /**
--- a/packages/core/src/utils/hash.ts
+++ b/packages/core/src/utils/hash.ts
@@ -27,3 +27,25 @@
 export function hashToUnitInterval(text: string, seed = 0): number {
   return hashToUint32(text, seed) / UINT32_RANGE;
 }
+
+/**
+ * Ranks a host among all hosts by a hash with a key. All hosts that know each
+ * other compute the same ranks, so that a few of them are found without a message.
+ *
+ * @param address of the host, by which the others know it.
+ * @returns the number of hosts before it; 0 for the first one.
+ * @example
+ * ```ts
+ * rankHost('i-1', '10.0.0.1:70', ['10.0.0.2:70']); // 0 or 1
+ * ```
+ */
+export function rankHost(
+  key: string,
+  address: string,
+  otherAddresses: readonly string[],
+): number {
+  const ownHash = hashToUint32(`${key}/${address}`);
+  return otherAddresses.filter(
+    other => hashToUint32(`${key}/${other}`) > ownHash,
+  ).length;
+}
--- a/packages/core/src/utils/index.ts
+++ b/packages/core/src/utils/index.ts
@@ -1,4 +1,5 @@
 export * from './hash.js';
 export * from './math.js';
 export * from './random.js';
+export * from './recent_ids.js';
 export * from './byte_budget.js';
--- a/packages/gateway/src/control/crash_announcement.ts
+++ b/packages/gateway/src/control/crash_announcement.ts
@@ -1,46 +1,50 @@
-import type {QuarantinedPart, ServerCrash} from '@anvilrudder/core';
+import type {Quarantine, ServerCrash} from '@anvilrudder/core';
 
 /** What a host tells the others about crashes of servers. */
 export type CrashAnnouncement =
-  | {readonly kind: 'crash'; readonly crash: ServerCrash}
-  | {readonly kind: 'quarantine'; readonly parts: readonly QuarantinedPart[]}
-  | {readonly kind: 'cleared'; readonly partIds: readonly string[]};
+  | {readonly kind: 'crash'; readonly crashes: readonly ServerCrash[]}
+  | {readonly kind: 'quarantine'; readonly quarantines: readonly Quarantine[]}
+  | {
+      /** `knownSound`: answered at some time; `cleared`: answered just now. */
+      readonly kind: 'cleared' | 'knownSound';
+      readonly suspectIds: readonly string[];
+    };
 
-/** Maximum number of parts of one announcement, so that it fits a packet. */
-export const MAX_ANNOUNCED_PARTS = 16;
+/** Maximum number of entries of one announcement, so that it fits a packet. */
+export const MAX_ANNOUNCED_SUSPECTS = 16;
+
+/** Marks a crash behind the beginning of an answer. */
+const BEGUN = 'begun';
 
 /**
  * Encodes an announcement as fields without spaces.
  *
  * @example
  * ```ts
- * encodeCrashAnnouncement({kind: 'cleared', partIds: ['a']}); // ['cleared', 'a']
+ * encodeCrashAnnouncement({kind: 'cleared', suspectIds: ['a']}); // ['cleared', 'a']
  * ```
  */
 export function encodeCrashAnnouncement(
   announcement: CrashAnnouncement,
 ): readonly string[] {
   switch (announcement.kind) {
-    case 'crash': {
-      const {serverRun, partIds, waitedMs} = announcement.crash;
-      const run = encodeURIComponent(serverRun);
-      return ['crash', encodeIds(partIds), `${run},${Math.round(waitedMs)}`];
-    }
-    case 'quarantine': {
-      const {parts} = announcement;
-      return ['quarantine', ...parts.map(encodeQuarantinedPart)];
-    }
+    case 'crash':
+      return ['crash', ...announcement.crashes.flatMap(encodeCrash)];
+    case 'quarantine':
+      return ['quarantine', ...announcement.quarantines.map(encodeQuarantine)];
     case 'cleared':
-      return ['cleared', encodeIds(announcement.partIds)];
+    case 'knownSound':
+      return [announcement.kind, encodeIds(announcement.suspectIds)];
   }
 }
 
 type Decoder = (fields: readonly string[]) => CrashAnnouncement | undefined;
 
 const DECODERS: ReadonlyMap<string, Decoder> = new Map<string, Decoder>([
-  ['crash', decodeCrash],
-  ['quarantine', decodeQuarantine],
-  ['cleared', decodeCleared],
+  ['crash', decodeCrashes],
+  ['quarantine', decodeQuarantines],
+  ['cleared', fields => decodeSound('cleared', fields)],
+  ['knownSound', fields => decodeSound('knownSound', fields)],
 ]);
 
 /** Decodes an announcement; undefined if it is malformed. */
@@ -51,51 +55,83 @@
   return DECODERS.get(kind)?.(rest);
 }
 
-function decodeCrash([ids, details]: readonly string[]):
-  CrashAnnouncement | undefined {
+/** Encodes a crash as two fields: `id,…` and `run,waitedMs[,begun]`. */
+function encodeCrash({
+  serverRun,
+  suspectIds,
+  waitedMs,
+  hasBegun,
+}: ServerCrash): readonly string[] {
+  const details = [encodeURIComponent(serverRun), Math.round(waitedMs)];
+  return [
+    encodeIds(suspectIds),
+    [...details, ...(hasBegun ? [BEGUN] : [])].join(),
+  ];
+}
+
+function decodeCrashes(
+  fields: readonly string[],
+): CrashAnnouncement | undefined {
+  const crashes: ServerCrash[] = [];
+  for (let index = 0; index < fields.length; index += 2) {
+    const crash = decodeCrash(fields[index], fields[index + 1]);
+    if (crash === undefined) return undefined;
+    crashes.push(crash);
+  }
+  return crashes.length > 0 ? {kind: 'crash', crashes} : undefined;
+}
+
+function decodeCrash(
+  ids: string,
+  details: string | undefined,
+): ServerCrash | undefined {
   if (details === undefined) return undefined;
-  const partIds = decodeIds(ids);
-  const [run, waited] = details.split(',');
+  const suspectIds = decodeIds(ids);
+  const [run, waited, begun] = details.split(',');
   const serverRun = decodeText(run);
   const waitedMs = Number(waited);
-  if (partIds === undefined || !serverRun || !(waitedMs >= 0)) return undefined;
-  return {kind: 'crash', crash: {serverRun, partIds, waitedMs}};
+  if (suspectIds === undefined || !serverRun || !(waitedMs >= 0))
+    return undefined;
+  return {serverRun, suspectIds, waitedMs, hasBegun: begun === BEGUN};
 }
 
-function decodeQuarantine(
+function decodeQuarantines(
   fields: readonly string[],
 ): CrashAnnouncement | undefined {
-  const parts = fields.map(decodeQuarantinedPart);
-  const isValid = parts.length > 0 && parts.every(part => part !== undefined);
-  return isValid ? {kind: 'quarantine', parts} : undefined;
+  const quarantines = fields.map(decodeQuarantine);
+  const isValid =
+    quarantines.length > 0 && quarantines.every(q => q !== undefined);
+  return isValid ? {kind: 'quarantine', quarantines} : undefined;
 }
 
-function decodeCleared([ids]: readonly string[]):
-  CrashAnnouncement | undefined {
-  const partIds = ids === undefined ? undefined : decodeIds(ids);
-  return partIds && {kind: 'cleared', partIds};
+function decodeSound(
+  kind: 'cleared' | 'knownSound',
+  [ids]: readonly string[],
+): CrashAnnouncement | undefined {
+  const suspectIds = ids === undefined ? undefined : decodeIds(ids);
+  return suspectIds && {kind, suspectIds};
 }
 
-/** Encodes a part as `remainingMs:id,companion,…`. */
-function encodeQuarantinedPart({
-  partId,
+/** Encodes a quarantine as `remainingMs:id,companion,…`. */
+function encodeQuarantine({
+  suspectId,
   companionIds,
   remainingMs,
-}: QuarantinedPart): string {
-  return `${Math.round(remainingMs)}:${encodeIds([partId, ...companionIds])}`;
+}: Quarantine): string {
+  return `${Math.round(remainingMs)}:${encodeIds([suspectId, ...companionIds])}`;
 }
 
-function decodeQuarantinedPart(text: string): QuarantinedPart | undefined {
+function decodeQuarantine(text: string): Quarantine | undefined {
   const [remaining, encodedIds] = text.split(':');
   const remainingMs = Number(remaining);
   const ids = encodedIds === undefined ? undefined : decodeIds(encodedIds);
   if (ids === undefined || !(remainingMs > 0)) return undefined;
-  const [partId, ...companionIds] = ids;
-  return {partId, companionIds, remainingMs};
+  const [suspectId, ...companionIds] = ids;
+  return {suspectId, companionIds, remainingMs};
 }
 
-function encodeIds(partIds: readonly string[]): string {
-  return partIds.slice(0, MAX_ANNOUNCED_PARTS).map(encodeURIComponent).join();
+function encodeIds(ids: readonly string[]): string {
+  return ids.slice(0, MAX_ANNOUNCED_SUSPECTS).map(encodeURIComponent).join();
 }
 
 function decodeIds(text: string): readonly string[] | undefined {
--- a/packages/gateway/src/control/crash_guard.ts
+++ b/packages/gateway/src/control/crash_guard.ts
@@ -1,43 +1,84 @@
 import {
   CrashSuspects,
-  listSharedPartIds,
-  type GenerationDemand,
-  type QuarantinedPart,
+  isTrialHost,
+  rankHost,
+  readRequestDigest,
+  type Quarantine,
+  type Random,
   type RegisteredServer,
   type ServerCrash,
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import {
-  MAX_ANNOUNCED_PARTS,
+  MAX_ANNOUNCED_SUSPECTS,
   type CrashAnnouncement,
 } from './crash_announcement.js';
+import type {AnnouncementReach} from './rollout_announcer.js';
 
 /** Dependencies of {@link CrashGuard}. */
 export interface CrashGuardOptions {
+  /** Address of this host, by which the others know it. */
+  readonly address: string;
+  readonly listOtherAddresses: () => readonly string[];
+  readonly random: Random;
   readonly logger: Logger;
   readonly metrics: MetricRegistry;
   /** Sends an announcement to the other hosts. */
-  readonly announce: (announcement: CrashAnnouncement) => void;
+  readonly announce: (
+    announcement: CrashAnnouncement,
+    reach: AnnouncementReach,
+  ) => void;
 }
 
-/** A request whose answer has not begun. */
-export interface WaitingRequest {
-  readonly generation: GenerationDemand;
-  /** Called when a part of its prompt is quarantined. */
-  readonly onQuarantined: (part: QuarantinedPart) => void;
+/** A request that is about to be sent to servers. */
+export interface GuardedRequest {
+  /** See {@link listSuspectIds}. */
+  readonly suspectIds: readonly string[];
+  /** Called when it may no longer be sent, nor run on. */
+  readonly onQuarantined: (quarantine: Quarantine) => void;
 }
 
-/** Time between two announcements of the quarantined parts. */
+/** Whether a request may be sent. */
+export interface SendPermission {
+  /** Present if it must not be sent. */
+  readonly refusal: Quarantine | undefined;
+  /** The request may be sent to one server, to see whether it crashes. */
+  readonly isTrial: boolean;
+  /** To be called when the request has ended. */
+  readonly end: () => void;
+}
+
+/** A request that a server has cut. */
+export interface CutRequest {
+  readonly suspectIds: readonly string[];
+  /** Time of the send, on the monotonic clock. */
+  readonly sentMs: number;
+  /** True if its answer had begun. */
+  readonly hasBegun: boolean;
+}
+
+/** Time between two announcements of the quarantines. */
 const REPEAT_MS = 2000;
+/** Crashes of one server are collected for this time and announced together. */
+const COLLECT_MS = 2;
+/** Hosts that answer the report of a quarantined request; one may have restarted. */
+const ANSWERING_HOST_COUNT = 2;
+/** Hosts, on average, that vouch for a suspect which all have seen answered. */
+const VOUCHING_HOST_COUNT = 8;
+/** Retry delay for a request whose trial is made elsewhere or under way. */
+const TRIAL_RETRY_MS = 1000;
 
 /**
- * Keeps requests away from the servers whose prompt has a part that makes them
- * crash. The hosts tell each other of crashes, of the parts that they quarantine
- * and of those that an answer has cleared.
+ * Keeps requests away from the servers that they make crash. The hosts tell each
+ * other of crashes, of the requests and prompt parts that they quarantine, and of
+ * those that an answer has cleared.
  */
 export class CrashGuard {
   private readonly suspects = CrashSuspects.create();
-  private readonly waiting = new Set<WaitingRequest>();
+  private readonly guarded = new Set<GuardedRequest>();
+  /** Suspects of which a request is being tried on this host. */
+  private readonly triedIds = new Set<string>();
+  private collectedCrashes: ServerCrash[] = [];
   private nextRepeatMs = -Infinity;
 
   private constructor(private readonly options: CrashGuardOptions) {}
@@ -45,98 +86,180 @@
   /**
    * @example
    * ```ts
-   * const guard = CrashGuard.create({logger, metrics, announce});
-   * guard.findQuarantined(generation); // undefined: it may be sent
+   * const guard = CrashGuard.create(options);
+   * const {refusal, end} = guard.open({suspectIds, onQuarantined});
    * ```
    */
   static create(options: CrashGuardOptions): CrashGuard {
     return new CrashGuard(options);
   }
 
-  /** Finds a part because of which a request must not be sent to a server. */
-  findQuarantined(
-    generation: GenerationDemand | undefined,
-  ): QuarantinedPart | undefined {
-    if (generation === undefined) return undefined;
-    return this.suspects.findQuarantined(generation.parts, performance.now());
+  /** Decides whether a request may be sent, and watches it until its end. */
+  open(request: GuardedRequest): SendPermission {
+    const refusal = this.findQuarantined(request.suspectIds);
+    if (refusal !== undefined) return refuse(refusal);
+    const nowMs = performance.now();
+    const trialId = this.suspects.findOnTrial(request.suspectIds, nowMs);
+    if (trialId !== undefined && !this.canTry(trialId)) {
+      return refuse({
+        suspectId: trialId,
+        companionIds: [],
+        remainingMs: TRIAL_RETRY_MS,
+      });
+    }
+    if (trialId !== undefined) this.triedIds.add(trialId);
+    this.guarded.add(request);
+    const end = (): void => {
+      this.guarded.delete(request);
+      if (trialId !== undefined) this.triedIds.delete(trialId);
+    };
+    return {refusal: undefined, isTrial: trialId !== undefined, end};
   }
 
-  /** Watches a request until the returned function is called. */
-  watch(request: WaitingRequest): () => void {
-    this.waiting.add(request);
-    return () => this.waiting.delete(request);
+  /** Finds a quarantine because of which a request must not be sent again. */
+  findQuarantined(suspectIds: readonly string[]): Quarantine | undefined {
+    return this.suspects.findQuarantined(suspectIds, performance.now());
   }
 
-  /** Records that a server cut a request whose answer had not begun. */
+  /** Records that a server cut a request that it may have begun to run. */
   recordCrash(
-    server: RegisteredServer,
-    generation: GenerationDemand,
-    sentMs: number,
+    {id, startedAtMs}: RegisteredServer,
+    {suspectIds, sentMs, hasBegun}: CutRequest,
   ): void {
-    const partIds = listSharedPartIds(generation.parts);
-    if (partIds.length === 0) return;
+    if (suspectIds.length === 0) return;
     this.options.metrics.count('crashed_requests_total');
-    const {id, startedAtMs} = server;
     const serverRun = startedAtMs === undefined ? id : `${id}@${startedAtMs}`;
     const waitedMs = performance.now() - sentMs;
-    const crash = {serverRun, partIds, waitedMs};
-    this.options.announce({kind: 'crash', crash});
+    const crash = {serverRun, suspectIds, waitedMs, hasBegun};
+    if (this.collectedCrashes.length === 0)
+      setTimeout(() => this.announceCrashes(), COLLECT_MS);
+    this.collectedCrashes.push(crash);
+    this.announceSound('knownSound', this.suspects.listKnownSound(suspectIds));
     this.takeCrash(crash);
   }
 
-  /** Records that a server has begun to answer a request. */
-  recordAnswer(generation: GenerationDemand): void {
-    const partIds = listSharedPartIds(generation.parts);
-    const clearedIds = this.suspects.recordAnswer(partIds);
-    if (clearedIds.length === 0) return;
-    this.options.announce({kind: 'cleared', partIds: clearedIds});
+  /** Records that a server has answered a request, or has begun to. */
+  recordAnswer(suspectIds: readonly string[]): void {
+    this.announceSound('cleared', this.suspects.recordAnswer(suspectIds));
   }
 
   /** Takes over what another host has announced. */
   receive(announcement: CrashAnnouncement): void {
     switch (announcement.kind) {
       case 'crash':
-        this.takeCrash(announcement.crash);
+        for (const crash of announcement.crashes) {
+          this.answerCrash(crash);
+          this.vouchFor(crash);
+          this.takeCrash(crash);
+        }
         return;
       case 'quarantine':
-        for (const part of announcement.parts) this.adopt(part);
+        for (const quarantine of announcement.quarantines)
+          this.adopt(quarantine);
         return;
       case 'cleared':
-        this.suspects.recordAnswer(announcement.partIds);
+        this.suspects.recordAnswer(announcement.suspectIds);
+        return;
+      case 'knownSound':
+        this.suspects.recordKnownSound(announcement.suspectIds);
     }
   }
 
-  /** Repeats the quarantined parts for hosts that have started since. */
+  /** Repeats the quarantines for hosts that have started since. */
   tick(): void {
     const nowMs = performance.now();
     if (nowMs < this.nextRepeatMs) return;
     this.nextRepeatMs = nowMs + REPEAT_MS;
-    this.announceQuarantine(this.suspects.listQuarantined(nowMs));
+    this.announceQuarantines(this.suspects.listQuarantined(nowMs), 'fewHosts');
+  }
+
+  private canTry(suspectId: string): boolean {
+    const {address, listOtherAddresses} = this.options;
+    const otherAddresses = listOtherAddresses();
+    return (
+      !this.triedIds.has(suspectId) &&
+      isTrialHost({suspectId, address, otherAddresses})
+    );
+  }
+
+  private announceCrashes(): void {
+    const crashes = this.collectedCrashes;
+    this.collectedCrashes = [];
+    for (let first = 0; first < crashes.length; first += MAX_ANNOUNCED_SUSPECTS)
+      this.options.announce(
+        {
+          kind: 'crash',
+          crashes: crashes.slice(first, first + MAX_ANNOUNCED_SUSPECTS),
+        },
+        'allHosts',
+      );
+  }
+
+  /** Tells a host that has sent a quarantined request, as it has just started. */
+  private answerCrash({suspectIds}: ServerCrash): void {
+    const quarantine = this.findQuarantined(suspectIds);
+    if (quarantine === undefined) return;
+    const {address, listOtherAddresses} = this.options;
+    const rank = rankHost(quarantine.suspectId, address, listOtherAddresses());
+    if (rank < ANSWERING_HOST_COUNT)
+      this.announceQuarantines([quarantine], 'allHosts');
+  }
+
+  private vouchFor({suspectIds}: ServerCrash): void {
+    const {random, listOtherAddresses} = this.options;
+    const hostCount = listOtherAddresses().length + 1;
+    if (random() * hostCount >= VOUCHING_HOST_COUNT) return;
+    this.announceSound('knownSound', this.suspects.listKnownSound(suspectIds));
+  }
+
+  private announceSound(
+    kind: 'cleared' | 'knownSound',
+    suspectIds: readonly string[],
+  ): void {
+    if (suspectIds.length === 0) return;
+    this.options.announce({kind, suspectIds}, 'allHosts');
   }
 
   private takeCrash(crash: ServerCrash): void {
-    const quarantined = this.suspects.recordCrash(crash, performance.now());
-    this.announceQuarantine(quarantined);
-    for (const part of quarantined) this.start(part);
+    const quarantines = this.suspects.recordCrash(crash, performance.now());
+    this.announceQuarantines(quarantines, 'allHosts');
+    for (const quarantine of quarantines) this.start(quarantine);
   }
 
-  private adopt(part: QuarantinedPart): void {
-    if (this.suspects.adopt(part, performance.now())) this.start(part);
+  private adopt(quarantine: Quarantine): void {
+    const isNew = this.suspects.adopt(quarantine, performance.now());
+    if (isNew) this.start(quarantine);
   }
 
-  private start(part: QuarantinedPart): void {
-    const {partId, remainingMs} = part;
-    this.options.metrics.count('quarantined_parts_total');
-    this.options.logger.warn('part_quarantined', {part: partId, remainingMs});
-    for (const {generation, onQuarantined} of this.waiting) {
-      if (listSharedPartIds(generation.parts).includes(partId))
-        onQuarantined(part);
+  private start(quarantine: Quarantine): void {
+    this.reportQuarantine(quarantine);
+    for (const {suspectIds, onQuarantined} of this.guarded) {
+      if (suspectIds.includes(quarantine.suspectId)) onQuarantined(quarantine);
     }
   }
 
-  private announceQuarantine(parts: readonly QuarantinedPart[]): void {
-    if (parts.length === 0) return;
-    const announced = parts.slice(-MAX_ANNOUNCED_PARTS);
-    this.options.announce({kind: 'quarantine', parts: announced});
+  private reportQuarantine({suspectId, remainingMs}: Quarantine): void {
+    const {logger, metrics} = this.options;
+    const requestDigest = readRequestDigest(suspectId);
+    if (requestDigest !== undefined) {
+      metrics.count('request_quarantines_total');
+      logger.warn('request_quarantined', {requestDigest, remainingMs});
+      return;
+    }
+    metrics.count('quarantined_parts_total');
+    logger.warn('part_quarantined', {part: suspectId, remainingMs});
+  }
+
+  private announceQuarantines(
+    quarantines: readonly Quarantine[],
+    reach: AnnouncementReach,
+  ): void {
+    if (quarantines.length === 0) return;
+    const announced = quarantines.slice(-MAX_ANNOUNCED_SUSPECTS);
+    this.options.announce({kind: 'quarantine', quarantines: announced}, reach);
   }
 }
+
+function refuse(refusal: Quarantine): SendPermission {
+  return {refusal, isTrial: false, end: () => undefined};
+}
--- a/packages/gateway/src/control/host_messenger.ts
+++ b/packages/gateway/src/control/host_messenger.ts
@@ -53,6 +53,7 @@
 const MAX_RECIPIENTS_BY_REACH: Readonly<Record<AnnouncementReach, number>> = {
   allHosts: Infinity,
   someHosts: MAX_RECIPIENTS,
+  fewHosts: 4,
 };
 /** Maximum work that one send can cause; higher values count as malformed. */
 const MAX_WORK_MS = 20_000;
@@ -122,10 +123,16 @@
     );
   }
 
-  /** Announces crashes of servers and the parts that cause them. */
-  announceCrash(announcement: CrashAnnouncement): void {
+  /** Announces crashes of servers and the requests that cause them. */
+  announceCrash(
+    announcement: CrashAnnouncement,
+    reach: AnnouncementReach,
+  ): void {
     const fields = encodeCrashAnnouncement(announcement);
-    this.send([CRASH_FORMAT, ...fields].join(' '));
+    this.send(
+      [CRASH_FORMAT, ...fields].join(' '),
+      MAX_RECIPIENTS_BY_REACH[reach],
+    );
   }
 
   /** Announces the limit of a server, or its end. */
--- a/packages/gateway/src/control/rollout_announcer.ts
+++ b/packages/gateway/src/control/rollout_announcer.ts
@@ -3,7 +3,7 @@
 import type {RolloutAnnouncement} from './rollout_announcement.js';
 
 /** Which hosts an announcement is sent to; some are enough if it is repeated. */
-export type AnnouncementReach = 'allHosts' | 'someHosts';
+export type AnnouncementReach = 'allHosts' | 'someHosts' | 'fewHosts';
 
 export type SendAnnouncement = (
   announcement: RolloutAnnouncement,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,11 @@
 export * from './config/settings.js';
 export type {CrashAnnouncement} from './control/crash_announcement.js';
-export {CrashGuard} from './control/crash_guard.js';
+export {
+  CrashGuard,
+  type GuardedRequest,
+  type SendPermission,
+} from './control/crash_guard.js';
+export type {AnnouncementReach} from './control/rollout_announcer.js';
 export * from './control/follow_store.js';
 export {
   HostRegistry,
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -3,6 +3,7 @@
   computePauseLeftMs,
   computeSendDelayMs,
   hashToUnitInterval,
+  isEjected,
   isPaused,
   pickDestination,
   estimateBacklogMs,
@@ -127,6 +128,23 @@
   );
 }
 
+/** True if a server of the exchange's service is left should one crash. */
+export function hasSpareServer(
+  context: GatewayContext,
+  exchange: OpenExchange,
+): boolean {
+  const service = findService(context, exchange);
+  if (service === undefined) return false;
+  const nowMs = performance.now();
+  const usable = context.servers
+    .list(service.name)
+    .filter(
+      ({availability, health}) =>
+        !availability.isLeaving && !isEjected(health, nowMs),
+    );
+  return usable.length > 1;
+}
+
 function findService(
   context: GatewayContext,
   exchange: OpenExchange,
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -6,7 +6,11 @@
   delimitByClose,
   isDelimitedByClose,
 } from './response_headers.js';
-import {chooseTarget, type SendTarget} from './choose_target.js';
+import {
+  chooseTarget,
+  hasSpareServer,
+  type SendTarget,
+} from './choose_target.js';
 import {planEscalation} from './escalate.js';
 import {createExchangeError} from './exchange_error.js';
 import {
@@ -16,6 +20,7 @@
 } from './observe_response.js';
 import type {OpenExchange} from './open_exchange.js';
 import {readResponseBody} from './read_response_body.js';
+import {recordCut} from './record_send.js';
 import {planRetry, refundRetry, consumeRetry} from './retry.js';
 import {endStream, relayEvents, type RelayEnd} from './relay_stream.js';
 import {
@@ -46,26 +51,43 @@
   context: GatewayContext,
   exchange: OpenExchange,
 ): Promise<void> {
-  const {generation} = exchange.admitted.request;
-  const part = context.crashGuard.findQuarantined(generation);
-  if (part !== undefined) {
-    context.metrics.count('quarantined_requests_total');
-    exchange.quarantine(part);
-    throw createExchangeError(context, exchange);
-  }
-  const unwatch =
-    generation &&
-    context.crashGuard.watch({
-      generation,
-      onQuarantined: quarantined => exchange.quarantine(quarantined),
-    });
+  const {crashGuard, metrics} = context;
+  const {refusal, isTrial, end} = crashGuard.open({
+    suspectIds: exchange.suspectIds,
+    onQuarantined: quarantine => exchange.stopQuarantined(quarantine),
+  });
   try {
+    if (refusal !== undefined) {
+      metrics.count('quarantined_requests_total');
+      exchange.stopQuarantined(refusal);
+      throw createExchangeError(context, exchange);
+    }
+    if (isTrial) beginTrial(context, exchange);
     await sendUntilAnswered(context, exchange);
   } finally {
-    unwatch?.();
+    end();
   }
 }
 
+/** Time after which a service may have a server to spare again. */
+const SPARE_SERVER_RETRY_MS = 1000;
+
+// A request that may make a server crash is kept away from the last one.
+function beginTrial(context: GatewayContext, exchange: OpenExchange): void {
+  const {id} = exchange.admitted.request;
+  if (hasSpareServer(context, exchange)) {
+    context.logger.info('suspect_tried', {request: id});
+    exchange.isTrial = true;
+    return;
+  }
+  exchange.stopQuarantined({
+    suspectId: exchange.suspectIds[0],
+    companionIds: [],
+    remainingMs: SPARE_SERVER_RETRY_MS,
+  });
+  throw createExchangeError(context, exchange);
+}
+
 async function sendUntilAnswered(
   context: GatewayContext,
   exchange: OpenExchange,
@@ -171,6 +193,8 @@
       endSend(context, exchange, backendResponse.send, undefined);
       throw createExchangeError(context, exchange);
     }
+    if (isTransportError(error) && error.failure === 'cut')
+      recordCut(context, exchange, backendResponse.send, sentMs, true);
     return handleFailure(
       context,
       exchange,
@@ -179,6 +203,7 @@
       backendResponse,
     );
   }
+  context.crashGuard.recordAnswer(exchange.suspectIds);
   const slowness = observeBufferedResponse(context, exchange, end, sentMs);
   endSend(context, exchange, backendResponse.send, end, slowness);
   if (exchange.stopped !== undefined)
@@ -213,6 +238,7 @@
         : undefined;
     endSend(context, exchange, backendResponse.send, attemptEnd, slowness);
     if (end === 'whole') {
+      context.crashGuard.recordAnswer(exchange.suspectIds);
       observeDecodeSpeed(
         context,
         exchange,
--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   ERROR_DEFINITIONS,
+  isRequestId,
   normalizeError,
   type CallerLimits,
   type RouterError,
@@ -149,7 +150,7 @@
     escalatedMs: roundMs(exchange?.escalatedMs),
     expectedFirstMs: roundMs(exchange?.expectedFirstMs),
     resumptions: exchange?.resumptions || undefined,
-    part: exchange?.quarantinedPart?.partId,
+    part: readQuarantinedPart(exchange),
     firstMs: roundMs(exchange?.firstMs),
     totalMs: roundMs(totalMs),
     limitMs: admitted?.route.timeLimitMs,
@@ -157,6 +158,13 @@
   });
 }
 
+function readQuarantinedPart(
+  exchange: OpenExchange | undefined,
+): string | undefined {
+  const suspectId = exchange?.quarantine?.suspectId;
+  return suspectId && !isRequestId(suspectId) ? suspectId : undefined;
+}
+
 function roundMs(valueMs: number | undefined): number | undefined {
   return valueMs === undefined ? undefined : Math.round(valueMs);
 }
--- a/packages/gateway/src/stages/open_exchange.ts
+++ b/packages/gateway/src/stages/open_exchange.ts
@@ -5,7 +5,8 @@
   RouterError,
   type ForwardOrganisation,
   type ForwardRoute,
-  type QuarantinedPart,
+  listSuspectIds,
+  type Quarantine,
 } from '@anvilrudder/core';
 import type {ForwardedRequest} from '../ports.js';
 
@@ -34,6 +35,8 @@
   readonly endMs: number;
   /** The same on all hosts for repeats of the request. */
   readonly digest: string;
+  /** What may be the cause if a server crashes on the request. */
+  readonly suspectIds: readonly string[];
   attempts = 0;
   /** A server may have run the request, or may still run it. */
   mayHaveRun = false;
@@ -49,8 +52,10 @@
   resumptions = 0;
   firstMs: number | undefined;
   lastEventId: string | undefined;
-  /** Part of the prompt because of which it was not sent, or not again. */
-  quarantinedPart: QuarantinedPart | undefined;
+  /** Reason for which it was not sent, or not again. */
+  quarantine: Quarantine | undefined;
+  /** It is sent to one server only, as it may make servers crash. */
+  isTrial = false;
   private stopReason: ExchangeStop | undefined;
   private readonly controller = new AbortController();
   private readonly timer: NodeJS.Timeout;
@@ -60,6 +65,10 @@
     const waitMs = Math.min(route.timeLimitMs, request.deadlineMs ?? Infinity);
     this.endMs = arrivedMs + Math.max(0, waitMs - RESPONSE_MARGIN_MS);
     this.digest = digestAdmitted(admitted);
+    this.suspectIds = listSuspectIds(
+      this.digest,
+      request.generation?.parts ?? [],
+    );
     this.lastEventId = request.lastEventId;
     const leftMs = Math.max(0, this.endMs - performance.now());
     this.timer = setTimeout(() => this.stop('timeLimit'), leftMs);
@@ -97,10 +106,10 @@
     this.controller.abort();
   }
 
-  /** Stops the exchange because of a part, unless its answer has begun. */
-  quarantine(part: QuarantinedPart): void {
+  /** Stops the exchange because of a suspect, unless its answer has begun. */
+  stopQuarantined(quarantine: Quarantine): void {
     if (this.admitted.response.headersSent) return;
-    this.quarantinedPart ??= part;
+    this.quarantine ??= quarantine;
     this.stop('quarantined');
   }
 
@@ -117,10 +126,10 @@
         retryAfterMs,
       });
     }
-    if (this.quarantinedPart !== undefined && !this.mayHaveRun) {
-      return RouterError.create('A part of the prompt is quarantined.', {
+    if (this.quarantine !== undefined && !this.mayHaveRun) {
+      return RouterError.create('The request is quarantined.', {
         code: 'quarantined',
-        retryAfterMs: this.quarantinedPart.remainingMs,
+        retryAfterMs: this.quarantine.remainingMs,
       });
     }
     if (this.mayHaveRun) {
--- a/packages/gateway/src/stages/record_send.ts
+++ b/packages/gateway/src/stages/record_send.ts
@@ -37,6 +37,24 @@
   });
 }
 
+/**
+ * Records that a server cut a request, so that it may have crashed on it. An
+ * answer that has begun clears the parts of the prompt, but not the request.
+ */
+export function recordCut(
+  {crashGuard}: GatewayContext,
+  {suspectIds}: OpenExchange,
+  {server}: InFlightSend,
+  sentMs: number,
+  hasBegun: boolean,
+): void {
+  crashGuard.recordCrash(server, {
+    suspectIds: hasBegun ? suspectIds.slice(0, 1) : suspectIds,
+    sentMs,
+    hasBegun,
+  });
+}
+
 /** Records what a response says about further requests to its server. */
 export function recordAvailability(
   {servers, serverLimits, logger}: GatewayContext,
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -4,6 +4,7 @@
 import {copyEndToEndHeaders} from './response_headers.js';
 import {EventSplitter} from './event_splitter.js';
 import type {OpenExchange} from './open_exchange.js';
+import {recordCut} from './record_send.js';
 import type {BackendResponse} from './send_attempt.js';
 
 /** How relaying the stream of one server ended. */
@@ -33,7 +34,6 @@
   backendResponse: BackendResponse,
 ): Promise<RelayResult> {
   const {response, request} = exchange.admitted;
-  const {generation} = request;
   const {send, sentMs} = backendResponse;
   const splitter = EventSplitter.create();
   let chunkCount = 0;
@@ -48,8 +48,8 @@
     return {end: 'broken', durationMs: lastMs - firstMs};
   };
   const finish = (end: RelayEnd): RelayResult => {
-    if (end === 'broken' && chunkCount === 0 && generation)
-      context.crashGuard.recordCrash(send.server, generation, sentMs);
+    if (end === 'broken')
+      recordCut(context, exchange, send, sentMs, chunkCount > 0);
     return {end, durationMs: lastMs - firstMs};
   };
   try {
@@ -61,7 +61,8 @@
       lastMs = performance.now();
       if (chunkCount === 0) {
         firstMs = lastMs;
-        if (generation) context.crashGuard.recordAnswer(generation);
+        const [, ...partIds] = exchange.suspectIds;
+        context.crashGuard.recordAnswer(partIds);
       }
       chunkCount += 1;
       if (!response.headersSent) writeStreamHead(exchange, backendResponse);
--- a/packages/gateway/src/stages/retry.ts
+++ b/packages/gateway/src/stages/retry.ts
@@ -18,8 +18,8 @@
   model: string | undefined,
 ): SendTarget | undefined {
   if (exchange.stopped !== undefined) return undefined;
-  const {generation} = exchange.admitted.request;
-  if (context.crashGuard.findQuarantined(generation)) return undefined;
+  if (context.crashGuard.findQuarantined(exchange.suspectIds)) return undefined;
+  if (exchange.isTrial && isRetry(exchange)) return undefined;
   if (exchange.attempts >= exchange.admitted.route.maxAttempts) {
     return undefined;
   }
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -19,6 +19,7 @@
   logVersion,
   MISDIRECTED_STATUS,
   recordAvailability,
+  recordCut,
   recordSession,
 } from './record_send.js';
 
@@ -149,9 +150,8 @@
       exchange.attempts -= 1;
     }
     const isExchangeStopped = exchange.stopped !== undefined;
-    const {generation} = request;
-    if (error.failure === 'cut' && generation && !isExchangeStopped)
-      context.crashGuard.recordCrash(server, generation, sentMs);
+    if (error.failure === 'cut' && !isExchangeStopped)
+      recordCut(context, exchange, send, sentMs, false);
     endSend(context, exchange, send, isExchangeStopped ? undefined : end);
     return {end, backendResponse: undefined};
   }
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -101,9 +101,13 @@
     onStoreVersion: seen => versionTracker.recordRemoteVersion(seen),
   });
   const crashGuard = CrashGuard.create({
+    address: formatAddress(settings.listen.hosts),
+    listOtherAddresses: () => hosts.addresses,
+    random: dependencies.random,
     logger,
     metrics,
-    announce: announcement => hostMessenger.announceCrash(announcement),
+    announce: (announcement, reach) =>
+      hostMessenger.announceCrash(announcement, reach),
   });
   const serverLimits = ServerLimits.create({
     ...dependencies,
