Relay requests through another host when servers cannot be reached

Callers saw: while a host was partitioned from all servers, it refused their requests within milliseconds (9 of 24 first tries served, 211 of 214 at the others), though other hosts reached the servers.

Cause: hosts told each other things, but none could do anything for another. A host that fails at every server of every service judged the servers, never itself. Class: a local failure treated as one of what is behind it, with no second way.

ServerReach (core) knows the services that no connection can be made to; their requests, and each one that no connection could be made for, go to another host, which admits and sends them as its own. One hop; a host without a way refuses at once and says so; probes find the way back, and ejections of that time end. Connects to servers end after 400 ms in place of 700.

Why it works: the other host is one that callers are served by.

--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -8,6 +8,7 @@
 export * from './http/connection_pool.js';
 export * from './http/http_transport.js';
 export * from './http/json.js';
+export * from './http/probe_connection.js';
 export * from './objects/rate_limited_store.js';
 export * from './objects/counting_store.js';
 export * from './objects/decode_store_response.js';
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -14,6 +14,7 @@
 export * from './server_availability.js';
 export * from './server_health.js';
 export * from './server_limit.js';
+export * from './server_reach.js';
 export * from './server_load.js';
 export * from './server_table.js';
 export * from './session_versions.js';
--- a/packages/core/src/forwarding/server_table.ts
+++ b/packages/core/src/forwarding/server_table.ts
@@ -128,6 +128,12 @@
     record.availability = {...record.availability, limit};
   }
 
+  /** Ends the ejections of a service that were not the fault of its servers. */
+  endEjections(service: string): void {
+    for (const record of this.byService.get(service) ?? [])
+      record.health = INITIAL_HEALTH;
+  }
+
   /** True if a request may be sent to this run of the server now. */
   mayReceive(server: RegisteredServer, nowMs: number): boolean {
     const record = this.findRun(server);
--- a/packages/gateway/src/control/host_registry.ts
+++ b/packages/gateway/src/control/host_registry.ts
@@ -11,18 +11,14 @@
 
 /** Entry of a host in the store, which the other hosts read. */
 export interface HostEntry {
-  /** `ip:port` for datagrams. */
+  /** `ip:port` for datagrams and relayed requests. */
   readonly address: string;
+  /** Undefined in entries of earlier builds. */
+  readonly failureDomain?: string;
 }
 
-/** Dependencies and intervals of the host registry. */
-export interface HostRegistryOptions {
-  readonly store: ObjectStore;
-  readonly kind: WatchedKind<HostEntry>;
-  readonly host: string;
-  readonly address: string;
-  readonly logger: Logger;
-  readonly random: () => number;
+/** Intervals of the host registry. */
+export interface HostRegistryIntervals {
   /**
    * Mean delay between registering and the second list, by when hosts that were
    * started together have registered. Default 3000.
@@ -37,16 +33,28 @@
   readonly retryMs?: number;
 }
 
+/** Dependencies and intervals of the host registry. */
+export interface HostRegistryOptions extends HostRegistryIntervals {
+  readonly store: ObjectStore;
+  readonly kind: WatchedKind<HostEntry>;
+  readonly host: string;
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly logger: Logger;
+  readonly random: () => number;
+}
+
 const DEFAULTS = {
   secondListMs: 3000,
   listPeriodMs: 15_000,
   retryMs: 2000,
-} as const satisfies Partial<HostRegistryOptions>;
+} as const satisfies HostRegistryIntervals;
 
 /** Decodes the entry of a host; undefined if it has no address. */
 export function readHostEntry(entry: JsonObject): HostEntry | undefined {
   const address = readString(entry, 'address');
-  return address === undefined ? undefined : {address};
+  const failureDomain = readString(entry, 'failureDomain');
+  return address === undefined ? undefined : {address, failureDomain};
 }
 
 /**
@@ -56,6 +64,7 @@
  * list, or the store has returned from an older copy, the host registers again.
  */
 export class HostRegistry {
+  private otherHosts: readonly HostEntry[] = [];
   private otherAddresses: readonly string[] = [];
   private hasListed = false;
   /** False if this host's entry may be missing in the store. */
@@ -85,6 +94,11 @@
     return this.otherAddresses;
   }
 
+  /** The other hosts. */
+  get entries(): readonly HostEntry[] {
+    return this.otherHosts;
+  }
+
   /** Registers this host and lists the others until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     const {store, random, secondListMs, listPeriodMs, retryMs} = this.options;
@@ -137,9 +151,9 @@
   }
 
   private async register(): Promise<void> {
-    const {store, kind, host, address} = this.options;
+    const {store, kind, host, address, failureDomain} = this.options;
     const key = `${kind.prefix}${host}`;
-    const value = JSON.stringify({address});
+    const value = JSON.stringify({address, failureDomain});
     const result = await store.put(key, value, {kind: 'absent'});
     if (result.status === 'written') return;
     // The entry is left from an earlier run of this host.
@@ -148,7 +162,7 @@
 
   private async list(): Promise<void> {
     const {store, kind, address, logger} = this.options;
-    const foundAddresses: string[] = [];
+    const found: HostEntry[] = [];
     let isListed = false;
     let after: string | undefined;
     do {
@@ -159,16 +173,18 @@
         const entry = json && kind.decode(name, json);
         if (entry === undefined) continue;
         if (entry.address === address) isListed = true;
-        else foundAddresses.push(entry.address);
+        else found.push(entry);
       }
       after = page.nextAfter;
     } while (after !== undefined);
+    const foundAddresses = found.map(entry => entry.address);
     const isChanged = foundAddresses.join() !== this.otherAddresses.join();
+    this.otherHosts = found;
     this.otherAddresses = foundAddresses;
     if (!isListed) {
       this.isRegistered = false;
       logger.info('host_unlisted', {address});
     }
-    if (isChanged) logger.info('hosts_listed', {others: foundAddresses.length});
+    if (isChanged) logger.info('hosts_listed', {others: found.length});
   }
 }
--- a/packages/gateway/src/control/server_pools.ts
+++ b/packages/gateway/src/control/server_pools.ts
@@ -7,6 +7,12 @@
   readonly pool: ConnectionPool;
 }
 
+/**
+ * Servers are near, and a lost packet is sent again only after a second; a
+ * connection that takes longer will hardly be made.
+ */
+const CONNECT_TIMEOUT_MS = 400;
+
 /** Connection pools, one per registered server. */
 export class ServerPools {
   private readonly pools = new Map<string, OpenPool>();
@@ -25,6 +31,7 @@
     const pool = ConnectionPool.create({
       address: server.address,
       maxConnections,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
       onConnect: () => this.metrics.count('backend_connections_total'),
     });
     this.pools.set(server.id, {address: server.address, pool});
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -2,6 +2,7 @@
   ByteBudget,
   Random,
   PrefillTimeEstimator,
+  ServerReach,
   ServerTable,
   DecodeTimeEstimator,
 } from '@anvilrudder/core';
@@ -9,6 +10,7 @@
 import type {GatewaySettings} from './config/settings.js';
 import type {CrashGuard} from './control/crash_guard.js';
 import type {HostRegistry} from './control/host_registry.js';
+import type {HostRelay} from './control/host_relay.js';
 import type {HostMessenger} from './control/host_messenger.js';
 import type {RetryBudgets} from './control/retry_budgets.js';
 import type {RoutingState} from './control/routing_state.js';
@@ -28,6 +30,8 @@
   readonly pools: ServerPools;
   readonly retryBudgets: RetryBudgets;
   readonly hosts: HostRegistry;
+  readonly hostRelay: HostRelay;
+  readonly reach: ServerReach;
   readonly hostMessenger: HostMessenger;
   readonly prefillEstimator: PrefillTimeEstimator;
   readonly decodeEstimator: DecodeTimeEstimator;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,6 +11,7 @@
   HostRegistry,
   readHostEntry,
   type HostEntry,
+  type HostRegistryIntervals,
 } from './control/host_registry.js';
 export * from './control/host_messenger.js';
 export type {RolloutAnnouncement} from './control/rollout_announcement.js';
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -67,6 +67,11 @@
 export interface CallerCodec {
   decodeRequest(message: IncomingMessage): ForwardedRequest;
   encodeOutboundRequest(outboundRequest: OutboundRequest): IncomingHttpHeaders;
+  /** Returns the headers of a request that another host is to send. */
+  encodeRelayedRequest(
+    callerHeaders: IncomingHttpHeaders,
+    remainingMs: number,
+  ): IncomingHttpHeaders;
   decodeResponseHead(headers: IncomingHttpHeaders): ResponseHead;
   /** Returns the headers of an error response that the router creates. */
   encodeErrorHeaders(
--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import type {CallerLimits} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
-import {forward} from '../stages/forward.js';
+import {forward, type RequestSender} from '../stages/forward.js';
 import {writeErrorResponse} from './error_response.js';
 import {RouterError} from '@anvilrudder/core';
 
@@ -10,6 +10,8 @@
 const PARSER_MAX_HEADER_BYTES = 65_536;
 /** Interval at which connections are checked for the header timeout. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
+/** Longer than hosts keep idle connections to each other. */
+const RELAY_KEEP_ALIVE_MS = 15_000;
 const HEADER_SEPARATOR_BYTES = 4;
 const HEADERS_TOO_LARGE_RESPONSE =
   'HTTP/1.1 431 Request Header Fields Too Large\r\n' +
@@ -25,8 +27,11 @@
   ERR_HTTP_REQUEST_TIMEOUT: REQUEST_TIMEOUT_RESPONSE,
 };
 
-/** Creates the server that callers connect to. */
-export function createCallerServer(context: GatewayContext): Server {
+/** Creates the server that callers connect to, or hosts that relay requests. */
+export function createCallerServer(
+  context: GatewayContext,
+  sender: RequestSender = 'caller',
+): Server {
   const server = createServer(
     {
       maxHeaderSize: PARSER_MAX_HEADER_BYTES,
@@ -53,7 +58,7 @@
         );
         return;
       }
-      void forward(context, message, response);
+      void forward(context, message, response, sender);
     },
   );
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -70,6 +75,19 @@
   return server;
 }
 
+/**
+ * Creates the server that takes requests from other hosts, which do not reach
+ * the servers themselves. Connections from other addresses are closed.
+ */
+export function createRelayServer(context: GatewayContext): Server {
+  const server = createCallerServer(context, 'host');
+  server.keepAliveTimeout = RELAY_KEEP_ALIVE_MS;
+  server.prependListener('connection', (socket: Socket) => {
+    if (!context.hostRelay.isHost(socket.remoteAddress)) socket.destroy();
+  });
+  return server;
+}
+
 /** Applies the limits of a new configuration to the server. */
 export function applyCallerLimits(server: Server, limits: CallerLimits): void {
   server.headersTimeout = limits.headerTimeoutMs;
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -145,7 +145,8 @@
   return usable.length > 1;
 }
 
-function findService(
+/** Finds the service that the newest configuration gives an exchange. */
+export function findService(
   context: GatewayContext,
   exchange: OpenExchange,
 ): ForwardService | undefined {
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -1,13 +1,9 @@
 import {isTransportError} from '@anvilrudder/clients';
 import {decideNextStep, isNeverSent, type AttemptEnd} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
-import {
-  copyEndToEndHeaders,
-  delimitByClose,
-  isDelimitedByClose,
-} from './response_headers.js';
 import {
   chooseTarget,
+  findService,
   hasSpareServer,
   type SendTarget,
 } from './choose_target.js';
@@ -21,6 +17,7 @@
 import type {OpenExchange} from './open_exchange.js';
 import {readResponseBody} from './read_response_body.js';
 import {recordCut} from './record_send.js';
+import {relayThroughHost} from './relay_through_host.js';
 import {planRetry, refundRetry, consumeRetry} from './retry.js';
 import {endStream, relayEvents, type RelayEnd} from './relay_stream.js';
 import {
@@ -29,11 +26,14 @@
   type AttemptResult,
   type BackendResponse,
 } from './send_attempt.js';
+import {respondWithBody} from './write_response.js';
 
 const ATTEMPT_END_BY_RELAY_END: Readonly<
   Record<RelayEnd, AttemptEnd | undefined>
 > = {whole: 'answered', broken: 'lost', stopped: undefined};
 
+/** Servers that cannot be connected to before another host is asked. */
+const UNSENT_BEFORE_RELAY = 2;
 /** Timers may fire early by up to this time. */
 const TIMER_SLACK_MS = 1;
 
@@ -92,6 +92,7 @@
   context: GatewayContext,
   exchange: OpenExchange,
 ): Promise<void> {
+  if (await relayIfCutOff(context, exchange)) return;
   let target = chooseTarget(context, exchange, chooseInitialModel(exchange));
   if (target === undefined) throw createExchangeError(context, exchange);
   context.retryBudgets.get(target.service.name).recordFirst(performance.now());
@@ -103,6 +104,29 @@
   }
 }
 
+/**
+ * Lets another host send the request if this one does not reach its service.
+ *
+ * @returns true if the caller has its response.
+ * @throws RouterError if no host reaches the service.
+ */
+async function relayIfCutOff(
+  context: GatewayContext,
+  exchange: OpenExchange,
+): Promise<boolean> {
+  const {reach, hostRelay} = context;
+  const service = findService(context, exchange)?.name;
+  if (service === undefined) return false;
+  const serverCount = hostRelay.countServers(service);
+  const way = reach.chooseWay(service, serverCount, performance.now());
+  if (way === 'direct') return false;
+  if (way === 'unreachable' || exchange.admitted.isRelayed)
+    throw createExchangeError(context, exchange);
+  const result = await relayThroughHost(context, exchange, service);
+  if (result === 'refused') throw createExchangeError(context, exchange);
+  return result === 'answered';
+}
+
 function chooseInitialModel({admitted}: OpenExchange): string | undefined {
   const {request, route} = admitted;
   if (request.generation === undefined) return undefined;
@@ -148,6 +172,11 @@
   logAttempt(context, exchange, target, end, backendResponse);
   if (isNeverSent(end)) refundRetry(context, exchange, target);
   const retryTarget = planRetry(context, exchange, target.model);
+  if (shouldRelayUnsent(exchange, end, retryTarget !== undefined)) {
+    const {name} = target.service;
+    const result = await relayThroughHost(context, exchange, name);
+    if (result === 'answered') return undefined;
+  }
   const step = decideNextStep(
     end,
     exchange.isRetryable,
@@ -166,6 +195,17 @@
   throw createExchangeError(context, exchange);
 }
 
+/** True if no server is left that the request could be sent to directly. */
+function shouldRelayUnsent(
+  {admitted, attempts, unsentCount, stopped}: OpenExchange,
+  end: AttemptEnd,
+  hasTarget: boolean,
+): boolean {
+  if (end !== 'unsent' || admitted.isRelayed || stopped !== undefined)
+    return false;
+  return attempts === 0 && (!hasTarget || unsentCount === UNSENT_BEFORE_RELAY);
+}
+
 /** Aborts a response of which nothing has been sent to the caller. */
 function discardResponse(
   context: GatewayContext,
@@ -208,13 +248,7 @@
   endSend(context, exchange, backendResponse.send, end, slowness);
   if (exchange.stopped !== undefined)
     throw createExchangeError(context, exchange);
-  const {response, arrivedMs, request} = exchange.admitted;
-  const headers = copyEndToEndHeaders(backendResponse.stream.headers);
-  if (isDelimitedByClose(backendResponse.stream)) delimitByClose(response);
-  else if (request.method !== 'HEAD') headers['content-length'] = body.length;
-  exchange.firstMs = performance.now() - arrivedMs;
-  response.writeHead(backendResponse.stream.status, headers);
-  response.end(body);
+  respondWithBody(exchange, backendResponse.stream, body);
   return undefined;
 }
 
--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -3,8 +3,8 @@
   ERROR_DEFINITIONS,
   isRequestId,
   normalizeError,
+  RouterError,
   type CallerLimits,
-  type RouterError,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import type {ForwardedRequest} from '../ports.js';
@@ -14,6 +14,10 @@
 import {dispatchRequest} from './dispatch.js';
 import {hashSession} from './hash_session.js';
 import {OpenExchange} from './open_exchange.js';
+import {RELAY_REFUSED_HEADER, type RelayRefusal} from './relay_through_host.js';
+
+/** Who sends a request to this host: its caller, or a host that relays it. */
+export type RequestSender = 'caller' | 'host';
 
 /** Limits that apply until the first configuration has arrived. */
 const INITIAL_LIMITS: CallerLimits = {
@@ -36,6 +40,7 @@
   context: GatewayContext,
   message: IncomingMessage,
   response: ServerResponse,
+  sender: RequestSender = 'caller',
 ): Promise<void> {
   const arrivedMs = performance.now();
   if (context.isStopping()) response.shouldKeepAlive = false;
@@ -45,6 +50,7 @@
   let exchange: OpenExchange | undefined;
   let failure: RouterError | undefined;
   try {
+    if (sender === 'host' && context.isStopping()) throw createStoppingError();
     admitted = admitRequest(table, request);
     const limits = table?.snapshot.limits ?? INITIAL_LIMITS;
     const body = await readRequestBody(message, {
@@ -58,11 +64,14 @@
       arrivedMs,
       body,
       response,
+      callerHeaders: message.headers,
+      isRelayed: sender === 'host',
     });
     await dispatchRequest(context, exchange);
   } catch (error) {
     failure = normalizeError(error);
     if (failure.code === 'internal') logInternalError(context, request, error);
+    if (sender === 'host') markRelayRefusal(context, response, failure);
     respondWithError(context, message, response, request, failure);
   } finally {
     exchange?.close();
@@ -77,6 +86,21 @@
   }
 }
 
+function createStoppingError(): RouterError {
+  return RouterError.create('This host is stopping.', {code: 'no_backend'});
+}
+
+/** Tells the host that relays a request that this one has not sent it. */
+function markRelayRefusal(
+  context: GatewayContext,
+  response: ServerResponse,
+  {code}: RouterError,
+): void {
+  if (code !== 'no_backend' || response.headersSent) return;
+  const refusal: RelayRefusal = context.isStopping() ? 'stopping' : 'unreached';
+  response.setHeader(RELAY_REFUSED_HEADER, refusal);
+}
+
 function respondWithError(
   context: GatewayContext,
   message: IncomingMessage,
@@ -142,6 +166,8 @@
     execution: failure?.execution,
     status,
     attempts: exchange?.attempts,
+    relayed: exchange?.admitted.isRelayed || undefined,
+    relayedTo: exchange?.relayedTo,
     server: exchange?.server,
     version: exchange?.softwareVersion,
     model: exchange?.model,
--- a/packages/gateway/src/stages/open_exchange.ts
+++ b/packages/gateway/src/stages/open_exchange.ts
@@ -1,4 +1,4 @@
-import type {ServerResponse} from 'node:http';
+import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 import {
   digestRequest,
   isRetryableKind,
@@ -23,6 +23,10 @@
   readonly arrivedMs: number;
   readonly body: Buffer | undefined;
   readonly response: ServerResponse;
+  /** Headers as the caller sent them. */
+  readonly callerHeaders: IncomingHttpHeaders;
+  /** True if another host has relayed the request; it is not relayed again. */
+  readonly isRelayed: boolean;
 }
 
 /** Reserved so that the final response arrives before the caller times out. */
@@ -38,6 +42,10 @@
   /** What may be the cause if a server crashes on the request. */
   readonly suspectIds: readonly string[];
   attempts = 0;
+  /** Servers to which no connection could be made. */
+  unsentCount = 0;
+  /** Address of the host that relayed the response. */
+  relayedTo: string | undefined;
   /** A server may have run the request, or may still run it. */
   mayHaveRun = false;
   model: string | undefined;
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -1,11 +1,10 @@
-import {once} from 'node:events';
 import {isTransportError} from '@anvilrudder/clients';
 import type {GatewayContext} from '../gateway_context.js';
-import {copyEndToEndHeaders} from './response_headers.js';
 import {EventSplitter} from './event_splitter.js';
 import type {OpenExchange} from './open_exchange.js';
 import {recordCut} from './record_send.js';
 import type {BackendResponse} from './send_attempt.js';
+import {waitForDrain, writeStreamHead} from './write_response.js';
 
 /** How relaying the stream of one server ended. */
 export type RelayEnd = 'whole' | 'broken' | 'stopped';
@@ -65,7 +64,8 @@
         context.crashGuard.recordAnswer(partIds);
       }
       chunkCount += 1;
-      if (!response.headersSent) writeStreamHead(exchange, backendResponse);
+      if (!response.headersSent)
+        writeStreamHead(exchange, backendResponse.stream);
       if (lastId !== undefined) exchange.lastEventId = lastId;
       if (!response.write(bytes)) await waitForDrain(exchange);
     }
@@ -88,28 +88,6 @@
   backendResponse: BackendResponse,
 ): void {
   const {response} = exchange.admitted;
-  if (!response.headersSent) writeStreamHead(exchange, backendResponse);
+  if (!response.headersSent) writeStreamHead(exchange, backendResponse.stream);
   response.end();
 }
-
-function writeStreamHead(
-  exchange: OpenExchange,
-  backendResponse: BackendResponse,
-): void {
-  const {response, arrivedMs} = exchange.admitted;
-  const headers = copyEndToEndHeaders(backendResponse.stream.headers);
-  delete headers['content-length'];
-  response.writeHead(backendResponse.stream.status, headers);
-  exchange.firstMs = performance.now() - arrivedMs;
-}
-
-async function waitForDrain(exchange: OpenExchange): Promise<void> {
-  const {response} = exchange.admitted;
-  if (response.destroyed) return;
-  try {
-    await once(response, 'drain', {signal: exchange.signal});
-  } catch (error) {
-    // The exchange was stopped; the loop that reads the events checks for it.
-    if (exchange.stopped === undefined) throw error;
-  }
-}
--- /dev/null
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -0,0 +1,152 @@
+import {isTransportError, type HttpStream} from '@anvilrudder/clients';
+import type {GatewayContext} from '../gateway_context.js';
+import {createExchangeError} from './exchange_error.js';
+import type {OpenExchange} from './open_exchange.js';
+import {readResponseBody} from './read_response_body.js';
+import {
+  respondWithBody,
+  waitForDrain,
+  writeStreamHead,
+} from './write_response.js';
+
+/**
+ * Result of a relay. `refused`: hosts were asked and do not reach the service;
+ * `noHost`: none could be asked. In both cases the request has not run.
+ */
+export type RelayThroughHostResult = 'answered' | 'refused' | 'noHost';
+
+/** Header of a host that has not sent a relayed request, with its reason. */
+export const RELAY_REFUSED_HEADER = 'relay-refused';
+
+/** Why a host has not sent a relayed request. */
+export type RelayRefusal = 'unreached' | 'stopping';
+
+const MAX_ASKED_HOSTS = 2;
+/** Maximum idle time of a reused connection, see the connections to servers. */
+const MAX_IDLE_MS = 3000;
+const STREAM_STATUS = 200;
+
+/**
+ * Lets another host send a request that no server has received, and relays its
+ * response to the caller.
+ *
+ * @param service whose servers this host does not reach.
+ * @throws RouterError if the request may have run without a response.
+ * @example
+ * ```ts
+ * const result = await relayThroughHost(context, exchange, 'app');
+ * ```
+ */
+export async function relayThroughHost(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  service: string,
+): Promise<RelayThroughHostResult> {
+  const {hostRelay, reach} = context;
+  const asked = new Set<string>();
+  let result: RelayThroughHostResult = 'noHost';
+  while (asked.size < MAX_ASKED_HOSTS) {
+    const host = hostRelay.chooseHost(asked);
+    if (host === undefined) return result;
+    asked.add(host);
+    const stream = await askHost(context, exchange, host);
+    if (stream === undefined) {
+      hostRelay.leaveOut(host);
+      continue;
+    }
+    const refusal = stream.headers[RELAY_REFUSED_HEADER];
+    if (refusal === undefined) {
+      exchange.relayedTo = host;
+      context.metrics.count('relayed_requests_total');
+      await relayResponse(context, exchange, stream);
+      return 'answered';
+    }
+    stream.discard();
+    exchange.mayHaveRun = false;
+    if (refusal === ('stopping' satisfies RelayRefusal)) {
+      hostRelay.leaveOut(host);
+      continue;
+    }
+    reach.recordRefusal(service, host, performance.now());
+    result = 'refused';
+  }
+  return result;
+}
+
+/** Sends the request to a host; undefined if the host did not get it. */
+async function askHost(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  host: string,
+): Promise<HttpStream | undefined> {
+  const {request, body, callerHeaders} = exchange.admitted;
+  const remainingMs = Math.max(1, Math.floor(exchange.remainingMs));
+  try {
+    const stream = await context.hostRelay.getPool(host).open({
+      method: request.method,
+      path: request.path,
+      headers: context.codec.encodeRelayedRequest(callerHeaders, remainingMs),
+      body,
+      maxIdleMs: MAX_IDLE_MS,
+      timeoutMs: remainingMs,
+      signal: exchange.signal,
+      confirmSend: () => {
+        exchange.mayHaveRun = true;
+        return true;
+      },
+    });
+    const head = context.codec.decodeResponseHead(stream.headers);
+    if (head.requestId === request.id) return stream;
+    stream.discard();
+    throw createExchangeError(context, exchange);
+  } catch (error) {
+    if (!isTransportError(error)) throw error;
+    const isUnsent = error.phase === 'beforeFirstByte';
+    if (isUnsent && exchange.stopped === undefined) return undefined;
+    throw createExchangeError(context, exchange);
+  }
+}
+
+async function relayResponse(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  stream: HttpStream,
+): Promise<void> {
+  const {route} = exchange.admitted;
+  const isStream = route.kind === 'stream' && stream.status === STREAM_STATUS;
+  try {
+    if (isStream) await relayChunks(exchange, stream);
+    else await relayBody(context, exchange, stream);
+  } catch (error) {
+    if (!isTransportError(error) && !(error instanceof RangeError)) throw error;
+    const {response} = exchange.admitted;
+    if (!response.headersSent) throw createExchangeError(context, exchange);
+    // Closing before the end of the body marks the response as incomplete.
+    response.destroy();
+  }
+}
+
+// The other host passes on whole events, so chunks need not be split again.
+async function relayChunks(
+  exchange: OpenExchange,
+  stream: HttpStream,
+): Promise<void> {
+  const {response} = exchange.admitted;
+  for await (const chunk of stream.chunks) {
+    if (!response.headersSent) writeStreamHead(exchange, stream);
+    if (!response.write(chunk)) await waitForDrain(exchange);
+  }
+  if (!response.headersSent) writeStreamHead(exchange, stream);
+  response.end();
+}
+
+async function relayBody(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  stream: HttpStream,
+): Promise<void> {
+  const body = await readResponseBody(stream, context.largeBodies);
+  if (exchange.stopped !== undefined)
+    throw createExchangeError(context, exchange);
+  respondWithBody(exchange, stream, body);
+}
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -123,6 +123,7 @@
         return true;
       },
     });
+    context.hostRelay.recordReached(service.name);
     const head = context.codec.decodeResponseHead(stream.headers);
     const end = classifyHead(request.id, stream.status, head);
     recordAvailability(context, send, stream.status, head, sentMs);
@@ -150,6 +151,10 @@
       exchange.attempts -= 1;
     }
     const isExchangeStopped = exchange.stopped !== undefined;
+    if (end === 'unsent' && exchange.stopped !== 'callerLeft') {
+      exchange.unsentCount += 1;
+      context.hostRelay.recordUnreached(service.name, server.id);
+    }
     if (error.failure === 'cut' && !isExchangeStopped)
       recordCut(context, exchange, send, sentMs, false);
     endSend(context, exchange, send, isExchangeStopped ? undefined : end);
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -3,6 +3,7 @@
 import {
   ByteBudget,
   PrefillTimeEstimator,
+  ServerReach,
   ServerTable,
   DecodeTimeEstimator,
   type ObjectStore,
@@ -12,7 +13,11 @@
 import type {GatewaySettings, ListenAddress} from './config/settings.js';
 import {followStore, type FollowedKinds} from './control/follow_store.js';
 import {CrashGuard} from './control/crash_guard.js';
-import {HostRegistry} from './control/host_registry.js';
+import {
+  HostRegistry,
+  type HostRegistryIntervals,
+} from './control/host_registry.js';
+import {HostRelay} from './control/host_relay.js';
 import {HostMessenger} from './control/host_messenger.js';
 import {RetryBudgets} from './control/retry_budgets.js';
 import {RoutingState} from './control/routing_state.js';
@@ -27,7 +32,11 @@
 import {RolloutController} from './control/rollout_controller.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {CallerCodec} from './ports.js';
-import {applyCallerLimits, createCallerServer} from './server/caller_server.js';
+import {
+  applyCallerLimits,
+  createCallerServer,
+  createRelayServer,
+} from './server/caller_server.js';
 import {
   createMetricsServer,
   createReadinessServer,
@@ -45,6 +54,8 @@
   readonly kinds: FollowedKinds;
   readonly progressCodec: RolloutProgressCodec;
   readonly random: Random;
+  /** Defaults: those of the host registry. */
+  readonly hostIntervals?: HostRegistryIntervals;
 }
 
 /** A running gateway. */
@@ -85,9 +96,19 @@
   const pools = ServerPools.create(metrics);
   const hosts = HostRegistry.create({
     ...dependencies,
+    ...dependencies.hostIntervals,
     kind: dependencies.kinds.hosts,
     host: settings.host,
     address: formatAddress(settings.listen.hosts),
+    failureDomain: settings.failureDomain,
+  });
+  const reach = ServerReach.create();
+  const hostRelay = HostRelay.create({
+    ...dependencies,
+    hosts,
+    failureDomain: settings.failureDomain,
+    servers,
+    reach,
   });
   const hostMessenger: HostMessenger = HostMessenger.create({
     ...dependencies,
@@ -147,6 +168,8 @@
     largeBodies: ByteBudget.create(MAX_LARGE_BODIES_BYTES),
     retryBudgets: RetryBudgets.create(settings.repeats, hosts),
     hosts,
+    hostRelay,
+    reach,
     hostMessenger,
     prefillEstimator: PrefillTimeEstimator.create({
       initialMsPerToken: INITIAL_PREFILL_MS_PER_TOKEN,
@@ -156,6 +179,7 @@
   };
   const abortController = new AbortController();
   const callerServer = createCallerServer(context);
+  const relayServer = createRelayServer(context);
   const directory = ServerDirectory.create(servers, pools, logger, {
     minOutageMs: MIN_OUTAGE_MS,
     reregistrationMs: REREGISTRATION_MS,
@@ -174,6 +198,7 @@
     rollouts.tick();
     crashGuard.tick();
     serverLimits.tick();
+    hostRelay.tick();
   }, TICK_MS);
   hosts.run(abortController.signal).catch((error: unknown) => {
     logger.error('host_registry_fault', {message: String(error)});
@@ -184,12 +209,14 @@
   const metricsServer = createMetricsServer(metrics);
   routing.onChange(({snapshot}) => {
     applyCallerLimits(callerServer, snapshot.limits);
+    relayServer.headersTimeout = snapshot.limits.headerTimeoutMs;
     for (const {name, kvCacheTokens: memoryTokens} of snapshot.services) {
       if (memoryTokens !== undefined)
         servers.setKvCacheTokens(name, memoryTokens);
     }
   });
   await listen(callerServer, settings.listen.callers);
+  await listen(relayServer, settings.listen.hosts);
   await listen(readinessServer, settings.listen.readiness);
   await listen(metricsServer, settings.listen.metrics);
   logger.info('gateway_started', {
@@ -212,10 +239,14 @@
   const stop = async (): Promise<void> => {
     isStopping = true;
     logger.info('gateway_stopping', {graceMs: stopGraceMs});
-    await drainCallerServer(callerServer, stopGraceMs);
+    await Promise.all([
+      drainCallerServer(callerServer, stopGraceMs),
+      drainCallerServer(relayServer, stopGraceMs),
+    ]);
     abortController.abort();
     clearInterval(tickTimer);
     pools.closeAll();
+    hostRelay.closeAll();
     hostMessenger.close();
     for (const server of [readinessServer, metricsServer]) {
       server.close();
