--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -52,6 +52,26 @@
 /** Maximum size of a response without its body. */
 const MAX_OVERHEAD_BYTES = 256 * 1024;
 
+/**
+ * Creates a connector that gives up in time. The timers of undici's own connect
+ * timeout fire up to a second late.
+ */
+function createPunctualConnector(timeoutMs: number): buildConnector.connector {
+  const connect = buildConnector({timeout: 0});
+  return (target, callback) => {
+    let socket: Socket | undefined;
+    const timer = setTimeout(
+      () => socket?.destroy(new Error('connect timeout')),
+      timeoutMs,
+    );
+    // The declared type lacks the socket that undici returns.
+    socket = connect(target, (...result: Parameters<typeof callback>) => {
+      clearTimeout(timer);
+      callback(...result);
+    }) as unknown as Socket;
+  };
+}
+
 /** A connection that carries one request at a time. */
 class PooledConnection {
   private readonly client: Client;
@@ -61,7 +81,7 @@
   idleSinceMs = 0;
 
   private constructor(options: Required<ConnectionPoolOptions>) {
-    const connect = buildConnector({timeout: options.connectTimeoutMs});
+    const connect = createPunctualConnector(options.connectTimeoutMs);
     this.client = new Client(`http://${options.address}`, {
       pipelining: 1,
       keepAliveTimeout: options.keepAliveTimeoutMs,
