Withhold crash reports when several servers cut connections at once

A host that loses its links, or a lost failure domain, has its connections to many servers reset at one moment; it told all hosts of as many crashes, and its innocent requests went on trial everywhere. Reports are collected for 20 ms (2 before); more than two servers in that time count as no crash for the others.

--- a/packages/gateway/src/control/crash_guard.ts
+++ b/packages/gateway/src/control/crash_guard.ts
@@ -59,8 +59,13 @@
 
 /** Time between two announcements of the quarantines. */
 const REPEAT_MS = 2000;
-/** Crashes of one server are collected for this time and announced together. */
-const COLLECT_MS = 2;
+/** Crashes are collected for this time and announced together. */
+const COLLECT_MS = 20;
+/**
+ * Servers that end together have a cause of their own, such as a lost failure
+ * domain, or this host has lost its links to them.
+ */
+const MAX_SERVERS_AT_ONCE = 2;
 /** Hosts that answer the report of a quarantined request; one may have restarted. */
 const ANSWERING_HOST_COUNT = 2;
 /** Hosts, on average, that vouch for a suspect which all have seen answered. */
@@ -185,6 +190,11 @@
   private announceCrashes(): void {
     const crashes = this.collectedCrashes;
     this.collectedCrashes = [];
+    const serverRuns = new Set(crashes.map(({serverRun}) => serverRun));
+    if (serverRuns.size > MAX_SERVERS_AT_ONCE) {
+      this.options.metrics.count('crash_reports_withheld_total');
+      return;
+    }
     for (let first = 0; first < crashes.length; first += MAX_ANNOUNCED_SUSPECTS)
       this.options.announce(
         {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,7 @@
   type HostEntry,
   type HostRegistryIntervals,
 } from './control/host_registry.js';
+export {HostRelay} from './control/host_relay.js';
 export * from './control/host_messenger.js';
 export type {RolloutAnnouncement} from './control/rollout_announcement.js';
 export {RolloutController} from './control/rollout_controller.js';
