--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -59,13 +59,12 @@
 function createPunctualConnector(timeoutMs: number): buildConnector.connector {
   const connect = buildConnector({timeout: 0});
   return (target, callback) => {
-    let socket: Socket | undefined;
     const timer = setTimeout(
-      () => socket?.destroy(new Error('connect timeout')),
+      () => socket.destroy(new Error('connect timeout')),
       timeoutMs,
     );
     // The declared type lacks the socket that undici returns.
-    socket = connect(target, (...result: Parameters<typeof callback>) => {
+    const socket = connect(target, (...result: Parameters<typeof callback>) => {
       clearTimeout(timer);
       callback(...result);
     }) as unknown as Socket;
