Give brittle servers no more requests than they have room for

No host read the header, so servers that bear few rejections a second would be given as many requests as callers send, and fall.

A rejection is the only sign of how much room is left, and few are borne, so the hosts keep together within the slots, shared by rank without a message. Each rejection is told to all: nobody sends there for half a second, then half as many at once, one more each five seconds. A host without a share lets another one send. A brittle server that ends is no crash of a request.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,5 +1,6 @@
 export type {AnswerCounters} from './answer_counters.js';
 export * from './attempt_outcome.js';
+export * from './brittle_server.js';
 export * from './exchange_types.js';
 export * from './held_sessions.js';
 export * from './model_escalation.js';
--- a/packages/gateway/src/control/host_messenger.ts
+++ b/packages/gateway/src/control/host_messenger.ts
@@ -3,6 +3,11 @@
 import type {PromptPart, RemoteWork, ServerTable} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {ListenAddress} from '../config/settings.js';
+import {
+  decodeBrittleAnnouncement,
+  encodeBrittleAnnouncement,
+  type BrittleAnnouncement,
+} from './brittle_announcement.js';
 import {
   decodeCrashAnnouncement,
   encodeCrashAnnouncement,
@@ -32,6 +37,8 @@
     member: string,
     announcement: RolloutAnnouncement,
   ) => void;
+  /** Called with what another host tells about brittle servers. */
+  readonly onBrittle: (announcement: BrittleAnnouncement) => void;
   /** Called with what another host tells about crashes of servers. */
   readonly onCrash: (announcement: CrashAnnouncement) => void;
   /** Called with what another host tells about the limit of a server. */
@@ -62,6 +69,7 @@
 const MAX_ANNOUNCED_PARTS = 12;
 const ROLLOUT_FORMAT = 'r1';
 const CRASH_FORMAT = 'c1';
+const BRITTLE_FORMAT = 'b1';
 const LIMIT_FORMAT = 'l1';
 const STORE_VERSION_FORMAT = 'n1';
 /** Maximum recipients of a store version, which most hosts see themselves. */
@@ -77,6 +85,7 @@
   private readonly handlers: ReadonlyMap<string, FieldHandler> = new Map([
     [WORK_FORMAT, fields => this.receiveWork(fields)],
     [ROLLOUT_FORMAT, (fields, sender) => this.receiveRollout(fields, sender)],
+    [BRITTLE_FORMAT, fields => this.receiveBrittle(fields)],
     [CRASH_FORMAT, fields => this.receiveCrash(fields)],
     [LIMIT_FORMAT, fields => this.receiveLimit(fields)],
     [STORE_VERSION_FORMAT, fields => this.receiveStoreVersion(fields)],
@@ -135,6 +144,18 @@
     );
   }
 
+  /** Announces brittle servers and their rejections. */
+  announceBrittle(
+    announcement: BrittleAnnouncement,
+    reach: AnnouncementReach,
+  ): void {
+    const fields = encodeBrittleAnnouncement(announcement);
+    this.send(
+      [BRITTLE_FORMAT, ...fields].join(' '),
+      MAX_RECIPIENTS_BY_REACH[reach],
+    );
+  }
+
   /** Announces the limit of a server, or its end. */
   announceLimit(
     announcement: LimitAnnouncement,
@@ -226,6 +247,13 @@
     return true;
   }
 
+  private receiveBrittle(fields: readonly string[]): boolean {
+    const announcement = decodeBrittleAnnouncement(fields);
+    if (announcement === undefined) return false;
+    this.options.onBrittle(announcement);
+    return true;
+  }
+
   private receiveLimit(fields: readonly string[]): boolean {
     const announcement = decodeLimitAnnouncement(fields);
     if (announcement === undefined) return false;
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -8,6 +8,7 @@
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {GatewaySettings} from './config/settings.js';
+import type {BrittleServers} from './control/brittle_servers.js';
 import type {CrashGuard} from './control/crash_guard.js';
 import type {HostRegistry} from './control/host_registry.js';
 import type {HostRelay} from './control/host_relay.js';
@@ -36,6 +37,7 @@
   readonly prefillEstimator: PrefillTimeEstimator;
   readonly decodeEstimator: DecodeTimeEstimator;
   readonly versions: VersionSelector;
+  readonly brittleServers: BrittleServers;
   readonly crashGuard: CrashGuard;
   readonly serverLimits: ServerLimits;
   /** Limits the large response bodies that are in memory. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,6 @@
 export * from './config/settings.js';
+export type {BrittleAnnouncement} from './control/brittle_announcement.js';
+export {BrittleServers} from './control/brittle_servers.js';
 export type {CrashAnnouncement} from './control/crash_announcement.js';
 export {
   CrashGuard,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -59,6 +59,8 @@
   readonly isServerLeaving: boolean;
   /** Time for which the server wants no more requests from this host. */
   readonly retryAfterMs: number | undefined;
+  /** The server ends if it must reject more than a few requests a second. */
+  readonly isBrittle: boolean;
   /** Requests a second that the server accepts from all hosts together. */
   readonly limit: LimitNotice;
 }
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -83,9 +83,10 @@
   );
   const choice = chooseServer({
     candidates: ofVersion.filter(
-      ({availability}) =>
-        !isPaused(availability, nowMs) &&
-        computeSendDelayMs(availability, nowMs) <= maxDelayMs,
+      record =>
+        !isPaused(record.availability, nowMs) &&
+        computeSendDelayMs(record.availability, nowMs) <= maxDelayMs &&
+        context.brittleServers.hasRoom(record),
     ),
     failureDomain: context.settings.failureDomain,
     hostCount: context.hosts.count,
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -94,7 +94,10 @@
 ): Promise<void> {
   if (await relayIfCutOff(context, exchange)) return;
   let target = chooseTarget(context, exchange, chooseInitialModel(exchange));
-  if (target === undefined) throw createExchangeError(context, exchange);
+  if (target === undefined) {
+    if (await relayIfBrittle(context, exchange)) return;
+    throw createExchangeError(context, exchange);
+  }
   context.retryBudgets.get(target.service.name).recordFirst(performance.now());
   for (;;) {
     const result = await sendAttempt(context, exchange, target);
@@ -127,6 +130,20 @@
   return result === 'answered';
 }
 
+/**
+ * Lets another host send the request if this one has no share of the room that
+ * the brittle servers of its service have.
+ */
+async function relayIfBrittle(
+  context: GatewayContext,
+  exchange: OpenExchange,
+): Promise<boolean> {
+  const service = findService(context, exchange)?.name;
+  if (service === undefined || exchange.admitted.isRelayed) return false;
+  if (!context.brittleServers.isBrittle(service)) return false;
+  return (await relayThroughHost(context, exchange, service)) === 'answered';
+}
+
 function chooseInitialModel({admitted}: OpenExchange): string | undefined {
   const {request, route} = admitted;
   if (request.generation === undefined) return undefined;
--- a/packages/gateway/src/stages/record_send.ts
+++ b/packages/gateway/src/stages/record_send.ts
@@ -42,12 +42,14 @@
  * answer that has begun clears the parts of the prompt, but not the request.
  */
 export function recordCut(
-  {crashGuard}: GatewayContext,
+  {brittleServers, crashGuard}: GatewayContext,
   {suspectIds}: OpenExchange,
   {server}: InFlightSend,
   sentMs: number,
   hasBegun: boolean,
 ): void {
+  // A brittle server ends by its load, whatever the request.
+  if (brittleServers.isBrittle(server.service)) return;
   crashGuard.recordCrash(server, {
     suspectIds: hasBegun ? suspectIds.slice(0, 1) : suspectIds,
     sentMs,
@@ -57,7 +59,7 @@
 
 /** Records what a response says about further requests to its server. */
 export function recordAvailability(
-  {servers, serverLimits, logger}: GatewayContext,
+  {servers, serverLimits, brittleServers, logger}: GatewayContext,
   {server}: InFlightSend,
   status: number,
   head: ResponseHead,
@@ -66,6 +68,9 @@
   // The response comes from another server at the same address.
   if (status === MISDIRECTED_STATUS) return;
   serverLimits.recordResponse(server, head.limit, sentMs);
+  brittleServers.recordResponse(server, head.isBrittle, sentMs);
+  if (head.isNotRun && status === UNAVAILABLE_STATUS)
+    brittleServers.recordRejection(server);
   if (
     head.isServerLeaving &&
     !servers.find(server.id)?.availability.isLeaving
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -12,6 +12,7 @@
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {GatewaySettings, ListenAddress} from './config/settings.js';
 import {followStore, type FollowedKinds} from './control/follow_store.js';
+import {BrittleServers} from './control/brittle_servers.js';
 import {CrashGuard} from './control/crash_guard.js';
 import {
   HostRegistry,
@@ -115,6 +116,7 @@
     listen: settings.listen.hosts,
     hosts,
     servers,
+    onBrittle: announcement => brittleServers.receive(announcement),
     onCrash: announcement => crashGuard.receive(announcement),
     onLimit: announcement => serverLimits.receive(announcement),
     onRollout: (member, announcement) =>
@@ -138,6 +140,14 @@
     announce: (announcement, reach) =>
       hostMessenger.announceLimit(announcement, reach),
   });
+  const brittleServers = BrittleServers.create({
+    ...dependencies,
+    servers,
+    address: formatAddress(settings.listen.hosts),
+    listOtherAddresses: () => hosts.addresses,
+    announce: (announcement, reach) =>
+      hostMessenger.announceBrittle(announcement, reach),
+  });
   const versionTracker = StoreVersionTracker.create({
     logger,
     era: dependencies.store.era,
@@ -163,6 +173,7 @@
     servers,
     pools,
     versions: rollouts,
+    brittleServers,
     crashGuard,
     serverLimits,
     largeBodies: ByteBudget.create(MAX_LARGE_BODIES_BYTES),
