Sort the gateway's control modules into folders by subject

hosts, servers, rollouts and store in place of one folder of 24 files; one decodeText for three codecs of announcements; what a relay or trial needs, and the log of an attempt, leave dispatch.ts.

--- a/packages/gateway/src/control/host_messenger.ts
+++ b/packages/gateway/src/control/hosts/host_messenger.ts
@@ -2,30 +2,30 @@
 import {createSocket, type RemoteInfo, type Socket} from 'node:dgram';
 import type {PromptPart, RemoteWork, ServerTable} from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
-import type {ListenAddress} from '../config/settings.js';
+import type {ListenAddress} from '../../config/settings.js';
 import {
   decodeBrittleAnnouncement,
   encodeBrittleAnnouncement,
   type BrittleAnnouncement,
-} from './brittle_announcement.js';
+} from '../servers/brittle_announcement.js';
 import {
   decodeCrashAnnouncement,
   encodeCrashAnnouncement,
   type CrashAnnouncement,
-} from './crash_announcement.js';
+} from '../servers/crash_announcement.js';
 import type {HostRegistry} from './host_registry.js';
 import {
   decodeLimitAnnouncement,
   encodeLimitAnnouncement,
   type LimitAnnouncement,
-} from './limit_announcement.js';
+} from '../servers/limit_announcement.js';
 import {
   decodeRolloutAnnouncement,
   encodeRolloutAnnouncement,
   type RolloutAnnouncement,
-} from './rollout_announcement.js';
-import type {AnnouncementReach} from './rollout_announcer.js';
-import type {SeenVersion} from './store_version_tracker.js';
+} from '../rollouts/rollout_announcement.js';
+import type {AnnouncementReach} from './announcement_reach.js';
+import type {SeenVersion} from '../store/store_version_tracker.js';
 
 /** Dependencies of the messenger between hosts. */
 export interface HostMessengerOptions {
--- a/packages/gateway/src/control/host_registry.ts
+++ b/packages/gateway/src/control/hosts/host_registry.ts
@@ -7,7 +7,7 @@
 } from '@anvilrudder/clients';
 import type {ObjectStore} from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
-import type {WatchedKind} from './watch_kind.js';
+import type {WatchedKind} from '../store/watch_kind.js';
 
 /** Entry of a host in the store, which the other hosts read. */
 export interface HostEntry {
--- a/packages/gateway/src/control/rollout_announcer.ts
+++ b/packages/gateway/src/control/rollouts/rollout_announcer.ts
@@ -1,10 +1,8 @@
 import {clamp, type AnswerRow} from '@anvilrudder/core';
+import type {AnnouncementReach} from '../hosts/announcement_reach.js';
 import type {ActiveRollout} from './active_rollout.js';
 import type {RolloutAnnouncement} from './rollout_announcement.js';
 
-/** Which hosts an announcement is sent to; some are enough if it is repeated. */
-export type AnnouncementReach = 'allHosts' | 'someHosts' | 'fewHosts';
-
 export type SendAnnouncement = (
   announcement: RolloutAnnouncement,
   reach: AnnouncementReach,
--- a/packages/gateway/src/control/brittle_announcement.ts
+++ b/packages/gateway/src/control/servers/brittle_announcement.ts
@@ -1,3 +1,5 @@
+import {decodeText} from '../hosts/announcement_fields.js';
+
 /** What a host tells the others about the brittle servers of a service. */
 export type BrittleAnnouncement =
   | {readonly kind: 'brittle' | 'ended'; readonly service: string}
@@ -43,11 +45,3 @@
   const isValid = kind === 'rejected' && serverId && reducedTo >= 1;
   return isValid ? {kind, service, serverId, reducedTo} : undefined;
 }
-
-function decodeText(text: string | undefined): string | undefined {
-  try {
-    return text === undefined ? undefined : decodeURIComponent(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/gateway/src/control/brittle_servers.ts
+++ b/packages/gateway/src/control/servers/brittle_servers.ts
@@ -9,7 +9,7 @@
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {BrittleAnnouncement} from './brittle_announcement.js';
-import type {AnnouncementReach} from './rollout_announcer.js';
+import type {AnnouncementReach} from '../hosts/announcement_reach.js';
 
 /** Dependencies of {@link BrittleServers}. */
 export interface BrittleServersOptions {
--- a/packages/gateway/src/control/crash_announcement.ts
+++ b/packages/gateway/src/control/servers/crash_announcement.ts
@@ -1,4 +1,5 @@
 import type {Quarantine, ServerCrash} from '@anvilrudder/core';
+import {decodeText} from '../hosts/announcement_fields.js';
 
 /** What a host tells the others about crashes of servers. */
 export type CrashAnnouncement =
@@ -140,11 +141,3 @@
     ? (ids as readonly string[])
     : undefined;
 }
-
-function decodeText(text: string): string | undefined {
-  try {
-    return decodeURIComponent(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/gateway/src/control/crash_guard.ts
+++ b/packages/gateway/src/control/servers/crash_guard.ts
@@ -13,7 +13,7 @@
   MAX_ANNOUNCED_SUSPECTS,
   type CrashAnnouncement,
 } from './crash_announcement.js';
-import type {AnnouncementReach} from './rollout_announcer.js';
+import type {AnnouncementReach} from '../hosts/announcement_reach.js';
 
 /** Dependencies of {@link CrashGuard}. */
 export interface CrashGuardOptions {
--- a/packages/gateway/src/control/limit_announcement.ts
+++ b/packages/gateway/src/control/servers/limit_announcement.ts
@@ -1,3 +1,5 @@
+import {decodeText} from '../hosts/announcement_fields.js';
+
 /** What a host tells the others about the limit of a server. */
 export interface LimitAnnouncement {
   readonly serverId: string;
@@ -49,11 +51,3 @@
   const isNumber = text !== undefined && /^\d+(\.\d+)?$/.test(text);
   return isNumber ? Number(text) : null;
 }
-
-function decodeText(text: string): string | undefined {
-  try {
-    return decodeURIComponent(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/gateway/src/control/server_limits.ts
+++ b/packages/gateway/src/control/servers/server_limits.ts
@@ -6,9 +6,9 @@
   type ServerTable,
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
-import type {LimitNotice} from '../ports.js';
+import type {LimitNotice} from '../../ports.js';
 import type {LimitAnnouncement} from './limit_announcement.js';
-import type {AnnouncementReach} from './rollout_announcer.js';
+import type {AnnouncementReach} from '../hosts/announcement_reach.js';
 
 /** Dependencies of {@link ServerLimits}. */
 export interface ServerLimitsOptions {
--- a/packages/gateway/src/control/follow_store.ts
+++ b/packages/gateway/src/control/store/follow_store.ts
@@ -6,11 +6,11 @@
   type RoutingSnapshot,
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
-import type {HostEntry} from './host_registry.js';
-import type {HostCount} from './retry_budgets.js';
-import type {RolloutController} from './rollout_controller.js';
+import type {HostEntry} from '../hosts/host_registry.js';
+import type {HostCount} from '../servers/retry_budgets.js';
+import type {RolloutController} from '../rollouts/rollout_controller.js';
 import type {RoutingState} from './routing_state.js';
-import type {ServerDirectory} from './server_directory.js';
+import type {ServerDirectory} from '../servers/server_directory.js';
 import type {StoreVersionTracker} from './store_version_tracker.js';
 import {watchKind, type DecodedObject, type WatchedKind} from './watch_kind.js';
 
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -8,16 +8,16 @@
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {GatewaySettings} from './config/settings.js';
-import type {BrittleServers} from './control/brittle_servers.js';
-import type {CrashGuard} from './control/crash_guard.js';
-import type {HostRegistry} from './control/host_registry.js';
-import type {HostRelay} from './control/host_relay.js';
-import type {HostMessenger} from './control/host_messenger.js';
-import type {RetryBudgets} from './control/retry_budgets.js';
-import type {RoutingState} from './control/routing_state.js';
-import type {ServerLimits} from './control/server_limits.js';
-import type {ServerPools} from './control/server_pools.js';
-import type {VersionSelector} from './control/version_selector.js';
+import type {BrittleServers} from './control/servers/brittle_servers.js';
+import type {CrashGuard} from './control/servers/crash_guard.js';
+import type {HostRegistry} from './control/hosts/host_registry.js';
+import type {HostRelay} from './control/hosts/host_relay.js';
+import type {HostMessenger} from './control/hosts/host_messenger.js';
+import type {RetryBudgets} from './control/servers/retry_budgets.js';
+import type {RoutingState} from './control/store/routing_state.js';
+import type {ServerLimits} from './control/servers/server_limits.js';
+import type {ServerPools} from './control/servers/server_pools.js';
+import type {VersionSelector} from './control/rollouts/version_selector.js';
 import type {CallerCodec} from './ports.js';
 
 /** Shared components that the stages of a forwarded request use. */
--- /dev/null
+++ b/packages/gateway/src/stages/choose_relay.ts
@@ -0,0 +1,57 @@
+import type {AttemptEnd} from '@anvilrudder/core';
+import type {GatewayContext} from '../gateway_context.js';
+import {findService} from './choose_target.js';
+import {createExchangeError} from './exchange_error.js';
+import type {OpenExchange} from './open_exchange.js';
+import {relayThroughHost} from './relay_through_host.js';
+
+/** Servers that cannot be connected to before another host is asked. */
+const UNSENT_BEFORE_RELAY = 2;
+
+/**
+ * Lets another host send the request if this one does not reach its service.
+ *
+ * @returns true if the caller has its response.
+ * @throws RouterError if no host reaches the service.
+ */
+export async function relayIfCutOff(
+  context: GatewayContext,
+  exchange: OpenExchange,
+): Promise<boolean> {
+  const {reach, hostRelay} = context;
+  const service = findService(context, exchange)?.name;
+  if (service === undefined) return false;
+  const serverCount = hostRelay.countServers(service);
+  const way = reach.chooseWay(service, serverCount, performance.now());
+  if (way === 'direct') return false;
+  if (way === 'unreachable' || exchange.admitted.isRelayed)
+    throw createExchangeError(context, exchange);
+  const result = await relayThroughHost(context, exchange, service);
+  if (result === 'refused') throw createExchangeError(context, exchange);
+  return result === 'answered';
+}
+
+/**
+ * Lets another host send the request if this one has no share of the room that
+ * the brittle servers of its service have.
+ */
+export async function relayIfBrittle(
+  context: GatewayContext,
+  exchange: OpenExchange,
+): Promise<boolean> {
+  const service = findService(context, exchange)?.name;
+  if (service === undefined || exchange.admitted.isRelayed) return false;
+  if (!context.brittleServers.isBrittle(service)) return false;
+  return (await relayThroughHost(context, exchange, service)) === 'answered';
+}
+
+/** True if no server is left that the request could be sent to directly. */
+export function shouldRelayUnsent(
+  {admitted, attempts, unsentCount, stopped}: OpenExchange,
+  end: AttemptEnd,
+  hasTarget: boolean,
+): boolean {
+  if (end !== 'unsent' || admitted.isRelayed || stopped !== undefined)
+    return false;
+  return attempts === 0 && (!hasTarget || unsentCount === UNSENT_BEFORE_RELAY);
+}
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -12,7 +12,7 @@
   type PlacementChoice,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
-import type {VersionBasis} from '../control/version_selector.js';
+import type {VersionBasis} from '../control/rollouts/version_selector.js';
 import type {OpenExchange} from './open_exchange.js';
 
 /** The backend server and model for the next send of an exchange. */
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -1,12 +1,13 @@
 import {isTransportError} from '@anvilrudder/clients';
 import {decideNextStep, isNeverSent, type AttemptEnd} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
+import {beginTrial} from './begin_trial.js';
 import {
-  chooseTarget,
-  findService,
-  hasSpareServer,
-  type SendTarget,
-} from './choose_target.js';
+  relayIfBrittle,
+  relayIfCutOff,
+  shouldRelayUnsent,
+} from './choose_relay.js';
+import {chooseTarget, type SendTarget} from './choose_target.js';
 import {planEscalation} from './escalate.js';
 import {createExchangeError} from './exchange_error.js';
 import {
@@ -16,7 +17,7 @@
 } from './observe_response.js';
 import type {OpenExchange} from './open_exchange.js';
 import {readResponseBody} from './read_response_body.js';
-import {recordCut} from './record_send.js';
+import {logAttempt, recordCut} from './record_send.js';
 import {relayThroughHost} from './relay_through_host.js';
 import {planRetry, refundRetry, consumeRetry} from './retry.js';
 import {endStream, relayEvents, type RelayEnd} from './relay_stream.js';
@@ -32,8 +33,6 @@
   Record<RelayEnd, AttemptEnd | undefined>
 > = {whole: 'answered', broken: 'lost', stopped: undefined};
 
-/** Servers that cannot be connected to before another host is asked. */
-const UNSENT_BEFORE_RELAY = 2;
 /** Timers may fire early by up to this time. */
 const TIMER_SLACK_MS = 1;
 
@@ -69,25 +68,6 @@
   }
 }
 
-/** Time after which a service may have a server to spare again. */
-const SPARE_SERVER_RETRY_MS = 1000;
-
-// A request that may make a server crash is kept away from the last one.
-function beginTrial(context: GatewayContext, exchange: OpenExchange): void {
-  const {id} = exchange.admitted.request;
-  if (hasSpareServer(context, exchange)) {
-    context.logger.info('suspect_tried', {request: id});
-    exchange.isTrial = true;
-    return;
-  }
-  exchange.stopQuarantined({
-    suspectId: exchange.suspectIds[0],
-    companionIds: [],
-    remainingMs: SPARE_SERVER_RETRY_MS,
-  });
-  throw createExchangeError(context, exchange);
-}
-
 async function sendUntilAnswered(
   context: GatewayContext,
   exchange: OpenExchange,
@@ -107,43 +87,6 @@
   }
 }
 
-/**
- * Lets another host send the request if this one does not reach its service.
- *
- * @returns true if the caller has its response.
- * @throws RouterError if no host reaches the service.
- */
-async function relayIfCutOff(
-  context: GatewayContext,
-  exchange: OpenExchange,
-): Promise<boolean> {
-  const {reach, hostRelay} = context;
-  const service = findService(context, exchange)?.name;
-  if (service === undefined) return false;
-  const serverCount = hostRelay.countServers(service);
-  const way = reach.chooseWay(service, serverCount, performance.now());
-  if (way === 'direct') return false;
-  if (way === 'unreachable' || exchange.admitted.isRelayed)
-    throw createExchangeError(context, exchange);
-  const result = await relayThroughHost(context, exchange, service);
-  if (result === 'refused') throw createExchangeError(context, exchange);
-  return result === 'answered';
-}
-
-/**
- * Lets another host send the request if this one has no share of the room that
- * the brittle servers of its service have.
- */
-async function relayIfBrittle(
-  context: GatewayContext,
-  exchange: OpenExchange,
-): Promise<boolean> {
-  const service = findService(context, exchange)?.name;
-  if (service === undefined || exchange.admitted.isRelayed) return false;
-  if (!context.brittleServers.isBrittle(service)) return false;
-  return (await relayThroughHost(context, exchange, service)) === 'answered';
-}
-
 function chooseInitialModel({admitted}: OpenExchange): string | undefined {
   const {request, route} = admitted;
   if (request.generation === undefined) return undefined;
@@ -186,7 +129,7 @@
   end: AttemptEnd,
   backendResponse: BackendResponse | undefined,
 ): Promise<SendTarget | undefined> {
-  logAttempt(context, exchange, target, end, backendResponse);
+  logAttempt(context, exchange, target, end, backendResponse?.stream.status);
   if (isNeverSent(end)) refundRetry(context, exchange, target);
   const retryTarget = planRetry(context, exchange, target.model);
   if (shouldRelayUnsent(exchange, end, retryTarget !== undefined)) {
@@ -212,17 +155,6 @@
   throw createExchangeError(context, exchange);
 }
 
-/** True if no server is left that the request could be sent to directly. */
-function shouldRelayUnsent(
-  {admitted, attempts, unsentCount, stopped}: OpenExchange,
-  end: AttemptEnd,
-  hasTarget: boolean,
-): boolean {
-  if (end !== 'unsent' || admitted.isRelayed || stopped !== undefined)
-    return false;
-  return attempts === 0 && (!hasTarget || unsentCount === UNSENT_BEFORE_RELAY);
-}
-
 /** Aborts a response of which nothing has been sent to the caller. */
 function discardResponse(
   context: GatewayContext,
@@ -339,7 +271,7 @@
     consumeRetry(context, exchange, target);
     exchange.resumptions += 1;
     const {end, backendResponse} = await sendAttempt(context, exchange, target);
-    logAttempt(context, exchange, target, end, backendResponse);
+    logAttempt(context, exchange, target, end, backendResponse?.stream.status);
     if (isNeverSent(end)) refundRetry(context, exchange, target);
     if (exchange.stopped !== undefined) {
       if (backendResponse)
@@ -353,22 +285,3 @@
       discardResponse(context, exchange, backendResponse, end);
   }
 }
-
-function logAttempt(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  target: SendTarget,
-  end: AttemptEnd,
-  backendResponse: BackendResponse | undefined,
-): void {
-  context.metrics.count('attempts_total', {end});
-  context.logger.info('attempt_ended', {
-    request: exchange.admitted.request.id,
-    server: target.record.server.id,
-    model: target.model,
-    end,
-    status: backendResponse?.stream.status,
-    attempt: exchange.attempts,
-    remainingMs: Math.round(exchange.remainingMs),
-  });
-}
--- a/packages/gateway/src/stages/record_send.ts
+++ b/packages/gateway/src/stages/record_send.ts
@@ -1,4 +1,8 @@
-import type {InFlightSend, RegisteredServer} from '@anvilrudder/core';
+import type {
+  AttemptEnd,
+  InFlightSend,
+  RegisteredServer,
+} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import type {ResponseHead} from '../ports.js';
 import type {SendTarget} from './choose_target.js';
@@ -90,3 +94,23 @@
 ): head is ResponseHead & {readonly retryAfterMs: number} {
   return status === UNAVAILABLE_STATUS && head.retryAfterMs !== undefined;
 }
+
+/** Logs how an attempt that did not serve the caller ended. */
+export function logAttempt(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  target: SendTarget,
+  end: AttemptEnd,
+  status: number | undefined,
+): void {
+  context.metrics.count('attempts_total', {end});
+  context.logger.info('attempt_ended', {
+    request: exchange.admitted.request.id,
+    server: target.record.server.id,
+    model: target.model,
+    end,
+    status,
+    attempt: exchange.attempts,
+    remainingMs: Math.round(exchange.remainingMs),
+  });
+}
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -11,26 +11,26 @@
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {GatewaySettings, ListenAddress} from './config/settings.js';
-import {followStore, type FollowedKinds} from './control/follow_store.js';
-import {BrittleServers} from './control/brittle_servers.js';
-import {CrashGuard} from './control/crash_guard.js';
+import {followStore, type FollowedKinds} from './control/store/follow_store.js';
+import {BrittleServers} from './control/servers/brittle_servers.js';
+import {CrashGuard} from './control/servers/crash_guard.js';
 import {
   HostRegistry,
   type HostRegistryIntervals,
-} from './control/host_registry.js';
-import {HostRelay} from './control/host_relay.js';
-import {HostMessenger} from './control/host_messenger.js';
-import {RetryBudgets} from './control/retry_budgets.js';
-import {RoutingState} from './control/routing_state.js';
-import {ServerDirectory} from './control/server_directory.js';
-import {ServerLimits} from './control/server_limits.js';
-import {ServerPools} from './control/server_pools.js';
-import {StoreVersionTracker} from './control/store_version_tracker.js';
+} from './control/hosts/host_registry.js';
+import {HostRelay} from './control/hosts/host_relay.js';
+import {HostMessenger} from './control/hosts/host_messenger.js';
+import {RetryBudgets} from './control/servers/retry_budgets.js';
+import {RoutingState} from './control/store/routing_state.js';
+import {ServerDirectory} from './control/servers/server_directory.js';
+import {ServerLimits} from './control/servers/server_limits.js';
+import {ServerPools} from './control/servers/server_pools.js';
+import {StoreVersionTracker} from './control/store/store_version_tracker.js';
 import {
   createRolloutStateWriter,
   type RolloutProgressCodec,
-} from './control/rollout_state_writer.js';
-import {RolloutController} from './control/rollout_controller.js';
+} from './control/rollouts/rollout_state_writer.js';
+import {RolloutController} from './control/rollouts/rollout_controller.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {CallerCodec} from './ports.js';
 import {
