Refuse relayed requests that an older configuration would serve

The version that a request was admitted by goes along; a host with an older one refuses, and another is asked. Test: 'a host that has an older configuration ...', red before (such a header was ignored).

--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -14,7 +14,14 @@
 import {dispatchRequest} from './dispatch.js';
 import {hashSession} from './hash_session.js';
 import {OpenExchange} from './open_exchange.js';
-import {RELAY_REFUSED_HEADER, type RelayRefusal} from './relay_through_host.js';
+import {
+  RELAY_REFUSED_HEADER,
+  RELAY_ROUTING_HEADER,
+  type RelayRefusal,
+} from './relay_through_host.js';
+
+/** Time in which hosts usually apply a configuration. */
+const BEHIND_RETRY_MS = 300;
 
 /** Who sends a request to this host: its caller, or a host that relays it. */
 export type RequestSender = 'caller' | 'host';
@@ -44,6 +51,7 @@
 ): Promise<void> {
   const arrivedMs = performance.now();
   if (context.isStopping()) response.shouldKeepAlive = false;
+  const relayedVersion = sender === 'host' ? takeRelayedVersion(message) : 0;
   const request = context.codec.decodeRequest(message);
   const table = context.routing.current;
   let admitted: AdmittedRoute | undefined;
@@ -51,6 +59,7 @@
   let failure: RouterError | undefined;
   try {
     if (sender === 'host' && context.isStopping()) throw createStoppingError();
+    if (relayedVersion > (table?.version ?? 0)) throw createBehindError();
     admitted = admitRequest(table, request);
     const limits = table?.snapshot.limits ?? INITIAL_LIMITS;
     const body = await readRequestBody(message, {
@@ -90,15 +99,38 @@
   return RouterError.create('This host is stopping.', {code: 'no_backend'});
 }
 
+// A caller that has seen a configuration in force must not fall behind it.
+function createBehindError(): RouterError {
+  return RouterError.create('This host has an older configuration.', {
+    code: 'not_ready',
+    retryAfterMs: BEHIND_RETRY_MS,
+  });
+}
+
+/** Removes and returns the version that a relayed request was admitted by. */
+function takeRelayedVersion({headers}: IncomingMessage): number {
+  const version = Number(headers[RELAY_ROUTING_HEADER] ?? 0);
+  delete headers[RELAY_ROUTING_HEADER];
+  return version;
+}
+
+const RELAY_REFUSALS: Readonly<Record<string, RelayRefusal>> = {
+  no_backend: 'unreached',
+  not_ready: 'behind',
+};
+
 /** Tells the host that relays a request that this one has not sent it. */
 function markRelayRefusal(
   context: GatewayContext,
   response: ServerResponse,
   {code}: RouterError,
 ): void {
-  if (code !== 'no_backend' || response.headersSent) return;
-  const refusal: RelayRefusal = context.isStopping() ? 'stopping' : 'unreached';
-  response.setHeader(RELAY_REFUSED_HEADER, refusal);
+  const refusal = RELAY_REFUSALS[code];
+  if (refusal === undefined || response.headersSent) return;
+  response.setHeader(
+    RELAY_REFUSED_HEADER,
+    context.isStopping() ? 'stopping' : refusal,
+  );
 }
 
 function respondWithError(
--- a/packages/gateway/src/stages/relay_through_host.ts
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -18,8 +18,14 @@
 /** Header of a host that has not sent a relayed request, with its reason. */
 export const RELAY_REFUSED_HEADER = 'relay-refused';
 
-/** Why a host has not sent a relayed request. */
-export type RelayRefusal = 'unreached' | 'stopping';
+/**
+ * Why a host has not sent a relayed request. `behind`: it has not applied the
+ * configuration with which the request was admitted.
+ */
+export type RelayRefusal = 'unreached' | 'stopping' | 'behind';
+
+/** Header with the version of the configuration that a request was admitted by. */
+export const RELAY_ROUTING_HEADER = 'relay-routing-version';
 
 const MAX_ASKED_HOSTS = 2;
 /** Maximum idle time of a reused connection, see the connections to servers. */
@@ -63,12 +69,11 @@
     }
     stream.discard();
     exchange.mayHaveRun = false;
-    if (refusal === ('stopping' satisfies RelayRefusal)) {
-      hostRelay.leaveOut(host);
-      continue;
-    }
-    reach.recordRefusal(service, host, performance.now());
     result = 'refused';
+    if (refusal === ('stopping' satisfies RelayRefusal))
+      hostRelay.leaveOut(host);
+    if (refusal === ('unreached' satisfies RelayRefusal))
+      reach.recordRefusal(service, host, performance.now());
   }
   return result;
 }
@@ -79,13 +84,17 @@
   exchange: OpenExchange,
   host: string,
 ): Promise<HttpStream | undefined> {
-  const {request, body, callerHeaders} = exchange.admitted;
+  const {request, body, callerHeaders, routingVersion} = exchange.admitted;
   const remainingMs = Math.max(1, Math.floor(exchange.remainingMs));
+  const headers = {
+    ...context.codec.encodeRelayedRequest(callerHeaders, remainingMs),
+    [RELAY_ROUTING_HEADER]: String(routingVersion),
+  };
   try {
     const stream = await context.hostRelay.getPool(host).open({
       method: request.method,
       path: request.path,
-      headers: context.codec.encodeRelayedRequest(callerHeaders, remainingMs),
+      headers,
       body,
       maxIdleMs: MAX_IDLE_MS,
       timeoutMs: remainingMs,
