--- a/packages/gateway/src/config/settings.ts
+++ b/packages/gateway/src/config/settings.ts
@@ -15,7 +15,7 @@
     readonly callers: ListenAddress;
     readonly readiness: ListenAddress;
     readonly metrics: ListenAddress;
-    /** Receives datagrams from the other hosts. */
+    /** Receives datagrams and relayed requests from the other hosts. */
     readonly hosts: ListenAddress;
   };
   /** `ip:port` of the object store. */
