Keep announcements of crashes within a packet

Sixteen crashes with a digest and three parts each are about 1.8 KB, which is split into fragments; six are 0.7 KB.

--- a/packages/gateway/src/control/servers/crash_announcement.ts
+++ b/packages/gateway/src/control/servers/crash_announcement.ts
@@ -14,6 +14,9 @@
 /** Maximum number of entries of one announcement, so that it fits a packet. */
 export const MAX_ANNOUNCED_SUSPECTS = 16;
 
+/** Maximum number of crashes of one announcement, each with its suspects. */
+export const MAX_ANNOUNCED_CRASHES = 6;
+
 /** Marks a crash behind the beginning of an answer. */
 const BEGUN = 'begun';
 
--- a/packages/gateway/src/control/servers/crash_guard.ts
+++ b/packages/gateway/src/control/servers/crash_guard.ts
@@ -10,6 +10,7 @@
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import {
+  MAX_ANNOUNCED_CRASHES,
   MAX_ANNOUNCED_SUSPECTS,
   type CrashAnnouncement,
 } from './crash_announcement.js';
@@ -195,14 +196,10 @@
       this.options.metrics.count('crash_reports_withheld_total');
       return;
     }
-    for (let first = 0; first < crashes.length; first += MAX_ANNOUNCED_SUSPECTS)
-      this.options.announce(
-        {
-          kind: 'crash',
-          crashes: crashes.slice(first, first + MAX_ANNOUNCED_SUSPECTS),
-        },
-        'allHosts',
-      );
+    while (crashes.length > 0) {
+      const announced = crashes.splice(0, MAX_ANNOUNCED_CRASHES);
+      this.options.announce({kind: 'crash', crashes: announced}, 'allHosts');
+    }
   }
 
   /** Tells a host that has sent a quarantined request, as it has just started. */
