--- a/packages/core/src/forwarding/crash_suspects.ts
+++ b/packages/core/src/forwarding/crash_suspects.ts
@@ -1,5 +1,12 @@
 import {RecentIds} from '../utils/recent_ids.js';
-import {isRequestId} from './suspect_ids.js';
+import {
+  CRASHES_BEFORE_QUARANTINE,
+  MAX_QUARANTINE_MS,
+  QUARANTINE_GROWTH,
+  QUARANTINE_MS,
+  type AnswerHistory,
+} from './quarantine_policy.js';
+import {getSuspectKind, isRequestId} from './suspect_ids.js';
 
 /** A run of a server that crashed with a request in flight. */
 export interface ServerCrash {
@@ -39,29 +46,6 @@
   quarantinedUntilMs: number;
 }
 
-type AnswerHistory = 'unanswered' | 'begun' | 'answered';
-
-/**
- * Crashes without an answer in between after which a suspect is quarantined. A
- * part is shared by many sound requests, a whole request only by its repeats.
- */
-const CRASHES_BEFORE_QUARANTINE: Readonly<
-  Record<'part' | 'request', Readonly<Record<AnswerHistory, number>>>
-> = {
-  part: {unanswered: 3, begun: 3, answered: 6},
-  request: {unanswered: 2, begun: 3, answered: 6},
-};
-/**
- * First quarantine of a suspect; each further one takes longer. Shorter for those that servers have answered before.
- */
-const QUARANTINE_MS: Readonly<Record<AnswerHistory, number>> = {
-  unanswered: 60_000,
-  begun: 60_000,
-  answered: 10_000,
-};
-/** Factor between one quarantine of a suspect and the next. */
-const QUARANTINE_GROWTH = {part: 2, request: 8} as const;
-const MAX_QUARANTINE_MS = 3_600_000;
 /**
  * Crashes within this time have one cause, such as a failing failure domain,
  * unless a request was sent to the second server behind the first crash.
@@ -151,7 +135,7 @@
   listKnownSound(suspectIds: readonly string[]): readonly string[] {
     return suspectIds.filter(id => {
       const crashCount = this.records.get(id)?.crashCount ?? 0;
-      const {answered} = CRASHES_BEFORE_QUARANTINE[getKind(id)];
+      const {answered} = CRASHES_BEFORE_QUARANTINE[getSuspectKind(id)];
       return this.getAnsweredIds(id).has(id) && crashCount < answered;
     });
   }
@@ -165,7 +149,7 @@
       this.getAnsweredIds(id).add(id);
       const record = this.records.get(id);
       if (record === undefined) continue;
-      const {answered} = CRASHES_BEFORE_QUARANTINE[getKind(id)];
+      const {answered} = CRASHES_BEFORE_QUARANTINE[getSuspectKind(id)];
       if (record.crashCount >= answered) continue;
       record.quarantinedUntilMs = -Infinity;
       record.quarantineCount = 0;
@@ -180,7 +164,8 @@
     record.companionIds ??= companionIds;
     record.lastCrashMs = nowMs;
     const history = this.readHistory(suspectId, record);
-    record.crashCount = CRASHES_BEFORE_QUARANTINE[getKind(suspectId)][history];
+    record.crashCount =
+      CRASHES_BEFORE_QUARANTINE[getSuspectKind(suspectId)][history];
     record.quarantineCount += 1;
     const durationMs = Math.min(MAX_QUARANTINE_MS, remainingMs);
     record.quarantinedUntilMs = nowMs + durationMs;
@@ -244,7 +229,7 @@
     nowMs: number,
   ): readonly Quarantine[] {
     const history = this.readHistory(suspectId, record);
-    const kind = getKind(suspectId);
+    const kind = getSuspectKind(suspectId);
     if (record.crashCount < CRASHES_BEFORE_QUARANTINE[kind][history]) return [];
     if (nowMs < record.quarantinedUntilMs) return [];
     const durationMs =
@@ -320,10 +305,6 @@
   }
 }
 
-function getKind(suspectId: string): 'part' | 'request' {
-  return isRequestId(suspectId) ? 'request' : 'part';
-}
-
 function isForgotten(
   {lastCrashMs, quarantinedUntilMs}: SuspectRecord,
   nowMs: number,
--- a/packages/core/src/forwarding/suspect_ids.ts
+++ b/packages/core/src/forwarding/suspect_ids.ts
@@ -1,6 +1,9 @@
 import {rankHost} from '../utils/hash.js';
 import type {PromptPart} from './exchange_types.js';
 
+/** A whole request with its repeats, or a part that prompts share. */
+export type SuspectKind = 'request' | 'part';
+
 /** Ids of parts never hold a colon. */
 const REQUEST_PREFIX = 'request:';
 
@@ -28,6 +31,11 @@
   return suspectId.startsWith(REQUEST_PREFIX);
 }
 
+/** Returns what a suspect is. */
+export function getSuspectKind(suspectId: string): SuspectKind {
+  return isRequestId(suspectId) ? 'request' : 'part';
+}
+
 /** Returns the digest of a whole request; undefined for a prompt part. */
 export function readRequestDigest(suspectId: string): string | undefined {
   if (!isRequestId(suspectId)) return undefined;
