--- a/packages/core/src/forwarding/brittle_server.ts
+++ b/packages/core/src/forwarding/brittle_server.ts
@@ -1,5 +1,5 @@
 /** Requests that a brittle server may be given at once, as last agreed on. */
-export interface BrittleRoom {
+export interface BrittleCapacity {
   /** Requests at once, of all hosts together, when it was last reduced. */
   readonly reducedTo: number;
   readonly reducedMs: number;
@@ -10,14 +10,14 @@
   /** Requests that the server runs at once. */
   readonly slots: number;
   /** Undefined if the server has rejected none yet. */
-  readonly room: BrittleRoom | undefined;
+  readonly capacity: BrittleCapacity | undefined;
   /** Rank of this host for the server, see {@link rankHost}. */
   readonly rank: number;
   /** Number of hosts, this one included. */
   readonly hostCount: number;
 }
 
-/** Time in which the room of a server grows by one request. */
+/** Time in which the capacity of a server grows by one request. */
 const GROWTH_MS = 5000;
 
 /**
@@ -29,33 +29,33 @@
  * @returns 0 if only other hosts send to the server.
  * @example
  * ```ts
- * computeBrittleShare({slots: 6, room: undefined, rank: 0, hostCount: 4}, nowMs); // 2
+ * computeBrittleShare({slots: 6, capacity: undefined, rank: 0, hostCount: 4}, nowMs); // 2
  * ```
  */
 export function computeBrittleShare(
-  {slots, room, rank, hostCount}: BrittleShareRequest,
+  {slots, capacity, rank, hostCount}: BrittleShareRequest,
   nowMs: number,
 ): number {
-  const total = computeRoom(room, Math.max(slots, hostCount), nowMs);
+  const total = computeCapacity(capacity, Math.max(slots, hostCount), nowMs);
   return Math.floor(total / hostCount) + (rank < total % hostCount ? 1 : 0);
 }
 
-/** Returns the room after a rejection: half of what was allowed. */
-export function reduceRoom(
-  room: BrittleRoom | undefined,
+/** Returns the capacity after a rejection: half of what was allowed. */
+export function reduceCapacity(
+  capacity: BrittleCapacity | undefined,
   mostAtOnce: number,
   nowMs: number,
-): BrittleRoom {
-  const before = computeRoom(room, mostAtOnce, nowMs);
+): BrittleCapacity {
+  const before = computeCapacity(capacity, mostAtOnce, nowMs);
   return {reducedTo: Math.max(1, Math.floor(before / 2)), reducedMs: nowMs};
 }
 
-function computeRoom(
-  room: BrittleRoom | undefined,
+function computeCapacity(
+  capacity: BrittleCapacity | undefined,
   mostAtOnce: number,
   nowMs: number,
 ): number {
-  if (room === undefined) return mostAtOnce;
-  const grown = Math.floor((nowMs - room.reducedMs) / GROWTH_MS);
-  return Math.min(mostAtOnce, room.reducedTo + Math.max(0, grown));
+  if (capacity === undefined) return mostAtOnce;
+  const grown = Math.floor((nowMs - capacity.reducedMs) / GROWTH_MS);
+  return Math.min(mostAtOnce, capacity.reducedTo + Math.max(0, grown));
 }
--- a/packages/core/src/forwarding/server_reach.ts
+++ b/packages/core/src/forwarding/server_reach.ts
@@ -1,5 +1,5 @@
-/** How requests for a service are sent at the moment. */
-export type ServiceWay = 'direct' | 'relay' | 'unreachable';
+/** How requests for a service are sent at the moment, if at all. */
+export type SendMode = 'direct' | 'relay' | 'unreachable';
 
 interface ServiceReach {
   /** Servers to which no connection was made since the last answer of any. */
@@ -32,7 +32,7 @@
    * ```ts
    * const reach = ServerReach.create();
    * reach.recordUnreached('app', 'i-1');
-   * reach.chooseWay('app', 1, performance.now()); // 'relay'
+   * reach.chooseSendMode('app', 1, performance.now()); // 'relay'
    * ```
    */
   static create(): ServerReach {
@@ -73,8 +73,12 @@
     reach.unreachableUntilMs = nowMs + UNREACHABLE_MS;
   }
 
-  /** Chooses how to send a request for a service with so many servers. */
-  chooseWay(service: string, serverCount: number, nowMs: number): ServiceWay {
+  /** Chooses how to send a request for a service with this many servers. */
+  chooseSendMode(
+    service: string,
+    serverCount: number,
+    nowMs: number,
+  ): SendMode {
     if (!this.isCutOff(service, serverCount)) return 'direct';
     const untilMs = this.services.get(service)?.unreachableUntilMs ?? -Infinity;
     return nowMs < untilMs ? 'unreachable' : 'relay';
--- a/packages/gateway/src/control/servers/brittle_announcement.ts
+++ b/packages/gateway/src/control/servers/brittle_announcement.ts
@@ -4,7 +4,7 @@
 export type BrittleAnnouncement =
   | {readonly kind: 'brittle' | 'ended'; readonly service: string}
   | {
-      /** A server has rejected a request for want of room. */
+      /** A server was full and has rejected a request. */
       readonly kind: 'rejected';
       readonly service: string;
       readonly serverId: string;
--- a/packages/gateway/src/control/servers/brittle_servers.ts
+++ b/packages/gateway/src/control/servers/brittle_servers.ts
@@ -1,8 +1,8 @@
 import {
   computeBrittleShare,
   rankHost,
-  reduceRoom,
-  type BrittleRoom,
+  reduceCapacity,
+  type BrittleCapacity,
   type RegisteredServer,
   type ServerRecord,
   type ServerTable,
@@ -32,7 +32,7 @@
   namedMs: number;
   expiresMs: number;
   nextAnnouncementMs: number;
-  readonly roomByServer: Map<string, BrittleRoom>;
+  readonly capacityByServer: Map<string, BrittleCapacity>;
 }
 
 /** Time between two announcements that a service is still brittle. */
@@ -44,7 +44,7 @@
 
 /**
  * Keeps the requests at brittle servers, which end if they must reject several,
- * to what they surely have room for. The hosts tell each other of brittle
+ * to what their capacity allows. The hosts tell each other of brittle
  * services and of each rejection.
  */
 export class BrittleServers {
@@ -60,7 +60,7 @@
    * ```ts
    * const brittle = BrittleServers.create(options);
    * brittle.recordResponse(server, true, sentMs);
-   * brittle.hasRoom(record); // false once this host has its share there
+   * brittle.hasCapacity(record); // false once this host has its share there
    * ```
    */
   static create(options: BrittleServersOptions): BrittleServers {
@@ -68,13 +68,13 @@
   }
 
   /** True if this host may send one more request to a server. */
-  hasRoom({server, inFlight}: ServerRecord): boolean {
+  hasCapacity({server, inFlight}: ServerRecord): boolean {
     const entry = this.find(server.service);
     if (entry === undefined) return true;
     const share = computeBrittleShare(
       {
         slots: server.slots,
-        room: entry.roomByServer.get(server.id),
+        capacity: entry.capacityByServer.get(server.id),
         rank: this.getRank(server.id),
         hostCount: this.options.listOtherAddresses().length + 1,
       },
@@ -114,20 +114,20 @@
     this.options.announce({kind: 'brittle', service}, reach);
   }
 
-  /** Records that a server has rejected a request for want of room. */
+  /** Records that a server was full and has rejected a request. */
   recordRejection({id, service, slots}: RegisteredServer): void {
     const entry = this.find(service);
     if (entry === undefined) return;
     const hostCount = this.options.listOtherAddresses().length + 1;
-    const room = reduceRoom(
-      entry.roomByServer.get(id),
+    const capacity = reduceCapacity(
+      entry.capacityByServer.get(id),
       Math.max(slots, hostCount),
       performance.now(),
     );
     this.options.metrics.count('brittle_rejections_total');
-    this.reduce(service, id, room.reducedTo);
+    this.reduce(service, id, capacity.reducedTo);
     this.options.announce(
-      {kind: 'rejected', service, serverId: id, reducedTo: room.reducedTo},
+      {kind: 'rejected', service, serverId: id, reducedTo: capacity.reducedTo},
       'allHosts',
     );
   }
@@ -159,8 +159,8 @@
 
   private reduce(service: string, serverId: string, reducedTo: number): void {
     const nowMs = performance.now();
-    const {roomByServer} = this.put(service);
-    roomByServer.set(serverId, {reducedTo, reducedMs: nowMs});
+    const {capacityByServer} = this.put(service);
+    capacityByServer.set(serverId, {reducedTo, reducedMs: nowMs});
     const server = this.options.servers.find(serverId)?.server;
     if (server !== undefined)
       this.options.servers.pause(server, PAUSE_MS, nowMs);
@@ -172,7 +172,7 @@
       namedMs: -Infinity,
       expiresMs: 0,
       nextAnnouncementMs: -Infinity,
-      roomByServer: new Map(),
+      capacityByServer: new Map(),
     };
     entry.expiresMs = performance.now() + EXPIRY_MS;
     if (known === undefined) {
--- a/packages/gateway/src/control/servers/crash_guard.ts
+++ b/packages/gateway/src/control/servers/crash_guard.ts
@@ -69,8 +69,8 @@
 const MAX_SERVERS_AT_ONCE = 2;
 /** Hosts that answer the report of a quarantined request; one may have restarted. */
 const ANSWERING_HOST_COUNT = 2;
-/** Hosts, on average, that vouch for a suspect which all have seen answered. */
-const VOUCHING_HOST_COUNT = 8;
+/** Hosts, on average, that confirm a suspect which all have seen answered. */
+const CONFIRMING_HOST_COUNT = 8;
 /** Retry delay for a request whose trial is made elsewhere or under way. */
 const TRIAL_RETRY_MS = 1000;
 
@@ -155,7 +155,7 @@
       case 'crash':
         for (const crash of announcement.crashes) {
           this.answerCrash(crash);
-          this.vouchFor(crash);
+          this.confirmKnownSound(crash);
           this.takeCrash(crash);
         }
         return;
@@ -212,10 +212,10 @@
       this.announceQuarantines([quarantine], 'allHosts');
   }
 
-  private vouchFor({suspectIds}: ServerCrash): void {
+  private confirmKnownSound({suspectIds}: ServerCrash): void {
     const {random, listOtherAddresses} = this.options;
     const hostCount = listOtherAddresses().length + 1;
-    if (random() * hostCount >= VOUCHING_HOST_COUNT) return;
+    if (random() * hostCount >= CONFIRMING_HOST_COUNT) return;
     this.announceSound('knownSound', this.suspects.listKnownSound(suspectIds));
   }
 
--- a/packages/gateway/src/stages/choose_relay.ts
+++ b/packages/gateway/src/stages/choose_relay.ts
@@ -22,9 +22,9 @@
   const service = findService(context, exchange)?.name;
   if (service === undefined) return false;
   const serverCount = hostRelay.countServers(service);
-  const way = reach.chooseWay(service, serverCount, performance.now());
-  if (way === 'direct') return false;
-  if (way === 'unreachable' || exchange.admitted.isRelayed)
+  const mode = reach.chooseSendMode(service, serverCount, performance.now());
+  if (mode === 'direct') return false;
+  if (mode === 'unreachable' || exchange.admitted.isRelayed)
     throw createExchangeError(context, exchange);
   const result = await relayThroughHost(context, exchange, service);
   if (result === 'refused') throw createExchangeError(context, exchange);
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -86,7 +86,7 @@
       record =>
         !isPaused(record.availability, nowMs) &&
         computeSendDelayMs(record.availability, nowMs) <= maxDelayMs &&
-        context.brittleServers.hasRoom(record),
+        context.brittleServers.hasCapacity(record),
     ),
     failureDomain: context.settings.failureDomain,
     hostCount: context.hosts.count,
