--- a/packages/core/test/forwarding/crash_suspects.test.ts
+++ b/packages/core/test/forwarding/crash_suspects.test.ts
@@ -7,7 +7,7 @@
   type PromptPart,
 } from '../../src/index.js';
 
-const SHARED_IDS = ['system', 'board', 'deadly'];
+const SHARED_IDS = ['system', 'board', 'crashing'];
 const PARTS: readonly PromptPart[] = [...SHARED_IDS, 'last'].map(id => ({
   id,
   tokens: 100,
@@ -45,9 +45,9 @@
   }
   assert.equal(
     suspects.findQuarantined(listPartIds(PARTS), nowMs)?.suspectId,
-    'deadly',
+    'crashing',
   );
-  const sound = PARTS.filter(({id}) => id !== 'deadly');
+  const sound = PARTS.filter(({id}) => id !== 'crashing');
   assert.equal(suspects.findQuarantined(listPartIds(sound), nowMs), undefined);
 });
 
@@ -59,22 +59,22 @@
     suspects.findQuarantined(listPartIds(PARTS), 3000),
     undefined,
   );
-  const sound = PARTS.filter(({id}) => id !== 'deadly');
+  const sound = PARTS.filter(({id}) => id !== 'crashing');
   assert.equal(suspects.findQuarantined(listPartIds(sound), 3000), undefined);
   suspects.recordAnswer(['system', 'board']);
-  const deadly = PARTS.filter(({id}) => id !== 'board');
-  const found = suspects.findQuarantined(listPartIds(deadly), 3000);
-  assert.deepEqual([found?.suspectId, found?.companionIds], ['deadly', []]);
+  const crashing = PARTS.filter(({id}) => id !== 'board');
+  const found = suspects.findQuarantined(listPartIds(crashing), 3000);
+  assert.deepEqual([found?.suspectId, found?.companionIds], ['crashing', []]);
 });
 
 test('a part that crashes servers with other parts than before is quarantined by itself', () => {
   const suspects = CrashSuspects.create();
   for (const [index, other] of ['a', 'b', 'c'].entries())
-    crash(suspects, index, index * 1000, [other, 'deadly']);
-  const parts = ['d', 'deadly', 'last'].map(id => ({id, tokens: 1}));
+    crash(suspects, index, index * 1000, [other, 'crashing']);
+  const parts = ['d', 'crashing', 'last'].map(id => ({id, tokens: 1}));
   assert.equal(
     suspects.findQuarantined(listPartIds(parts), 3000)?.suspectId,
-    'deadly',
+    'crashing',
   );
 });
 
@@ -108,12 +108,12 @@
 test('an answer clears a part', () => {
   const suspects = CrashSuspects.create();
   for (const index of [0, 1]) crash(suspects, index, index * 1000);
-  assert.deepEqual(suspects.recordAnswer(['deadly', 'other']), ['deadly']);
+  assert.deepEqual(suspects.recordAnswer(['crashing', 'other']), ['crashing']);
   for (const index of [2, 3]) crash(suspects, index, index * 1000);
   assert.equal(
     suspects
       .listQuarantined(3000)
-      .some(({suspectId}) => suspectId === 'deadly'),
+      .some(({suspectId}) => suspectId === 'crashing'),
     false,
   );
 });
@@ -131,7 +131,7 @@
 
 test('the quarantine of another host is adopted once', () => {
   const suspects = CrashSuspects.create();
-  const part = {suspectId: 'deadly', companionIds: [], remainingMs: 5000};
+  const part = {suspectId: 'crashing', companionIds: [], remainingMs: 5000};
   assert.equal(suspects.adopt(part, 0), true);
   assert.equal(suspects.adopt(part, 100), false);
   assert.equal(
@@ -139,7 +139,7 @@
     1000,
   );
   assert.equal(suspects.findQuarantined(listPartIds(PARTS), 5000), undefined);
-  crash(suspects, 1, 6000, ['deadly']);
+  crash(suspects, 1, 6000, ['crashing']);
   assert.notEqual(
     suspects.findQuarantined(listPartIds(PARTS), 6000),
     undefined,
@@ -149,11 +149,11 @@
 test('a part that crashes a server again behind its quarantine is quarantined at once', () => {
   const suspects = CrashSuspects.create();
   for (let index = 0; index < 3; index += 1)
-    crash(suspects, index, index * 1000, ['deadly']);
+    crash(suspects, index, index * 1000, ['crashing']);
   const [{remainingMs}] = suspects.listQuarantined(2000);
   const endMs = 2000 + remainingMs;
   assert.deepEqual(suspects.listQuarantined(endMs), []);
-  crash(suspects, 9, endMs + 1000, ['deadly']);
+  crash(suspects, 9, endMs + 1000, ['crashing']);
   const [next] = suspects.listQuarantined(endMs + 1000);
   assert.equal(next.remainingMs, 2 * remainingMs);
 });
@@ -217,12 +217,15 @@
 
 test('a part is on trial behind its quarantine only', () => {
   const suspects = CrashSuspects.create();
-  crash(suspects, 0, 1000, ['deadly']);
-  assert.equal(suspects.findOnTrial(['deadly'], 1000), undefined);
-  crash(suspects, 1, 2000, ['deadly']);
-  crash(suspects, 2, 3000, ['deadly']);
+  crash(suspects, 0, 1000, ['crashing']);
+  assert.equal(suspects.findOnTrial(['crashing'], 1000), undefined);
+  crash(suspects, 1, 2000, ['crashing']);
+  crash(suspects, 2, 3000, ['crashing']);
   const [{remainingMs}] = suspects.listQuarantined(3000);
-  assert.equal(suspects.findOnTrial(['deadly'], 3001 + remainingMs), 'deadly');
+  assert.equal(
+    suspects.findOnTrial(['crashing'], 3001 + remainingMs),
+    'crashing',
+  );
 });
 
 test('a request that another host has seen answered is no longer quarantined', () => {
