--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -16,6 +16,9 @@
 const MIN_LATE = 8;
 const GAP_MS = 100;
 const CONNECTIONS = 32;
+/** One of three runners garbles one answer in over fifty. */
+const RUNNERS = 3;
+const SOUND_LETTERS = 60;
 
 function createCaseConfig() {
   const {routes, ...rest} = createConfig(1);
@@ -31,7 +34,11 @@
   const {record} = testbed;
   await testbed.startStore(createCaseConfig());
   await testbed.startRunner({id: 'i-desk', service: 'desk'});
-  const quill = await testbed.startRunner({id: 'i-quill', service: 'quill'});
+  const quills = [];
+  for (let n = 1; n <= RUNNERS; n += 1) {
+    const id = `i-quill-${n}`;
+    quills.push(await testbed.startRunner({id, service: 'quill'}));
+  }
   const gateway = await testbed.startGateway('edge-1');
   const port = gateway.callersPort;
   await delay(4000);
@@ -47,36 +54,41 @@
       agent,
       record,
     });
-  quill.answer = async ({run, stamp, response}) => {
-    await delay(20);
-    // 0x32 ("2") with one bit changed is 0x30 ("0").
-    const status = HAS_TROUBLE ? '000' : '200';
-    const body = 'id: 1\ndata: a\n\n';
-    record(`answer ${run.requestId} with the status ${status}`);
-    response.socket.write(
-      `HTTP/1.1 ${status} OK\r\n` +
-        `Anvilrudder-Request-Id: ${run.requestId}\r\n` +
-        `Anvilrudder-Server-Stamp: ${stamp}\r\n` +
-        'Content-Type: text/event-stream\r\n' +
-        `Content-Length: ${body.length}\r\n\r\n${body}`,
-    );
-  };
+  for (const quill of quills) {
+    quill.answer = async ({run, stamp, response}) => {
+      await delay(20);
+      const isGarbled = HAS_TROUBLE && run.requestId === 'letter-garbled';
+      // 0x32 ("2") with one bit changed is 0x30 ("0").
+      const status = isGarbled ? '000' : '200';
+      const body = 'id: 1\ndata: a\n\n';
+      record(`answer ${run.requestId} with the status ${status}`);
+      response.socket.write(
+        `HTTP/1.1 ${status} OK\r\n` +
+          `Anvilrudder-Request-Id: ${run.requestId}\r\n` +
+          `Anvilrudder-Server-Stamp: ${stamp}\r\n` +
+          'Content-Type: text/event-stream\r\n' +
+          `Content-Length: ${body.length}\r\nConnection: close\r\n\r\n${body}`,
+      );
+      response.socket.end();
+    };
+  }
+  const writeLetter = name =>
+    call({
+      port,
+      id: `letter-${name}`,
+      path: '/letter/a',
+      deadlineMs: 12_000,
+      headers: {
+        'anvilrudder-model': 'm0',
+        'anvilrudder-token-counts': '1000,60',
+        'anvilrudder-prefix-hash': `aa:800,${name}:200`,
+      },
+      record,
+    });
+  for (let n = 1; n <= SOUND_LETTERS; n += 1) await writeLetter(n);
   for (let n = 1; n <= 40; n += 1) {
     calls.push(confirm(n));
-    if (n === 10) {
-      void call({
-        port,
-        id: 'letter-1',
-        path: '/letter/a',
-        deadlineMs: 12_000,
-        headers: {
-          'anvilrudder-model': 'm0',
-          'anvilrudder-token-counts': '1000,60',
-          'anvilrudder-prefix-hash': 'aa:800,bb:200',
-        },
-        record,
-      });
-    }
+    if (n === 10) void writeLetter('garbled');
     await delay(GAP_MS);
   }
   const outcomes = await Promise.all(calls);
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,106 +1,75 @@
-// A runner's extra answer arrives late, where the answer to the next request on
-// the connection is expected.
+// SIGTERM comes while clients hold connections that they have opened and not
+// used yet; they send on them more than three seconds later.
+import {connect} from 'node:net';
 import {dirname, join} from 'node:path';
-import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {call} from '../lib/client.mjs';
+import {sendEvents} from '../lib/runner.mjs';
 import {HAS_TROUBLE, playCase} from '../lib/testbed.mjs';
 
 const RECORD_FILE = join(dirname(fileURLToPath(import.meta.url)), 'record.txt');
-/** The rule: the runner before may still work for this long. */
-const OVERLAP_MS = 400;
-/** Time until the first event of a long prompt; the aim is 2,000 ms. */
-const PREFILL_MS = 1500;
-const SHORT_PREFILL_MS = 50;
-const EVENT_COUNT = 5;
-const EVENT_GAP_MS = 50;
+/** So that a third of the machines is stopped. */
+const OTHER_GATEWAYS = ['edge-2', 'edge-3'];
+const CLIENTS = 4;
+const OPEN_BEFORE_MS = 500;
+/** The rule excuses requests that are sent up to 3 s after the signal. */
+const SEND_AFTER_MS = 3400;
+/** Five seconds of work, as long generations on the sheet take. */
+const EVENTS = {count: 20, pauseMs: 250};
+const LAST_CHUNK = '0\r\n\r\n';
 
-/** Makes a runner note when it works, and stop when its connection closes. */
-function prepareRunner(runner, works, record) {
-  const lastIds = new WeakMap();
-  let hasSentExtra = false;
-  runner.answer = async ({run, stamp, response}) => {
-    const {requestId} = run;
-    const {socket} = response;
-    const work = {requestId, runner: runner.id, startMs: performance.now()};
-    works.push(work);
-    const end = reason => {
-      if (work.endMs !== undefined) return;
-      work.endMs = performance.now();
-      record(`${reason.padEnd(5)} ${requestId} at ${runner.id}`);
-    };
-    response.once('close', () => end('drop'));
-    const lastId = lastIds.get(socket);
-    const sendsExtra = HAS_TROUBLE && lastId !== undefined && !hasSentExtra;
-    lastIds.set(socket, requestId);
-    if (sendsExtra) {
-      hasSentExtra = true;
-      record(`extra answer to ${lastId} from ${runner.id}`);
-      socket.write(
-        'HTTP/1.1 200 OK\r\n' +
-          `Anvilrudder-Request-Id: ${lastId}\r\n` +
-          `Anvilrudder-Server-Stamp: ${stamp}-extra\r\n` +
-          'Content-Type: text/event-stream\r\n' +
-          'Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n',
-      );
-    }
-    await delay(requestId === 'letter-1' ? SHORT_PREFILL_MS : PREFILL_MS);
-    if (work.endMs !== undefined) return;
-    response.writeHead(200, {
-      'Content-Type': 'text/event-stream',
-      'Anvilrudder-Server-Stamp': stamp,
+/** A client that opens its connection before it has a request to send. */
+function openConnection(port, id, record) {
+  const client = {id, received: ''};
+  client.socket = connect({host: '127.0.0.1', port});
+  client.socket.setEncoding('latin1');
+  client.socket.on('data', text => {
+    client.received += text;
+  });
+  client.socket.on('error', error => record(`error ${id} ${error.code}`));
+  client.closed = new Promise(resolve => {
+    client.socket.once('close', () => {
+      const isComplete = client.received.endsWith(LAST_CHUNK);
+      record(`end   ${id} ${isComplete ? 'complete' : 'incomplete'}`);
+      resolve();
     });
-    for (let id = 1; id <= EVENT_COUNT; id += 1) {
-      if (work.endMs !== undefined) return;
-      response.write(`id: ${id}\ndata: ${requestId}/${id}\n\n`);
-      await delay(EVENT_GAP_MS);
-    }
-    response.end();
-    end('done');
+  });
+  client.send = () => {
+    if (!client.socket.writable) return;
+    record(`send  ${id} POST /letter/a`);
+    client.socket.write(
+      'POST /letter/a HTTP/1.1\r\n' +
+        'Host: desk.example\r\n' +
+        'Authorization: Bearer key-1\r\n' +
+        `Anvilrudder-Request-Id: ${id}\r\n` +
+        'Anvilrudder-Deadline-Ms: 12000\r\n' +
+        'Content-Length: 0\r\n' +
+        'Connection: close\r\n\r\n',
+    );
   };
+  return client;
 }
 
 await playCase(RECORD_FILE, async testbed => {
   const {record} = testbed;
   await testbed.startStore();
-  const works = [];
-  for (const id of ['i-quill-1', 'i-quill-2']) {
-    const runner = await testbed.startRunner({id, service: 'quill'});
-    prepareRunner(runner, works, record);
-  }
-  const {callersPort: port} = await testbed.startGateway('edge-1');
+  const quill = await testbed.startRunner({id: 'i-quill', service: 'quill'});
+  quill.answer = answer => sendEvents(answer, EVENTS);
+  const gateway = await testbed.startGateway('edge-1');
+  for (const name of OTHER_GATEWAYS) await testbed.startGateway(name);
   await delay(4000);
-  for (const n of [1, 2, 3]) {
-    await call({
-      port,
-      id: `letter-${n}`,
-      path: '/letter/a',
-      deadlineMs: 12_000,
-      headers: {
-        'anvilrudder-model': 'm0',
-        'anvilrudder-token-counts': '1000,60',
-        'anvilrudder-prefix-hash': `aa:800,b${n}:200`,
-      },
-      record,
-    });
-  }
-  await delay(PREFILL_MS);
-  const endMs = performance.now();
-  return works.flatMap((work, index) =>
-    works
-      .slice(index + 1)
-      .filter(
-        later =>
-          later.requestId === work.requestId &&
-          (work.endMs ?? endMs) > later.startMs + OVERLAP_MS,
-      )
-      .map(later => {
-        const overlapMs = Math.round((work.endMs ?? endMs) - later.startMs);
-        return (
-          `TWICE ${work.requestId}: ${work.runner} worked on for ` +
-          `${overlapMs} ms after it went on at ${later.runner}`
-        );
-      }),
-  );
+  const clients = [];
+  for (let n = 1; n <= CLIENTS; n += 1)
+    clients.push(openConnection(gateway.callersPort, `letter-${n}`, record));
+  await delay(OPEN_BEFORE_MS);
+  if (HAS_TROUBLE) gateway.signal('SIGTERM');
+  await delay(SEND_AFTER_MS);
+  for (const client of clients) client.send();
+  await Promise.all(clients.map(({closed}) => closed));
+  const runIds = new Set(quill.runs.map(({requestId}) => requestId));
+  return clients
+    .filter(
+      ({id, received}) => runIds.has(id) && !received.endsWith(LAST_CHUNK),
+    )
+    .map(({id}) => `LOST ${id}: passed on, ended without a complete answer`);
 });
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,72 +1,92 @@
-// SIGTERM comes while clients hold connections that they have opened and not
-// used yet; they send on them more than three seconds later.
-import {connect} from 'node:net';
+// The open connections to the store go silent on all machines, then the operator
+// moves a route to another service and withdraws a key.
 import {dirname, join} from 'node:path';
+import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {sendEvents} from '../lib/runner.mjs';
-import {HAS_TROUBLE, playCase} from '../lib/testbed.mjs';
+import {call} from '../lib/client.mjs';
+import {Link} from '../lib/link.mjs';
+import {createConfig, HAS_TROUBLE, playCase} from '../lib/testbed.mjs';
 
 const RECORD_FILE = join(dirname(fileURLToPath(import.meta.url)), 'record.txt');
-const CLIENTS = 4;
-const OPEN_BEFORE_MS = 500;
-/** The rule excuses requests that are sent up to 3 s after the signal. */
-const SEND_AFTER_MS = 3400;
-/** Five seconds of work, as long generations on the sheet take. */
-const EVENTS = {count: 20, pauseMs: 250};
-const LAST_CHUNK = '0\r\n\r\n';
+const GATEWAY_COUNT = 4;
+/** By then the hosts know each other and their watches have their usual wait. */
+const SETTLE_MS = 24_000;
+/** Bounds of the Penbridge sheet. */
+const STABLE_WINDOW_MS = 3000;
+const CONFIG_APPLY_MS = 2000;
+/** The check begins this long after both bounds have passed. */
+const MARGIN_MS = 100;
+const CHECK_MS = 6000;
+const GAP_MS = 100;
 
-/** A client that opens its connection before it has a request to send. */
-function openConnection(port, id, record) {
-  const client = {id, received: ''};
-  client.socket = connect({host: '127.0.0.1', port});
-  client.socket.setEncoding('latin1');
-  client.socket.on('data', text => {
-    client.received += text;
-  });
-  client.socket.on('error', error => record(`error ${id} ${error.code}`));
-  client.closed = new Promise(resolve => {
-    client.socket.once('close', () => {
-      const isComplete = client.received.endsWith(LAST_CHUNK);
-      record(`end   ${id} ${isComplete ? 'complete' : 'incomplete'}`);
-      resolve();
-    });
-  });
-  client.send = () => {
-    if (!client.socket.writable) return;
-    record(`send  ${id} POST /letter/a`);
-    client.socket.write(
-      'POST /letter/a HTTP/1.1\r\n' +
-        'Host: desk.example\r\n' +
-        'Authorization: Bearer key-1\r\n' +
-        `Anvilrudder-Request-Id: ${id}\r\n` +
-        'Anvilrudder-Deadline-Ms: 12000\r\n' +
-        'Content-Length: 0\r\n' +
-        'Connection: close\r\n\r\n',
-    );
+/** The route of the confirmations moves to `desk-2`. */
+function createMovedConfig(tenants) {
+  const {routes, services, ...rest} = createConfig(2, {tenants});
+  return {
+    ...rest,
+    routes: routes.map(route =>
+      route.name === 'confirm' ? {...route, service: 'desk-2'} : route,
+    ),
+    services: [
+      ...services,
+      {name: 'desk-2', healthPath: '/healthz', maxConnections: 96},
+    ],
   };
-  return client;
 }
 
 await playCase(RECORD_FILE, async testbed => {
   const {record} = testbed;
-  await testbed.startStore();
-  const quill = await testbed.startRunner({id: 'i-quill', service: 'quill'});
-  quill.answer = answer => sendEvents(answer, EVENTS);
-  const gateway = await testbed.startGateway('edge-1');
-  await delay(4000);
-  const clients = [];
-  for (let n = 1; n <= CLIENTS; n += 1)
-    clients.push(openConnection(gateway.callersPort, `letter-${n}`, record));
-  await delay(OPEN_BEFORE_MS);
-  if (HAS_TROUBLE) gateway.signal('SIGTERM');
-  await delay(SEND_AFTER_MS);
-  for (const client of clients) client.send();
-  await Promise.all(clients.map(({closed}) => closed));
-  const runIds = new Set(quill.runs.map(({requestId}) => requestId));
-  return clients
-    .filter(
-      ({id, received}) => runIds.has(id) && !received.endsWith(LAST_CHUNK),
-    )
-    .map(({id}) => `LOST ${id}: passed on, ended without a complete answer`);
+  const tenants = [
+    {name: 'school-1', apiKeys: ['key-1'], priority: 1},
+    {name: 'school-2', apiKeys: ['key-2'], priority: 1},
+  ];
+  const store = await testbed.startStore(createConfig(1, {tenants}));
+  const oldDesk = await testbed.startRunner({id: 'i-desk', service: 'desk'});
+  await testbed.startRunner({id: 'i-desk-2', service: 'desk-2'});
+  const links = [];
+  for (let n = 1; n <= GATEWAY_COUNT; n += 1) {
+    const link = await Link.start(store.port);
+    links.push(link);
+    testbed.parts.push(link);
+    await testbed.startGateway(`edge-${n}`, link.port);
+  }
+  await delay(SETTLE_MS);
+  const silentMs = performance.now();
+  if (HAS_TROUBLE) {
+    record('the open connections to the store go silent');
+    for (const link of links) link.silenceOpenConnections();
+  }
+  await delay(200);
+  store.put('config', 'main', createMovedConfig(tenants.slice(0, 1)));
+  const acknowledgedMs = performance.now();
+  record('the store acknowledges the new configuration');
+  const checkFromMs = Math.max(
+    silentMs + STABLE_WINDOW_MS,
+    acknowledgedMs + CONFIG_APPLY_MS,
+  );
+  await delay(checkFromMs + MARGIN_MS - performance.now());
+  const calls = [];
+  const endMs = performance.now() + CHECK_MS;
+  for (let n = 1; performance.now() < endMs; n += 1) {
+    for (const {name, callersPort} of testbed.gateways) {
+      const key = n % 2 === 0 ? 'key-1' : 'key-2';
+      calls.push(
+        call({
+          port: callersPort,
+          id: `${name}-${n}-${key}`,
+          path: '/confirm/a',
+          key,
+          record,
+        }),
+      );
+    }
+    await delay(GAP_MS);
+  }
+  await Promise.all(calls);
+  return oldDesk.runs.map(({requestId}) => {
+    const isWithdrawn = requestId.endsWith('key-2');
+    const extra = isWithdrawn ? ', with a dropped key' : '';
+    return `CONFIG ${requestId}: run by the old service${extra}`;
+  });
 });
