Keep failed assertions of libraries from reading the bundle's source

Cause: an assertion without a message failed in the HTTP client. Node derives a message from the source: it opens the bundle and parses it from the start of the line, again with each 8 KiB, on the event loop. Lines were up to 250,909 characters long.

Change: the bundle gives its libraries an assert that always passes a message, and breaks lines at 500 characters, for whatever else parses a source line.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,11 +1,28 @@
-// Bundles the programs that run on the platform into target/, one file each.
+// Bundles the programs that run on the platform into a folder, one file each.
+//
+// Usage: node scripts/bundle.mjs [folder, target/ by default]
 import {mkdirSync} from 'node:fs';
-import {dirname, join} from 'node:path';
+import {dirname, join, resolve} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..');
-const TARGET = join(ROOT, 'target');
+const TARGET = resolve(process.argv[2] ?? join(ROOT, 'target'));
+const QUICK_ASSERT = join(ROOT, 'platform', 'src', 'quick_assert.cts');
+// Whatever prints or parses a source line must not meet a line of megabytes.
+const MAX_LINE_CHARACTERS = 500;
+
+/** Gives libraries an `assert` that does not read source files. */
+const quickAssertPlugin = {
+  name: 'quick-assert',
+  setup({onResolve}) {
+    onResolve({filter: /^(node:)?assert$/}, ({importer}) =>
+      importer === QUICK_ASSERT
+        ? {path: 'node:assert', external: true}
+        : {path: QUICK_ASSERT},
+    );
+  },
+};
 
 function sourceOf(folder) {
   return join(ROOT, folder, 'src', 'index.ts');
@@ -21,6 +38,8 @@
   format: 'esm',
   minifySyntax: true,
   minifyWhitespace: true,
+  lineLimit: MAX_LINE_CHARACTERS,
+  plugins: [quickAssertPlugin],
   keepNames: false,
   logLevel: 'warning',
   alias: {
