Split events in time proportional to their bytes

Cause: each chunk copied and searched the whole incomplete event.

Change: the incomplete event grows in a buffer that doubles; only new bytes are searched.

Random cuts of a stream give the same events.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -30,4 +30,5 @@
 export * from './control/store/watch_kind.js';
 export * from './ports.js';
 export * from './start_gateway.js';
+export {EventSplitter} from './stages/event_splitter.js';
 export {copyEndToEndHeaders} from './stages/response_headers.js';
--- a/packages/gateway/src/stages/event_splitter.ts
+++ b/packages/gateway/src/stages/event_splitter.ts
@@ -3,6 +3,7 @@
 const EMPTY = Buffer.alloc(0);
 /** Maximum size of one event. */
 const MAX_EVENT_BYTES = 1024 * 1024;
+const MIN_BUFFER_BYTES = 4096;
 
 /** Complete events and the last event id among them. */
 export interface CompleteEvents {
@@ -25,7 +26,9 @@
  * ```
  */
 export class EventSplitter {
-  private incomplete: Buffer = EMPTY;
+  /** Begins with the incomplete event; the rest of it is spare. */
+  private buffer = EMPTY;
+  private incompleteBytes = 0;
 
   private constructor() {}
 
@@ -35,30 +38,54 @@
 
   /** True while the last event is incomplete. */
   get hasIncompleteEvent(): boolean {
-    return this.incomplete.length > 0;
+    return this.incompleteBytes > 0;
   }
 
   /** True once the last event is too large to wait for its end. */
   get isEventTooLarge(): boolean {
-    return this.incomplete.length > MAX_EVENT_BYTES;
+    return this.incompleteBytes > MAX_EVENT_BYTES;
   }
 
-  /** Adds a chunk and returns the events that it completes. */
+  /**
+   * Adds a chunk and returns the events that it completes. Takes time in
+   * proportion to the chunk, however large the incomplete event is.
+   */
   push(chunk: Buffer): CompleteEvents {
-    const buffered =
-      this.incomplete.length === 0
-        ? chunk
-        : Buffer.concat([this.incomplete, chunk]);
-    const end = findLastEventEnd(buffered);
-    const bytes = buffered.subarray(0, end);
-    this.incomplete = buffered.subarray(end);
+    const begin = this.incompleteBytes;
+    if (begin === 0 && findLastEventEnd(chunk, 0) === chunk.length)
+      return {bytes: chunk, lastId: readLastId(chunk)};
+    this.append(chunk);
+    const buffered = this.buffer.subarray(0, this.incompleteBytes);
+    const end = findLastEventEnd(buffered, begin);
+    if (end === 0) return {bytes: EMPTY, lastId: undefined};
+    const bytes = Buffer.from(buffered.subarray(0, end));
+    this.keepFrom(end);
     return {bytes, lastId: readLastId(bytes)};
   }
+
+  private append(chunk: Buffer): void {
+    const neededBytes = this.incompleteBytes + chunk.length;
+    if (neededBytes > this.buffer.length) {
+      const grown = Buffer.allocUnsafe(
+        Math.max(MIN_BUFFER_BYTES, 2 * neededBytes),
+      );
+      this.buffer.copy(grown, 0, 0, this.incompleteBytes);
+      this.buffer = grown;
+    }
+    chunk.copy(this.buffer, this.incompleteBytes);
+    this.incompleteBytes = neededBytes;
+  }
+
+  private keepFrom(begin: number): void {
+    const rest = this.buffer.subarray(begin, this.incompleteBytes);
+    this.incompleteBytes = rest.length;
+    this.buffer = rest.length === 0 ? EMPTY : Buffer.from(rest);
+  }
 }
 
-/** Returns the offset after the last blank line, or 0. */
-function findLastEventEnd(bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index -= 1) {
+/** Returns the offset after the last blank line whose end is not before `begin`, or 0. */
+function findLastEventEnd(bytes: Buffer, begin: number): number {
+  for (let index = bytes.length - 1; index >= Math.max(1, begin); index -= 1) {
     if (bytes[index] !== LINE_FEED) continue;
     const before = bytes[index - 1] === CARRIAGE_RETURN ? index - 2 : index - 1;
     if (before >= 0 && bytes[before] === LINE_FEED) return index + 1;
