Take in a drain only what can end before the host stops

Cause: Node counts a connection without a request as active, so that a drain left it open; and a drain served whatever came, whether it could end in time or not.

Change: connections without a byte close with the listening socket. Each request that arrives in a drain is served only if its limit, or one and a half times the mean duration of such requests, fits into what is left (core, canServeInDrain); others get 503 at once, not run, with Connection: close and a time to return. What is in progress 0.1 s before the connections are closed gets 502 or 503 in place of a cut. Responses to pipelined requests are all sent.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -23,3 +23,4 @@
 export * from './version_evidence.js';
 export * from './crash_suspects.js';
 export * from './decode_time_estimator.js';
+export * from './drain_admission.js';
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -18,6 +18,7 @@
 import type {ServerLimits} from './control/servers/server_limits.js';
 import type {ServerPools} from './control/servers/server_pools.js';
 import type {VersionSelector} from './control/rollouts/version_selector.js';
+import type {HostDrain} from './server/host_drain.js';
 import type {CallerCodec} from './ports.js';
 
 /** Shared components that the stages of a forwarded request use. */
@@ -43,6 +44,5 @@
   /** Limits the large response bodies that are in memory. */
   readonly largeBodies: ByteBudget;
   readonly random: Random;
-  /** True once a graceful shutdown has begun. */
-  readonly isStopping: () => boolean;
+  readonly drain: HostDrain;
 }
--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -1,10 +1,10 @@
 import {createServer, type Server} from 'node:http';
 import type {Socket} from 'node:net';
-import type {CallerLimits} from '@anvilrudder/core';
+import {RouterError, type CallerLimits} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {forward, type RequestSender} from '../stages/forward.js';
+import {CallerConnections} from './caller_connections.js';
 import {writeErrorResponse} from './error_response.js';
-import {RouterError} from '@anvilrudder/core';
 
 /** Limit of the HTTP parser; the configured limit is lower. */
 const PARSER_MAX_HEADER_BYTES = 65_536;
@@ -27,12 +27,18 @@
   ERR_HTTP_REQUEST_TIMEOUT: REQUEST_TIMEOUT_RESPONSE,
 };
 
+/** A server for requests, and the connections that it has accepted. */
+export interface CallerServer {
+  readonly server: Server;
+  readonly connections: CallerConnections;
+}
+
 /** Creates the server that callers connect to, or hosts that relay requests. */
 export function createCallerServer(
   context: GatewayContext,
   sender: RequestSender = 'caller',
-): Server {
-  const server = createServer(
+): CallerServer {
+  const server: Server = createServer(
     {
       maxHeaderSize: PARSER_MAX_HEADER_BYTES,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
@@ -40,12 +46,10 @@
       noDelay: true,
     },
     (message, response) => {
-      // The connection was closed after its last response. Requests that still
-      // arrive on it are not processed, so that callers may send them again.
-      if (!message.socket.writable) return;
-      response.once('finish', () => {
-        if (context.isStopping()) message.socket.end();
-      });
+      // Requests behind the last response of a connection are not processed, so
+      // that callers may send them again.
+      const isLast = () => context.drain.isDraining;
+      if (!connections.open(message, response, isLast)) return;
       const limits = context.routing.current?.snapshot.limits;
       const headerBytes = countHeaderBytes(message.rawHeaders);
       if (limits !== undefined && headerBytes > limits.maxHeaderBytes) {
@@ -61,6 +65,7 @@
       void forward(context, message, response, sender);
     },
   );
+  const connections = CallerConnections.create(server);
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     context.metrics.count('malformed_requests_total');
     context.logger.info('caller_input_refused', {code: error.code});
@@ -72,20 +77,21 @@
       RESPONSE_BY_PARSER_ERROR[error.code ?? ''] ?? BAD_REQUEST_RESPONSE,
     );
   });
-  return server;
+  return {server, connections};
 }
 
 /**
  * Creates the server that takes requests from other hosts, which do not reach
  * the servers themselves. Connections from other addresses are closed.
  */
-export function createRelayServer(context: GatewayContext): Server {
-  const server = createCallerServer(context, 'host');
+export function createRelayServer(context: GatewayContext): CallerServer {
+  const callerServer = createCallerServer(context, 'host');
+  const {server} = callerServer;
   server.keepAliveTimeout = RELAY_KEEP_ALIVE_MS;
   server.prependListener('connection', (socket: Socket) => {
     if (!context.hostRelay.isHost(socket.remoteAddress)) socket.destroy();
   });
-  return server;
+  return callerServer;
 }
 
 /** Applies the limits of a new configuration to the server. */
--- /dev/null
+++ b/packages/gateway/src/stages/admit_in_drain.ts
@@ -0,0 +1,59 @@
+import {canServeInDrain, RouterError} from '@anvilrudder/core';
+import type {GatewayContext} from '../gateway_context.js';
+import {chooseInitialModel, chooseTarget} from './choose_target.js';
+import {estimateRouteMs} from './observe_response.js';
+import type {OpenExchange} from './open_exchange.js';
+
+/** Another host accepts the request at once; the range spreads the callers. */
+const RETRY_ELSEWHERE_MS = {min: 50, max: 150} as const;
+
+/**
+ * Rejects a request that a draining host cannot serve whole, before it is sent
+ * to a server.
+ *
+ * @throws RouterError `not_ready`.
+ * @example
+ * ```ts
+ * admitInDrain(context, exchange); // does nothing unless the host drains
+ * ```
+ */
+export function admitInDrain(
+  context: GatewayContext,
+  exchange: OpenExchange,
+): void {
+  const {drain, metrics, random} = context;
+  if (!drain.isDraining) return;
+  const isServed = canServeInDrain({
+    leftMs: drain.leftMs,
+    limitMs: exchange.remainingMs,
+    expectedMs: estimateDurationMs(context, exchange),
+  });
+  if (isServed) return;
+  metrics.count('requests_rejected_in_drain_total');
+  const {min, max} = RETRY_ELSEWHERE_MS;
+  throw RouterError.create('This host stops before the request could end.', {
+    code: 'not_ready',
+    retryAfterMs: min + random() * (max - min),
+  });
+}
+
+/** Estimates the duration of a request; undefined if nothing is known of it. */
+function estimateDurationMs(
+  context: GatewayContext,
+  exchange: OpenExchange,
+): number | undefined {
+  const {route, request} = exchange.admitted;
+  const {generation} = request;
+  if (generation === undefined) return estimateRouteMs(context, route.name);
+  const {decodeEstimator, prefillEstimator} = context;
+  const model = chooseInitialModel(exchange);
+  const forecastMs = chooseTarget(context, exchange, model)?.forecastMs;
+  const models = generation.model === undefined ? route.models : [model ?? ''];
+  const decodeTimesMs = models.map(name =>
+    decodeEstimator.estimateMs(name, generation.maxOutputTokens),
+  );
+  // A model without observations makes the whole unknown.
+  if (forecastMs === undefined || !decodeTimesMs.every(timeMs => timeMs > 0))
+    return undefined;
+  return prefillEstimator.forecastMs(forecastMs) + Math.max(...decodeTimesMs);
+}
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -112,6 +112,15 @@
   };
 }
 
+/** Chooses the model of the first send; undefined without generation. */
+export function chooseInitialModel({
+  admitted,
+}: OpenExchange): string | undefined {
+  const {request, route} = admitted;
+  if (request.generation === undefined) return undefined;
+  return request.generation.model ?? route.models[0];
+}
+
 /**
  * Computes the time until a server of the exchange's service accepts requests
  * again; 0 unless all of them have asked for a pause.
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -7,7 +7,11 @@
   relayIfCutOff,
   shouldRelayUnsent,
 } from './choose_relay.js';
-import {chooseTarget, type SendTarget} from './choose_target.js';
+import {
+  chooseInitialModel,
+  chooseTarget,
+  type SendTarget,
+} from './choose_target.js';
 import {planEscalation} from './escalate.js';
 import {createExchangeError} from './exchange_error.js';
 import {
@@ -87,12 +91,6 @@
   }
 }
 
-function chooseInitialModel({admitted}: OpenExchange): string | undefined {
-  const {request, route} = admitted;
-  if (request.generation === undefined) return undefined;
-  return request.generation.model ?? route.models[0];
-}
-
 /** Returns the next target, or undefined once the caller has its response. */
 async function handleAttemptResult(
   context: GatewayContext,
--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -10,6 +10,7 @@
 import type {ForwardedRequest} from '../ports.js';
 import {writeErrorResponse} from '../server/error_response.js';
 import {readRequestBody} from '../server/read_request_body.js';
+import {admitInDrain} from './admit_in_drain.js';
 import {admitRequest, type AdmittedRoute} from './admit.js';
 import {dispatchRequest} from './dispatch.js';
 import {hashSession} from './hash_session.js';
@@ -50,15 +51,17 @@
   sender: RequestSender = 'caller',
 ): Promise<void> {
   const arrivedMs = performance.now();
-  if (context.isStopping()) response.shouldKeepAlive = false;
+  if (context.drain.isDraining) response.shouldKeepAlive = false;
   const relayedVersion = sender === 'host' ? takeRelayedVersion(message) : 0;
   const request = context.codec.decodeRequest(message);
   const table = context.routing.current;
   let admitted: AdmittedRoute | undefined;
   let exchange: OpenExchange | undefined;
   let failure: RouterError | undefined;
+  let endTracking = (): void => undefined;
   try {
-    if (sender === 'host' && context.isStopping()) throw createStoppingError();
+    if (sender === 'host' && context.drain.isDraining)
+      throw createStoppingError();
     if (relayedVersion > (table?.version ?? 0)) throw createBehindError();
     admitted = admitRequest(table, request);
     const limits = table?.snapshot.limits ?? INITIAL_LIMITS;
@@ -66,7 +69,7 @@
       maxBytes: limits.maxBodyBytes,
       idleTimeoutMs: limits.idleTimeoutMs,
     });
-    exchange = OpenExchange.create({
+    const opened = OpenExchange.create({
       ...admitted,
       request,
       routingVersion: table?.version ?? 0,
@@ -76,6 +79,9 @@
       callerHeaders: message.headers,
       isRelayed: sender === 'host',
     });
+    exchange = opened;
+    endTracking = context.drain.track(() => opened.stop('shutdown'));
+    admitInDrain(context, exchange);
     await dispatchRequest(context, exchange);
   } catch (error) {
     failure = normalizeError(error);
@@ -84,6 +90,7 @@
     respondWithError(context, message, response, request, failure);
   } finally {
     exchange?.close();
+    endTracking();
     recordFinished(context, {
       request,
       admitted,
@@ -129,7 +136,7 @@
   if (refusal === undefined || response.headersSent) return;
   response.setHeader(
     RELAY_REFUSED_HEADER,
-    context.isStopping() ? 'stopping' : refusal,
+    context.drain.isDraining ? 'stopping' : refusal,
   );
 }
 
--- a/packages/gateway/src/stages/observe_response.ts
+++ b/packages/gateway/src/stages/observe_response.ts
@@ -32,11 +32,26 @@
 ): number | undefined {
   const {route, request} = exchange.admitted;
   if (end !== 'answered' || request.generation) return undefined;
-  const key = `route ${route.name}`;
   const elapsedMs = performance.now() - sentMs;
-  const expectedMs = context.decodeEstimator.estimateMs(key, 1);
-  context.decodeEstimator.observe(key, 1, elapsedMs);
-  return expectedMs > 0 ? Math.log(elapsedMs / expectedMs) : undefined;
+  const expectedMs = estimateRouteMs(context, route.name);
+  context.decodeEstimator.observe(formatRouteKey(route.name), 1, elapsedMs);
+  return expectedMs && Math.log(elapsedMs / expectedMs);
+}
+
+/**
+ * Estimates how long requests of a route without generation take.
+ *
+ * @returns undefined without observations.
+ */
+export function estimateRouteMs(
+  {decodeEstimator}: GatewayContext,
+  route: string,
+): number | undefined {
+  return decodeEstimator.estimateMs(formatRouteKey(route), 1) || undefined;
+}
+
+function formatRouteKey(route: string): string {
+  return `route ${route}`;
 }
 
 /**
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -43,7 +43,11 @@
   createReadinessServer,
 } from './server/status_servers.js';
 import {MAX_LARGE_BODIES_BYTES} from './stages/read_response_body.js';
-import {drainCallerServer} from './server/drain_caller_server.js';
+import {
+  computeDrainMs,
+  drainCallerServer,
+} from './server/drain_caller_server.js';
+import {HostDrain} from './server/host_drain.js';
 
 /** External dependencies of the gateway. */
 export interface GatewayDependencies {
@@ -91,7 +95,7 @@
   dependencies: GatewayDependencies,
 ): Promise<RunningGateway> {
   const {settings, logger, metrics} = dependencies;
-  let isStopping = false;
+  const drain = HostDrain.create();
   const routing = RoutingState.create(logger);
   const servers = ServerTable.create();
   const pools = ServerPools.create(metrics);
@@ -186,7 +190,7 @@
       initialMsPerToken: INITIAL_PREFILL_MS_PER_TOKEN,
     }),
     decodeEstimator: DecodeTimeEstimator.create(),
-    isStopping: () => isStopping,
+    drain,
   };
   const abortController = new AbortController();
   const callerServer = createCallerServer(context);
@@ -215,19 +219,19 @@
     logger.error('host_registry_fault', {message: String(error)});
   });
   const readinessServer = createReadinessServer(
-    () => !isStopping && follower.isSynced(),
+    () => !drain.isDraining && follower.isSynced(),
   );
   const metricsServer = createMetricsServer(metrics);
   routing.onChange(({snapshot}) => {
-    applyCallerLimits(callerServer, snapshot.limits);
-    relayServer.headersTimeout = snapshot.limits.headerTimeoutMs;
+    applyCallerLimits(callerServer.server, snapshot.limits);
+    relayServer.server.headersTimeout = snapshot.limits.headerTimeoutMs;
     for (const {name, kvCacheTokens: memoryTokens} of snapshot.services) {
       if (memoryTokens !== undefined)
         servers.setKvCacheTokens(name, memoryTokens);
     }
   });
-  await listen(callerServer, settings.listen.callers);
-  await listen(relayServer, settings.listen.hosts);
+  await listen(callerServer.server, settings.listen.callers);
+  await listen(relayServer.server, settings.listen.hosts);
   await listen(readinessServer, settings.listen.readiness);
   await listen(metricsServer, settings.listen.metrics);
   logger.info('gateway_started', {
@@ -248,12 +252,15 @@
     });
   };
   const stop = async (): Promise<void> => {
-    isStopping = true;
+    const drainMs = computeDrainMs(stopGraceMs);
+    drain.begin(drainMs);
     logger.info('gateway_stopping', {graceMs: stopGraceMs});
+    const stopTimer = setTimeout(() => drain.stopAll(), drainMs);
     await Promise.all([
       drainCallerServer(callerServer, stopGraceMs),
       drainCallerServer(relayServer, stopGraceMs),
     ]);
+    clearTimeout(stopTimer);
     abortController.abort();
     clearInterval(tickTimer);
     pools.closeAll();
