Probe the store for changes that a silent connection hides

Cause: a watch on a silent connection hears nothing and is believed until its wait of 4 to 30 s is over. When all hosts are deaf, nobody tells the others.

Change: one host at a time, on a connection of its own, asks the store for changes and tells all others; a watch that does not deliver a known change in 0.4 s is restarted. Each call to the store opens a connection. Removals count as changes too.

--- a/packages/clients/src/http/http_transport.ts
+++ b/packages/clients/src/http/http_transport.ts
@@ -21,6 +21,8 @@
   readonly keepAliveTimeoutMs?: number;
   /** Connect timeout in milliseconds. Default 1000. */
   readonly connectTimeoutMs?: number;
+  /** If false, each request opens a connection of its own. Default true. */
+  readonly reusesConnections?: boolean;
 }
 
 /** A request to an address. */
@@ -70,7 +72,8 @@
   const keepAliveTimeout = options.keepAliveTimeoutMs ?? 2000;
   return {
     connections: options.connectionsPerAddress ?? 128,
-    pipelining: 1,
+    // undici closes connections after each response if this is 0.
+    pipelining: options.reusesConnections === false ? 0 : 1,
     keepAliveTimeout,
     keepAliveMaxTimeout: keepAliveTimeout,
     connect: createLimitedConnector(options.connectTimeoutMs ?? 1000),
--- a/packages/clients/src/objects/watch_objects.ts
+++ b/packages/clients/src/objects/watch_objects.ts
@@ -12,6 +12,17 @@
 import {delay} from '../utils/delay.js';
 import {WatchRestarter} from './watch_restarter.js';
 
+/** How far a watch has come in the changes of the store. */
+export interface WatchProgress {
+  /** All changes up to this store version have been delivered. */
+  readonly storeVersion: number;
+  /**
+   * Store version that a watch must have reached to have delivered the newest
+   * of the changes that came now; undefined if none came.
+   */
+  readonly newestChange: number | undefined;
+}
+
 /** Handlers of a watch; none is called after the signal is aborted. */
 export interface WatchHandlers {
   /**
@@ -21,6 +32,8 @@
   onSnapshot(objects: readonly StoredObject[]): void;
   /** Receives one change; changes come in the order reported by the store. */
   onEvent(event: WatchEvent): void;
+  /** Called after the changes of each call have been delivered. */
+  onProgress?(progress: WatchProgress): void;
   /** Called when a store call failed; the watch continues after a backoff. */
   onError?(error: ObjectStoreFailureError): void;
   /** Called when a call succeeded after one or more failures. */
@@ -148,6 +161,10 @@
       this.handlers.onEvent(event);
     }
     this.version = Math.max(this.version, page.storeVersion);
+    this.handlers.onProgress?.({
+      storeVersion: this.version,
+      newestChange: findNewestChange(page.events, previousVersion),
+    });
     if (page.events.length > 0 && batchDelayMs > 0)
       await delay(batchDelayMs, signal);
   }
@@ -170,6 +187,11 @@
     this.version = snapshot.storeVersion;
     this.isSynced = true;
     this.handlers.onSnapshot(snapshot.objects);
+    const versions = snapshot.objects.map(({version}) => version);
+    this.handlers.onProgress?.({
+      storeVersion: this.version,
+      newestChange: versions.length > 0 ? Math.max(...versions) : undefined,
+    });
   }
 
   // A watch that continues from its last version may not receive the changes
@@ -190,6 +212,28 @@
   }
 }
 
+/**
+ * Finds the newest of the changes after a store version. The store does not tell
+ * the version at which an object was removed; a watch that has delivered the
+ * removal has at least come past the version before it.
+ *
+ * @param removalVersion assumed version of removals.
+ * @returns the store version that a watch must have reached to have delivered
+ *     it; undefined if nothing has changed.
+ */
+export function findNewestChange(
+  events: readonly WatchEvent[],
+  afterVersion: number,
+  removalVersion = afterVersion + 1,
+): number | undefined {
+  const versions = events
+    .filter(({version}) => version > afterVersion)
+    .map(({value, version}) =>
+      value === undefined ? removalVersion : version,
+    );
+  return versions.length > 0 ? Math.max(...versions) : undefined;
+}
+
 /**
  * Reads all pages. The version is that of the first page, so that changes made
  * while later pages are read are reported as events.
--- a/packages/clients/src/objects/watch_restarter.ts
+++ b/packages/clients/src/objects/watch_restarter.ts
@@ -6,6 +6,7 @@
 export class WatchRestarter {
   private callController: AbortController | undefined;
   private isRestartRequested = false;
+  private callStartMs = 0;
 
   private constructor() {}
 
@@ -21,6 +22,12 @@
     return new WatchRestarter();
   }
 
+  /** Time for which a watch call has been pending; undefined if none is. */
+  get pendingMs(): number | undefined {
+    if (this.callController === undefined) return undefined;
+    return performance.now() - this.callStartMs;
+  }
+
   /** Restarts the watch; does nothing while no watch call is pending. */
   restart(): void {
     if (this.callController === undefined) return;
@@ -37,6 +44,7 @@
     const abort = (): void => controller.abort();
     signal.addEventListener('abort', abort, {once: true});
     this.callController = controller;
+    this.callStartMs = performance.now();
     try {
       return await call(controller.signal);
     } finally {
--- /dev/null
+++ b/packages/core/src/freshness/index.ts
@@ -0,0 +1,1 @@
+export * from './probe_delay.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from './errors/finding.js';
 export * from './errors/router_error.js';
 export * from './forwarding/index.js';
+export * from './freshness/index.js';
 export * from './leases/index.js';
 export * from './limits/index.js';
 export * from './membership/index.js';
--- a/packages/core/src/types/object_store.ts
+++ b/packages/core/src/types/object_store.ts
@@ -51,6 +51,8 @@
    * Allows a result that is some seconds old, which is cheaper for the store.
    */
   readonly isStaleAllowed?: boolean;
+  /** Timeout in milliseconds; that of the store by default. */
+  readonly timeoutMs?: number;
 }
 
 /**
--- a/packages/gateway/src/control/hosts/host_messenger.ts
+++ b/packages/gateway/src/control/hosts/host_messenger.ts
@@ -25,6 +25,11 @@
   type RolloutAnnouncement,
 } from '../rollouts/rollout_announcement.js';
 import type {AnnouncementReach} from './announcement_reach.js';
+import {
+  decodeStoreProbe,
+  encodeStoreProbe,
+  type StoreProbe,
+} from '../store/store_probe.js';
 import type {SeenVersion} from '../store/store_version_tracker.js';
 
 /** Dependencies of the messenger between hosts. */
@@ -43,6 +48,8 @@
   readonly onCrash: (announcement: CrashAnnouncement) => void;
   /** Called with what another host tells about the limit of a server. */
   readonly onLimit: (announcement: LimitAnnouncement) => void;
+  /** Called with what a probe of the store by another host has shown. */
+  readonly onStoreProbe: (probe: StoreProbe) => void;
   /** Called with the newest store version that another host has seen. */
   readonly onStoreVersion: (seen: SeenVersion) => void;
   readonly logger: Logger;
@@ -72,6 +79,7 @@
 const BRITTLE_FORMAT = 'b1';
 const LIMIT_FORMAT = 'l1';
 const STORE_VERSION_FORMAT = 'n1';
+const STORE_PROBE_FORMAT = 'p1';
 /** Maximum recipients of a store version, which most hosts see themselves. */
 const MAX_STORE_VERSION_RECIPIENTS = 4;
 
@@ -89,6 +97,7 @@
     [CRASH_FORMAT, fields => this.receiveCrash(fields)],
     [LIMIT_FORMAT, fields => this.receiveLimit(fields)],
     [STORE_VERSION_FORMAT, fields => this.receiveStoreVersion(fields)],
+    [STORE_PROBE_FORMAT, fields => this.receiveStoreProbe(fields)],
   ]);
 
   /** Distinguishes this run of the host from earlier ones. */
@@ -177,6 +186,14 @@
     );
   }
 
+  /** Announces what a probe of the store has shown to all hosts. */
+  announceStoreProbe(probe: StoreProbe): void {
+    this.send(
+      [STORE_PROBE_FORMAT, ...encodeStoreProbe(probe)].join(' '),
+      MAX_RECIPIENTS_BY_REACH.allHosts,
+    );
+  }
+
   private send(message: string, maxRecipients = MAX_RECIPIENTS): void {
     for (const address of this.chooseRecipients(maxRecipients)) {
       const [ip, port] = address.split(':');
@@ -240,6 +257,13 @@
     return true;
   }
 
+  private receiveStoreProbe(fields: readonly string[]): boolean {
+    const probe = decodeStoreProbe(fields);
+    if (probe === undefined) return false;
+    this.options.onStoreProbe(probe);
+    return true;
+  }
+
   private receiveCrash(fields: readonly string[]): boolean {
     const announcement = decodeCrashAnnouncement(fields);
     if (announcement === undefined) return false;
--- a/packages/gateway/src/control/store/store_version_tracker.ts
+++ b/packages/gateway/src/control/store/store_version_tracker.ts
@@ -1,3 +1,4 @@
+import type {WatchProgress} from '@anvilrudder/clients';
 import type {StoreEra} from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
 
@@ -9,6 +10,13 @@
   readonly era: number | undefined;
 }
 
+/** The watch of one kind of object. */
+export interface TrackedWatch {
+  restart(): void;
+  /** Time for which a watch call has been pending; undefined if none is. */
+  readonly pendingMs: number | undefined;
+}
+
 /** Dependencies of the store version tracker. */
 export interface StoreVersionTrackerOptions {
   /** Announces a version to other hosts. */
@@ -17,27 +25,31 @@
   readonly era?: StoreEra;
   readonly logger: Logger;
   /**
-   * Time within which a working watch delivers what another host has seen.
-   * Default 1000.
+   * Time within which a working watch delivers a change that is known to exist.
+   * Default 400.
    */
   readonly graceMs?: number;
 }
 
 interface TrackedKind {
-  readonly restart: () => void;
-  /** Newest version delivered by this host's own watch. */
-  seen: number;
-  /** Newest version announced by another host. */
-  heard: number;
+  readonly watch: TrackedWatch;
+  /** Version up to which this host's own watch has delivered all changes. */
+  reached: number;
+  /** Version that a watch must have reached to know all known changes. */
+  known: number;
+  isChecking: boolean;
+  /** Time until the next check; it grows while a restart does not help. */
+  checkDelayMs: number;
 }
 
-const DEFAULT_GRACE_MS = 1000;
+const DEFAULT_GRACE_MS = 400;
+const MAX_CHECK_DELAY_MS = 5000;
 
 /**
- * Compares the newest store versions that this host and the other hosts have
- * seen, per kind of object. A stalled connection reports no error, so a watch
- * that does not deliver in time what another host has seen is restarted. A
- * change of the store's era resets all versions.
+ * Compares, per kind of object, how far the watch of this host has come with the
+ * changes that are known from other hosts and from probes of the store. A
+ * silent connection reports no error, so a watch that does not deliver a known
+ * change in time is restarted. A change of the store's era resets all versions.
  */
 export class StoreVersionTracker {
   private readonly kinds = new Map<string, TrackedKind>();
@@ -56,27 +68,67 @@
    * @example
    * ```ts
    * const tracker = StoreVersionTracker.create({announce, logger});
-   * tracker.register('servers/', () => restarter.restart());
-   * tracker.recordOwnVersion('servers/', 12);
+   * tracker.register('servers/', restarter);
+   * tracker.recordProgress('servers/', {storeVersion: 12, newestChange: 9});
    * ```
    */
   static create(options: StoreVersionTrackerOptions): StoreVersionTracker {
     return new StoreVersionTracker({graceMs: DEFAULT_GRACE_MS, ...options});
   }
 
-  /** Registers a kind and the callback that restarts its watch. */
-  register(kind: string, restart: () => void): void {
-    this.kinds.set(kind, {restart, seen: 0, heard: 0});
+  /** Registers the watch of a kind. */
+  register(kind: string, watch: TrackedWatch): void {
+    this.kinds.set(kind, {
+      watch,
+      reached: 0,
+      known: 0,
+      isChecking: false,
+      checkDelayMs: this.options.graceMs,
+    });
+  }
+
+  /** Era of all versions; undefined if the store has told none. */
+  get era(): number | undefined {
+    return this.options.era?.current;
+  }
+
+  /** The kinds that are watched. */
+  get kindNames(): readonly string[] {
+    return [...this.kinds.keys()];
+  }
+
+  /** Version up to which the watch of a kind has delivered all changes. */
+  getReached(kind: string): number {
+    return this.kinds.get(kind)?.reached ?? 0;
+  }
+
+  /** The newest change known of each kind. */
+  listKnown(): ReadonlyMap<string, number> {
+    return new Map([...this.kinds].map(([kind, {known}]) => [kind, known]));
+  }
+
+  /** Records how far this host's watch of a kind has come. */
+  recordProgress(
+    kind: string,
+    {storeVersion, newestChange}: WatchProgress,
+  ): void {
+    const tracked = this.kinds.get(kind);
+    if (tracked === undefined) return;
+    tracked.reached = Math.max(tracked.reached, storeVersion);
+    if (newestChange === undefined || newestChange <= tracked.known) return;
+    tracked.known = newestChange;
+    this.options.announce({kind, version: newestChange, era: this.era});
   }
 
-  /** Records the version of an object that this host's watch delivered. */
-  recordOwnVersion(kind: string, version: number): void {
+  /** Records a change that a probe of the store has found. */
+  recordProbed(kind: string, version: number): void {
     const tracked = this.kinds.get(kind);
-    if (tracked === undefined || version <= tracked.seen) return;
-    const isFirstReport = version > tracked.heard;
-    tracked.seen = version;
-    if (!isFirstReport) return;
-    this.options.announce({kind, version, era: this.era});
+    if (tracked !== undefined) this.expect(kind, tracked, version);
+  }
+
+  /** Restarts the watch of a kind. */
+  restart(kind: string): void {
+    this.kinds.get(kind)?.watch.restart();
   }
 
   /**
@@ -91,39 +143,61 @@
       if (era > ownEra) this.recordLaterEra(era);
       return;
     }
-    if (version <= tracked.seen || version <= tracked.heard) return;
-    tracked.heard = version;
-    this.afterGrace(() => {
-      if (this.era !== ownEra || tracked.seen >= version) return;
-      const {seen} = tracked;
-      this.options.logger.info('watch_behind', {kind, seen, heard: version});
-      tracked.restart();
-    });
+    this.expect(kind, tracked, version);
   }
 
-  private get era(): number | undefined {
-    return this.options.era?.current;
+  private expect(kind: string, tracked: TrackedKind, version: number): void {
+    if (version <= tracked.known) return;
+    tracked.known = version;
+    tracked.checkDelayMs = this.options.graceMs;
+    this.checkLater(kind, tracked);
+  }
+
+  private checkLater(kind: string, tracked: TrackedKind): void {
+    if (tracked.isChecking || tracked.reached >= tracked.known) return;
+    tracked.isChecking = true;
+    setTimeout(() => {
+      tracked.isChecking = false;
+      this.check(kind, tracked);
+    }, tracked.checkDelayMs).unref();
+  }
+
+  private check(kind: string, tracked: TrackedKind): void {
+    const {reached, known, watch} = tracked;
+    if (reached >= known) return;
+    // Without a pending call the watch is being listed or is about to call.
+    const {pendingMs = 0} = watch;
+    if (pendingMs >= this.options.graceMs) {
+      this.options.logger.info('watch_behind', {
+        kind,
+        seen: reached,
+        heard: known,
+      });
+      watch.restart();
+      tracked.checkDelayMs = Math.min(
+        MAX_CHECK_DELAY_MS,
+        2 * tracked.checkDelayMs,
+      );
+    }
+    this.checkLater(kind, tracked);
   }
 
   private recordLaterEra(heardEra: number): void {
     if (heardEra <= this.heardEra) return;
     this.heardEra = heardEra;
-    this.afterGrace(() => {
+    const check = (): void => {
       const {era} = this;
       if (era === undefined || era >= heardEra) return;
       this.options.logger.info('store_era_behind', {era, heard: heardEra});
-      for (const {restart} of this.kinds.values()) restart();
-    });
+      for (const {watch} of this.kinds.values()) watch.restart();
+    };
+    setTimeout(check, this.options.graceMs).unref();
   }
 
   private reset(): void {
     for (const tracked of this.kinds.values()) {
-      tracked.seen = 0;
-      tracked.heard = 0;
+      tracked.reached = 0;
+      tracked.known = 0;
     }
   }
-
-  private afterGrace(check: () => void): void {
-    setTimeout(check, this.options.graceMs).unref();
-  }
 }
--- a/packages/gateway/src/control/store/watch_kind.ts
+++ b/packages/gateway/src/control/store/watch_kind.ts
@@ -66,7 +66,7 @@
   const {store, logger, metrics, signal, random, batchDelayMs} = options;
   const {versionTracker, readWaitMs} = options;
   const restarter = WatchRestarter.create();
-  versionTracker.register(kind.prefix, () => restarter.restart());
+  versionTracker.register(kind.prefix, restarter);
   let unavailableSinceMs: number | undefined;
   const decodeObject = (object: StoredObject): DecodedObject<T> => {
     const name = object.key.slice(kind.prefix.length);
@@ -87,8 +87,6 @@
     {
       onSnapshot: objects => {
         handlers.onAll(objects.map(decodeObject));
-        const versions = objects.map(({version}) => version);
-        versionTracker.recordOwnVersion(kind.prefix, Math.max(0, ...versions));
       },
       onEvent: ({key, version, value}) => {
         if (value === undefined) {
@@ -96,8 +94,9 @@
           return;
         }
         handlers.onPut(decodeObject({key, version, value}));
-        versionTracker.recordOwnVersion(kind.prefix, version);
       },
+      onProgress: progress =>
+        versionTracker.recordProgress(kind.prefix, progress),
       onError: error => {
         metrics.count('store_failures_total', {failure: error.failure});
         logger.info('store_call_failed', {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,6 +26,8 @@
 } from './control/rollouts/rollout_state_writer.js';
 export type {LimitAnnouncement} from './control/servers/limit_announcement.js';
 export {ServerLimits} from './control/servers/server_limits.js';
+export * from './control/store/store_probe.js';
+export * from './control/store/store_prober.js';
 export * from './control/store/store_version_tracker.js';
 export * from './control/store/watch_kind.js';
 export * from './ports.js';
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -25,6 +25,7 @@
 import {ServerDirectory} from './control/servers/server_directory.js';
 import {ServerLimits} from './control/servers/server_limits.js';
 import {ServerPools} from './control/servers/server_pools.js';
+import {StoreProber} from './control/store/store_prober.js';
 import {StoreVersionTracker} from './control/store/store_version_tracker.js';
 import {
   createRolloutStateWriter,
@@ -125,6 +126,7 @@
     onLimit: announcement => serverLimits.receive(announcement),
     onRollout: (member, announcement) =>
       rollouts.receiveAnnouncement(member, announcement),
+    onStoreProbe: probe => storeProber.receive(probe),
     onStoreVersion: seen => versionTracker.recordRemoteVersion(seen),
   });
   const crashGuard = CrashGuard.create({
@@ -157,6 +159,13 @@
     era: dependencies.store.era,
     announce: seen => hostMessenger.announceStoreVersion(seen),
   });
+  const storeProber = StoreProber.create({
+    ...dependencies,
+    smallPrefix: dependencies.kinds.hosts.prefix,
+    versionTracker,
+    hosts,
+    announce: probe => hostMessenger.announceStoreProbe(probe),
+  });
   const rollouts = RolloutController.create({
     stateWriter: createRolloutStateWriter(
       dependencies.store,
@@ -218,6 +227,9 @@
   hosts.run(abortController.signal).catch((error: unknown) => {
     logger.error('host_registry_fault', {message: String(error)});
   });
+  storeProber.run(abortController.signal).catch((error: unknown) => {
+    logger.error('store_prober_fault', {message: String(error)});
+  });
   const readinessServer = createReadinessServer(
     () => !drain.isDraining && follower.isSynced(),
   );
