Close a connection whose answer belongs to another request

Cause: an answer with the id of another request ended the exchange, but its connection went back to the pool when that answer was complete.

Change: such an answer closes its connection, whether it has ended or not; the same for answers of hosts that relay.

Evidence: the tests "... on a kept connection closes it" of foreign_responses failed for copies with 503, 429 and 421 (the connection was open after 5 s), and pass now. That such a copy does not tell a caller "not run" is tested beside them and held before. cut_responses shows that no response of eight framings that is cut at any byte looks whole; it held before.

--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -200,6 +200,7 @@
     const exchange = HttpExchange.create({
       ...request,
       confirmEnd: () => connection?.hasHealthySocket ?? false,
+      closeConnection: () => connection?.close(),
     });
     if (connection === undefined) {
       exchange.fail('connect', new Error('all connections are busy'));
--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -28,6 +28,8 @@
    * normal end of a response that ends with the connection.
    */
   readonly confirmEnd?: () => boolean;
+  /** Closes the connection, during the exchange or after it. */
+  readonly closeConnection?: () => void;
 }
 
 /** Status and headers of a response, and its body as a stream. */
@@ -40,6 +42,11 @@
    * request is aborted if the response does not end within a second.
    */
   discard(): void;
+  /**
+   * Closes the connection, whether the response has ended or not, because what
+   * arrives on it can't be trusted.
+   */
+  closeConnection(): void;
 }
 
 const FIRST_FINAL_STATUS = 200;
@@ -114,6 +121,7 @@
       headers,
       chunks: this.chunks,
       discard: () => this.discard(),
+      closeConnection: () => this.closeConnection(),
     });
   }
 
@@ -168,6 +176,11 @@
     this.controller?.resume();
   }
 
+  private closeConnection(): void {
+    this.fail('aborted');
+    this.options.closeConnection?.();
+  }
+
   private close(): void {
     this.isFinished = true;
     clearTimeout(this.timer);
--- a/packages/gateway/src/stages/relay_through_host.ts
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -106,7 +106,7 @@
     });
     const head = context.codec.decodeResponseHead(stream.headers);
     if (head.requestId === request.id) return stream;
-    stream.discard();
+    stream.closeConnection();
     throw createExchangeError(context, exchange);
   } catch (error) {
     if (!isTransportError(error)) throw error;
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -126,6 +126,8 @@
     context.hostRelay.recordReached(service.name);
     const head = context.codec.decodeResponseHead(stream.headers);
     const end = classifyHead(request.id, stream.status, head);
+    // The answer to this request may follow on the connection.
+    if (end === 'garbled') stream.closeConnection();
     recordAvailability(context, send, stream.status, head, sentMs);
     if (isProvenNotRun(end)) exchange.mayHaveRun = mayHaveRunBefore;
     context.servers.markAnswering(send);
