Reject heads that begin with a part of another response

Cause: a refusal that breaks off inside a header's value or the reason of its status line, and the next answer on the connection, are one well-formed head: the status and the refusal of the first, the id of the second.

Change: a head in which a status line stands inside the reason or a value fails the exchange as malformed, which promises nothing and closes the connection.

--- a/packages/clients/src/errors/transport_error.ts
+++ b/packages/clients/src/errors/transport_error.ts
@@ -9,7 +9,13 @@
 
 /** Why a request ended without a complete response. */
 export type TransportFailure =
-  'connect' | 'timeout' | 'aborted' | 'withheld' | 'cut' | 'tooLarge';
+  | 'connect'
+  | 'timeout'
+  | 'aborted'
+  | 'withheld'
+  | 'cut'
+  | 'tooLarge'
+  | 'malformed';
 
 const TransportErrorClass = BaseError.subclass('TransportError');
 
--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -147,8 +147,8 @@
 ): Dispatcher.DispatchHandler {
   return {
     onRequestStart: controller => exchange.onRequestStart(controller),
-    onResponseStart: (controller, status, headers) =>
-      exchange.onResponseStart(controller, status, headers),
+    onResponseStart: (controller, status, headers, reason) =>
+      exchange.onResponseStart(controller, status, headers, reason),
     onResponseData: (controller, chunk) => {
       onBodyBytes(chunk.length);
       exchange.onResponseData(controller, chunk);
--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -6,6 +6,7 @@
   type TransportFailure,
 } from '../errors/transport_error.js';
 import {ChunkQueue} from './chunk_queue.js';
+import {isMergedHead} from './merged_head.js';
 
 /** Options of {@link HttpExchange}. */
 export interface ExchangeOptions {
@@ -111,8 +112,13 @@
     _controller: Dispatcher.DispatchController,
     status: number,
     headers: IncomingHttpHeaders,
+    reason?: string,
   ): void {
     if (status < FIRST_FINAL_STATUS || this.isFinished) return;
+    if (isMergedHead(reason, headers)) {
+      this.fail('malformed');
+      return;
+    }
     this.phase = 'streaming';
     this.remainingBytes = parseContentLength(headers['content-length']);
     this.startTimer(this.options.idleTimeoutMs);
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -16,6 +16,7 @@
 export * from './objects/put_with_readback.js';
 export * from './objects/retrying_store.js';
 export * from './objects/store_wrapper.js';
+export * from './objects/transport_failures.js';
 export * from './objects/watch_objects.js';
 export * from './objects/watch_restarter.js';
 export * from './services/rating_client.js';
--- a/packages/clients/src/objects/http_object_store.ts
+++ b/packages/clients/src/objects/http_object_store.ts
@@ -12,10 +12,7 @@
   createObjectStoreError,
   type ObjectStoreFailure,
 } from '../errors/object_store_error.js';
-import {
-  isTransportError,
-  type TransportFailure,
-} from '../errors/transport_error.js';
+import {isTransportError} from '../errors/transport_error.js';
 import {
   HttpTransport,
   type HttpResponse,
@@ -28,6 +25,7 @@
   readStoredObject,
   readWatchPage,
 } from './object_responses.js';
+import {STORE_FAILURE_BY_TRANSPORT_FAILURE} from './transport_failures.js';
 
 /** Options of {@link HttpObjectStore}. */
 export interface HttpObjectStoreOptions extends HttpTransportOptions {
@@ -50,17 +48,6 @@
 const DEFAULT_TIMEOUT_MS = 2000;
 const DEFAULT_PAGE_LIMIT = 500;
 
-const FAILURE_BY_TRANSPORT_FAILURE: Readonly<
-  Record<TransportFailure, ObjectStoreFailure>
-> = {
-  connect: 'connect',
-  timeout: 'timeout',
-  aborted: 'aborted',
-  withheld: 'aborted',
-  cut: 'cut',
-  tooLarge: 'badAnswer',
-};
-
 interface StatusFailure {
   readonly failure: ObjectStoreFailure;
   readonly execution: Execution;
@@ -216,7 +203,7 @@
       if (!isTransportError(error)) throw error;
       const isUnsent = error.phase === 'beforeFirstByte';
       throw createObjectStoreError(`object API call failed: ${error.failure}`, {
-        failure: FAILURE_BY_TRANSPORT_FAILURE[error.failure],
+        failure: STORE_FAILURE_BY_TRANSPORT_FAILURE[error.failure],
         execution: isUnsent ? 'notRun' : 'unknown',
         cause: error,
       });
--- a/packages/clients/test/faults/cut_responses.test.ts
+++ b/packages/clients/test/faults/cut_responses.test.ts
@@ -17,7 +17,7 @@
   readonly endsWithConnection: boolean;
 }
 
-const CHUNKED_BODY = `4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n`;
+const CHUNKED_BODY = '4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n';
 
 const FRAMINGS: readonly Framing[] = [
   {
