Send a request without an id on a connection of its own

What callers would see: a request without an id is told "not run" by an earlier refusal on its connection, although it ran (reports of other operators).

Cause: the id that servers echo is what binds an answer to its request, and there is none to compare.

Change: such a request uses no idle connection.

Evidence: three such requests went over one connection before (the test of foreign_responses failed with 1 in place of 3).

--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -49,6 +49,8 @@
  * be closing it. Lower for requests that must not run twice.
  */
 const MAX_IDLE_MS = {retryable: 3000, atMostOnce: 800} as const;
+/** No idle connection is used. */
+const NEW_CONNECTION_MS = -1;
 
 /** The least urgent class that servers support; 0 is the most urgent. */
 const LEAST_URGENCY = 9;
@@ -110,9 +112,7 @@
         createOutboundRequest(exchange, target),
       ),
       body,
-      maxIdleMs: exchange.isRetryable
-        ? MAX_IDLE_MS.retryable
-        : MAX_IDLE_MS.atMostOnce,
+      maxIdleMs: chooseMaxIdleMs(exchange),
       timeoutMs: Math.max(1, exchange.remainingMs),
       signal: exchange.signal,
       confirmSend: () => {
@@ -189,6 +189,13 @@
   });
 }
 
+// Nothing in an answer to a request without an id shows that it is its answer,
+// so no other request may have used the connection.
+function chooseMaxIdleMs({admitted, isRetryable}: OpenExchange): number {
+  if (!admitted.request.id) return NEW_CONNECTION_MS;
+  return isRetryable ? MAX_IDLE_MS.retryable : MAX_IDLE_MS.atMostOnce;
+}
+
 /** Waits until the limit of the server allows the request. */
 async function waitForTurn(
   {signal}: OpenExchange,
