Go on with a broken stream only where an answer fits its place

Cause: a resumption was judged by its status 200 alone.

Change: core compares the status and the media type with those of the stream, and the id of the first event with the last one that the caller has. Another answer closes its connection; the stream goes on at a further server or is cut.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -19,6 +19,7 @@
 export * from './server_load.js';
 export * from './server_table.js';
 export * from './session_versions.js';
+export * from './stream_resumption.js';
 export * from './suspect_ids.js';
 export * from './version_evidence.js';
 export * from './crash_suspects.js';
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -1,5 +1,10 @@
 import {isTransportError} from '@anvilrudder/clients';
-import {decideNextStep, isNeverSent, type AttemptEnd} from '@anvilrudder/core';
+import {
+  canContinueStream,
+  decideNextStep,
+  isNeverSent,
+  type AttemptEnd,
+} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {beginTrial} from './begin_trial.js';
 import {
@@ -241,7 +246,7 @@
     }
     const next =
       end === 'broken'
-        ? await resumeStream(context, exchange, backendResponse)
+        ? await resumeStream(context, exchange, initialResponse)
         : undefined;
     if (next === undefined) {
       if (!response.headersSent) throw createExchangeError(context, exchange);
@@ -253,18 +258,24 @@
   }
 }
 
+function isContinuation(
+  {stream: first}: BackendResponse,
+  {stream: next}: BackendResponse,
+): boolean {
+  return canContinueStream(
+    {status: first.status, contentType: first.headers['content-type']},
+    {status: next.status, contentType: next.headers['content-type']},
+  );
+}
+
 async function resumeStream(
   context: GatewayContext,
   exchange: OpenExchange,
-  interruptedResponse: BackendResponse,
+  initialResponse: BackendResponse,
 ): Promise<BackendResponse | undefined> {
   if (!exchange.isRetryable) return undefined;
   for (;;) {
-    const target = planRetry(
-      context,
-      exchange,
-      interruptedResponse.target.model,
-    );
+    const target = planRetry(context, exchange, initialResponse.target.model);
     if (target === undefined) return undefined;
     consumeRetry(context, exchange, target);
     exchange.resumptions += 1;
@@ -276,10 +287,9 @@
         discardResponse(context, exchange, backendResponse, undefined);
       return undefined;
     }
-    const isStream =
-      backendResponse !== undefined && backendResponse.stream.status === 200;
-    if (end === 'answered' && isStream) return backendResponse;
-    if (backendResponse)
-      discardResponse(context, exchange, backendResponse, end);
+    if (backendResponse === undefined) continue;
+    if (end === 'answered' && isContinuation(initialResponse, backendResponse))
+      return backendResponse;
+    discardResponse(context, exchange, backendResponse, end);
   }
 }
--- a/packages/gateway/src/stages/event_splitter.ts
+++ b/packages/gateway/src/stages/event_splitter.ts
@@ -5,13 +5,20 @@
 const MAX_EVENT_BYTES = 1024 * 1024;
 const MIN_BUFFER_BYTES = 4096;
 
-/** Complete events and the last event id among them. */
+/** Complete events, the id of the first one and the last id among them. */
 export interface CompleteEvents {
   readonly bytes: Buffer;
+  readonly firstId: string | undefined;
   readonly lastId: string | undefined;
 }
 
 const ID_LINE = /^id: ?(.*)$/;
+const LINE_BREAK = /\r?\n/;
+const NO_EVENTS: CompleteEvents = {
+  bytes: EMPTY,
+  firstId: undefined,
+  lastId: undefined,
+};
 
 /**
  * Splits a stream of server-sent events after complete events. Only complete
@@ -53,14 +60,14 @@
   push(chunk: Buffer): CompleteEvents {
     const begin = this.incompleteBytes;
     if (begin === 0 && findLastEventEnd(chunk, 0) === chunk.length)
-      return {bytes: chunk, lastId: readLastId(chunk)};
+      return describeEvents(chunk);
     this.append(chunk);
     const buffered = this.buffer.subarray(0, this.incompleteBytes);
     const end = findLastEventEnd(buffered, begin);
-    if (end === 0) return {bytes: EMPTY, lastId: undefined};
+    if (end === 0) return NO_EVENTS;
     const bytes = Buffer.from(buffered.subarray(0, end));
     this.keepFrom(end);
-    return {bytes, lastId: readLastId(bytes)};
+    return describeEvents(bytes);
   }
 
   private append(chunk: Buffer): void {
@@ -93,11 +100,19 @@
   return 0;
 }
 
-function readLastId(bytes: Buffer): string | undefined {
-  if (bytes.length === 0) return undefined;
-  const lines = bytes.toString('latin1').split('\n');
-  for (let index = lines.length - 1; index >= 0; index -= 1) {
-    const match = ID_LINE.exec(lines[index].replace(/\r$/, ''));
+function describeEvents(bytes: Buffer): CompleteEvents {
+  const lines = bytes.toString('latin1').split(LINE_BREAK);
+  const firstEnd = lines.indexOf('');
+  return {
+    bytes,
+    firstId: findId(lines.slice(0, firstEnd)),
+    lastId: findId(lines.reverse()),
+  };
+}
+
+function findId(lines: readonly string[]): string | undefined {
+  for (const line of lines) {
+    const match = ID_LINE.exec(line);
     if (match !== null) return match[1];
   }
   return undefined;
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -1,4 +1,5 @@
 import {isTransportError} from '@anvilrudder/clients';
+import {followsEvent} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {EventSplitter} from './event_splitter.js';
 import type {OpenExchange} from './open_exchange.js';
@@ -46,6 +47,15 @@
     });
     return {end: 'broken', durationMs: lastMs - firstMs};
   };
+  const endMisplaced = (): RelayResult => {
+    backendResponse.stream.closeConnection();
+    context.logger.warn('stream_misplaced', {
+      request: request.id,
+      server: send.server.id,
+      after: exchange.lastEventId,
+    });
+    return {end: 'broken', durationMs: 0};
+  };
   const finish = (end: RelayEnd): RelayResult => {
     if (end === 'broken')
       recordCut(context, exchange, send, sentMs, chunkCount > 0);
@@ -53,10 +63,13 @@
   };
   try {
     for await (const chunk of backendResponse.stream.chunks) {
-      const {bytes, lastId} = splitter.push(chunk);
+      const {bytes, firstId, lastId} = splitter.push(chunk);
       if (splitter.isEventTooLarge) return endOversized();
       if (bytes.length === 0) continue;
       if (exchange.stopped !== undefined) return finish('stopped');
+      const isResumed = exchange.resumptions > 0 && chunkCount === 0;
+      if (isResumed && !followsEvent(exchange.lastEventId, firstId))
+        return endMisplaced();
       lastMs = performance.now();
       if (chunkCount === 0) {
         firstMs = lastMs;
