Pass on an error in place of a stream as the server sent it

What callers saw: 502 in place of the server's status and text, when a server answered a streaming request with another status than 200 and a body without a blank line.

Cause: the body was split into events; without a blank line it counted as an incomplete event of a broken stream.

Change: only responses with status 200 are relayed as streams; others are read whole.

Evidence: "an error in place of a stream reaches the caller as the server sent it" failed before (502), and passes now.

--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -44,6 +44,7 @@
 
 /** Timers may fire early by up to this time. */
 const TIMER_SLACK_MS = 1;
+const STREAM_STATUS = 200;
 
 /**
  * Sends an admitted request to backend servers until a response has been
@@ -120,7 +121,10 @@
     exchange.escalations += 1;
     return escalationTarget;
   }
-  return exchange.admitted.route.kind === 'stream'
+  const isStream =
+    exchange.admitted.route.kind === 'stream' &&
+    backendResponse.stream.status === STREAM_STATUS;
+  return isStream
     ? relayStreamedResponse(context, exchange, backendResponse)
     : relayBufferedResponse(context, exchange, backendResponse);
 }
