Log who ended a stream, how and behind which event

A stream that was cut could not be told from one that ended: its line of the log said 'answered', the cut was logged below the level that is written, and no line named what marked the end of the answer. stream_ended gives framing, failure, last event and the bytes behind it; stream_ends_total counts them.

Nothing is decided otherwise: isDelimitedByClose has become a field of the response (framing), read in one place.

--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -5,6 +5,7 @@
   type RequestPhase,
   type TransportFailure,
 } from '../errors/transport_error.js';
+import {readBodyFraming, type BodyFraming} from './body_framing.js';
 import {ChunkQueue} from './chunk_queue.js';
 import {isMergedHead} from './merged_head.js';
 
@@ -37,6 +38,8 @@
 export interface HttpStream {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
+  /** What marks the end of {@link chunks}. */
+  readonly framing: BodyFraming;
   readonly chunks: AsyncIterableIterator<Buffer>;
   /**
    * Discards the rest of the response so that the connection can be reused. The
@@ -125,6 +128,7 @@
     this.resolveOpened({
       status,
       headers,
+      framing: readBodyFraming(headers),
       chunks: this.chunks,
       discard: () => this.discard(),
       closeConnection: () => this.closeConnection(),
--- a/packages/gateway/src/stages/event_splitter.ts
+++ b/packages/gateway/src/stages/event_splitter.ts
@@ -48,6 +48,11 @@
     return this.incompleteBytes > 0;
   }
 
+  /** Bytes received of the event that is incomplete. */
+  get incompleteEventBytes(): number {
+    return this.incompleteBytes;
+  }
+
   /** True once the last event is too large to wait for its end. */
   get isEventTooLarge(): boolean {
     return this.incompleteBytes > MAX_EVENT_BYTES;
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -56,9 +56,16 @@
     });
     return {end: 'broken', durationMs: 0};
   };
-  const finish = (end: RelayEnd): RelayResult => {
+  const finish = (end: RelayEnd, failure?: string): RelayResult => {
     if (end === 'broken')
       recordCut(context, exchange, send, sentMs, chunkCount > 0);
+    logStreamEnd(context, exchange, {
+      end,
+      failure,
+      backendResponse,
+      chunkCount,
+      incompleteBytes: splitter.incompleteEventBytes,
+    });
     return {end, durationMs: lastMs - firstMs};
   };
   try {
@@ -84,17 +91,44 @@
     }
   } catch (error) {
     if (!isTransportError(error)) throw error;
-    context.logger.debug('stream_cut', {
-      request: exchange.admitted.request.id,
-      server: backendResponse.send.server.id,
-      failure: error.failure,
-    });
-    return finish(exchange.stopped === undefined ? 'broken' : 'stopped');
+    return finish(
+      exchange.stopped === undefined ? 'broken' : 'stopped',
+      error.failure,
+    );
   }
   if (exchange.stopped !== undefined) return finish('stopped');
   return finish(splitter.hasIncompleteEvent ? 'broken' : 'whole');
 }
 
+interface StreamEnd {
+  readonly end: RelayEnd;
+  readonly failure: string | undefined;
+  readonly backendResponse: BackendResponse;
+  readonly chunkCount: number;
+  readonly incompleteBytes: number;
+}
+
+/** Logs who ended a stream and where; a framed end in order needs no line. */
+function logStreamEnd(
+  {logger, metrics}: GatewayContext,
+  {admitted, lastEventId}: OpenExchange,
+  {end, failure, backendResponse, chunkCount, incompleteBytes}: StreamEnd,
+): void {
+  const {framing} = backendResponse.stream;
+  metrics.count('stream_ends_total', {framing, end});
+  if (end === 'whole' && framing !== 'connection' && chunkCount > 0) return;
+  logger.info('stream_ended', {
+    request: admitted.request.id,
+    server: backendResponse.send.server.id,
+    end,
+    framing,
+    failure: failure ?? 'none',
+    chunks: chunkCount,
+    lastEvent: lastEventId,
+    incompleteBytes,
+  });
+}
+
 /** Ends a stream that was received completely. */
 export function endStream(
   exchange: OpenExchange,
--- a/packages/gateway/src/stages/response_headers.ts
+++ b/packages/gateway/src/stages/response_headers.ts
@@ -3,7 +3,6 @@
   OutgoingHttpHeaders,
   ServerResponse,
 } from 'node:http';
-import type {HttpStream} from '@anvilrudder/clients';
 
 /** Hop-by-hop headers; they apply to a single connection. */
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
@@ -46,12 +45,6 @@
   return connection.split(',').map(name => name.trim().toLowerCase());
 }
 
-/** True if only the end of the connection delimits the response body. */
-export function isDelimitedByClose({headers}: HttpStream): boolean {
-  const hasLength = headers['content-length'] !== undefined;
-  return !hasLength && headers['transfer-encoding'] === undefined;
-}
-
 /**
  * Delimits the response by the end of its connection, as the backend server
  * did. Other framing would mark the body as complete, which the router cannot
--- a/packages/gateway/src/stages/write_response.ts
+++ b/packages/gateway/src/stages/write_response.ts
@@ -1,11 +1,7 @@
 import {once} from 'node:events';
 import type {HttpStream} from '@anvilrudder/clients';
 import type {OpenExchange} from './open_exchange.js';
-import {
-  copyEndToEndHeaders,
-  delimitByClose,
-  isDelimitedByClose,
-} from './response_headers.js';
+import {copyEndToEndHeaders, delimitByClose} from './response_headers.js';
 
 /** Responds to the caller with the response of a server, read whole. */
 export function respondWithBody(
@@ -15,7 +11,7 @@
 ): void {
   const {response, arrivedMs, request} = exchange.admitted;
   const headers = copyEndToEndHeaders(stream.headers);
-  if (isDelimitedByClose(stream)) delimitByClose(response);
+  if (stream.framing === 'connection') delimitByClose(response);
   else if (request.method !== 'HEAD') headers['content-length'] = body.length;
   exchange.firstMs = performance.now() - arrivedMs;
   response.writeHead(stream.status, headers);
