Judge in one place whether an answer is whole, and end it by that verdict

What callers saw: streams that servers had broken off ended as if complete.

Cause: 'complete' was concluded from the absence of a sign of a break, in four places on their own, each looking at the last server alone. An event that an earlier server had begun was forgotten when the stream went on; the close of a connection counted as the end of a stream; a broken answer was told by a close in order also where only a close marks the end; events that had arrived went with the connection.

Change: core judges each answer from all that is known (framing, failure, whole and outstanding events of all servers: judgeResponseEnd, StreamProgress), and says how the caller's response may end (chooseCallerEnd): finished, cut before its framed end, or reset. Streams are relayed by one code, from servers and from hosts; what only a close ends is passed on like that. Bytes are sent before a connection is cut. Media type and any success decide whether an answer is a stream; a stream that a caller resumes must go on behind its last event. An outcome of the log no longer says 'answered' for a cut.

--- a/packages/clients/src/http/body_framing.ts
+++ b/packages/clients/src/http/body_framing.ts
@@ -1,10 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
-
-/**
- * What marks the end of a response body: its length, its last chunk, or only the
- * end of the connection, which also ends a body that breaks off.
- */
-export type BodyFraming = 'length' | 'chunks' | 'connection';
+import type {BodyFraming} from '@anvilrudder/core';
 
 /**
  * Reads the framing of a response body from its headers.
--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -1,11 +1,12 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import type {BodyFraming} from '@anvilrudder/core';
 import type {Dispatcher} from 'undici';
 import {
   createTransportError,
   type RequestPhase,
   type TransportFailure,
 } from '../errors/transport_error.js';
-import {readBodyFraming, type BodyFraming} from './body_framing.js';
+import {readBodyFraming} from './body_framing.js';
 import {ChunkQueue} from './chunk_queue.js';
 import {isMergedHead} from './merged_head.js';
 
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -4,7 +4,6 @@
 export * from './errors/object_store_error.js';
 export * from './errors/transport_error.js';
 export * from './hosts/host_list_client.js';
-export type {BodyFraming} from './http/body_framing.js';
 export type {ExchangeOptions, HttpStream} from './http/http_exchange.js';
 export * from './http/connection_pool.js';
 export * from './http/http_transport.js';
--- a/packages/core/src/forwarding/stream_resumption.ts
+++ b/packages/core/src/forwarding/stream_resumption.ts
@@ -4,7 +4,31 @@
   readonly contentType: string | undefined;
 }
 
-const STREAM_STATUS = 200;
+const OK_STATUS = 200;
+const NO_CONTENT_STATUS = 204;
+const FIRST_REDIRECT_STATUS = 300;
+const EVENT_STREAM_TYPE = 'text/event-stream';
+
+/**
+ * Returns true if the body of a response is a stream of events: it has the type
+ * of one, or no type on a route whose responses are streams.
+ *
+ * @example
+ * ```ts
+ * isEventStream({status: 200, contentType: 'application/json'}, true); // false
+ * ```
+ */
+export function isEventStream(
+  head: StreamHead,
+  isStreamingRoute: boolean,
+): boolean {
+  const {status} = head;
+  const isSuccess = status >= OK_STATUS && status < FIRST_REDIRECT_STATUS;
+  if (!isSuccess || status === NO_CONTENT_STATUS) return false;
+  const mediaType = readMediaType(head);
+  if (mediaType === '') return isStreamingRoute;
+  return mediaType === EVENT_STREAM_TYPE;
+}
 
 /**
  * Returns true if a response may go on with a stream whose first response has
@@ -19,7 +43,7 @@
   first: StreamHead,
   next: StreamHead,
 ): boolean {
-  if (next.status !== STREAM_STATUS) return false;
+  if (next.status !== first.status && next.status !== OK_STATUS) return false;
   return readMediaType(first) === readMediaType(next);
 }
 
--- a/packages/gateway/src/server/caller_connections.ts
+++ b/packages/gateway/src/server/caller_connections.ts
@@ -14,12 +14,16 @@
  */
 export class CallerConnections {
   private readonly unused = new Set<Socket>();
+  private readonly pending = new Set<Socket>();
   private readonly states = new WeakMap<Socket, ConnectionState>();
 
   private constructor(server: Server) {
     server.on('connection', (socket: Socket) => {
       this.unused.add(socket);
-      socket.once('close', () => this.unused.delete(socket));
+      socket.once('close', () => {
+        this.unused.delete(socket);
+        this.pending.delete(socket);
+      });
     });
   }
 
@@ -45,9 +49,12 @@
     if (!socket.writable || state.isClosing) return false;
     state.isClosing = isLast();
     state.pendingCount += 1;
+    this.pending.add(socket);
     response.once('finish', () => {
       state.pendingCount -= 1;
-      if (state.pendingCount === 0 && isLast()) socket.end();
+      if (state.pendingCount > 0) return;
+      this.pending.delete(socket);
+      if (isLast()) socket.end();
     });
     return true;
   }
@@ -62,6 +69,14 @@
     }
   }
 
+  /**
+   * Resets the connections on which a response is not complete: after a close in
+   * order, one that the end of its connection marks would look complete.
+   */
+  resetPending(): void {
+    for (const socket of this.pending) socket.resetAndDestroy();
+  }
+
   private readState(socket: Socket): ConnectionState {
     const known = this.states.get(socket);
     if (known !== undefined) return known;
--- a/packages/gateway/src/server/drain_caller_server.ts
+++ b/packages/gateway/src/server/drain_caller_server.ts
@@ -43,6 +43,7 @@
     ]);
     if (isClosed) return;
   }
+  connections.resetPending();
   server.closeAllConnections();
 }
 
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -1,4 +1,3 @@
-import {isTransportError} from '@anvilrudder/clients';
 import {
   canContinueStream,
   decideNextStep,
@@ -25,26 +24,36 @@
   computeStreamSlowness,
 } from './observe_response.js';
 import type {OpenExchange} from './open_exchange.js';
-import {readResponseBody} from './read_response_body.js';
+import {readResponse} from './read_response.js';
 import {logAttempt, recordCut} from './record_send.js';
 import {relayThroughHost} from './relay_through_host.js';
 import {planRetry, refundRetry, consumeRetry} from './retry.js';
-import {endStream, relayEvents, type RelayEnd} from './relay_stream.js';
+import {relayEvents, type RelayEnd, type RelayResult} from './relay_stream.js';
 import {
   endSend,
   sendAttempt,
   type AttemptResult,
   type BackendResponse,
 } from './send_attempt.js';
-import {respondWithBody} from './write_response.js';
+import {
+  canFinishStream,
+  endResponse,
+  isRelayedAsStream,
+  respondWithBody,
+  writeStreamHead,
+} from './write_response.js';
 
 const ATTEMPT_END_BY_RELAY_END: Readonly<
   Record<RelayEnd, AttemptEnd | undefined>
-> = {whole: 'answered', broken: 'lost', stopped: undefined};
+> = {
+  complete: 'answered',
+  unknown: 'answered',
+  broken: 'lost',
+  stopped: undefined,
+};
 
 /** Timers may fire early by up to this time. */
 const TIMER_SLACK_MS = 1;
-const STREAM_STATUS = 200;
 
 /**
  * Sends an admitted request to backend servers until a response has been
@@ -121,10 +130,7 @@
     exchange.escalations += 1;
     return escalationTarget;
   }
-  const isStream =
-    exchange.admitted.route.kind === 'stream' &&
-    backendResponse.stream.status === STREAM_STATUS;
-  return isStream
+  return isRelayedAsStream(exchange, backendResponse.stream)
     ? relayStreamedResponse(context, exchange, backendResponse)
     : relayBufferedResponse(context, exchange, backendResponse);
 }
@@ -179,32 +185,25 @@
   backendResponse: BackendResponse,
   end: AttemptEnd = 'answered',
 ): Promise<SendTarget | undefined> {
-  let body: Buffer;
-  const sentMs = backendResponse.sentMs;
-  try {
-    body = await readResponseBody(backendResponse.stream, context.largeBodies);
-  } catch (error) {
-    if (!isTransportError(error) && !(error instanceof RangeError)) throw error;
+  const {stream, send, sentMs, target} = backendResponse;
+  const {body, verdict, isCutOff} = await readResponse(
+    stream,
+    context.largeBodies,
+  );
+  if (verdict === 'broken') {
     if (exchange.stopped !== undefined) {
-      endSend(context, exchange, backendResponse.send, undefined);
+      endSend(context, exchange, send, undefined);
       throw createExchangeError(context, exchange);
     }
-    if (isTransportError(error) && error.failure === 'cut')
-      recordCut(context, exchange, backendResponse.send, sentMs, true);
-    return handleFailure(
-      context,
-      exchange,
-      backendResponse.target,
-      'lost',
-      backendResponse,
-    );
+    if (isCutOff) recordCut(context, exchange, send, sentMs, true);
+    return handleFailure(context, exchange, target, 'lost', backendResponse);
   }
   context.crashGuard.recordAnswer(exchange.suspectIds);
   const slowness = observeBufferedResponse(context, exchange, end, sentMs);
-  endSend(context, exchange, backendResponse.send, end, slowness);
+  endSend(context, exchange, send, end, slowness);
   if (exchange.stopped !== undefined)
     throw createExchangeError(context, exchange);
-  respondWithBody(exchange, backendResponse.stream, body);
+  respondWithBody(exchange, stream, body, verdict);
   return undefined;
 }
 
@@ -214,54 +213,63 @@
   exchange: OpenExchange,
   initialResponse: BackendResponse,
 ): Promise<SendTarget | undefined> {
+  const {response} = exchange.admitted;
   let backendResponse = initialResponse;
   for (;;) {
-    const {end, durationMs} = await relayEvents(
-      context,
-      exchange,
-      backendResponse,
-    );
-    const attemptEnd = ATTEMPT_END_BY_RELAY_END[end];
-    const slowness =
-      end === 'whole'
-        ? computeStreamSlowness(context, backendResponse)
-        : undefined;
-    endSend(context, exchange, backendResponse.send, attemptEnd, slowness);
-    if (end === 'whole') {
-      context.crashGuard.recordAnswer(exchange.suspectIds);
-      observeDecodeSpeed(
-        context,
-        exchange,
-        backendResponse.target.modelName,
-        durationMs,
-      );
-      endStream(exchange, backendResponse);
+    const {end} = await relayStreamPart(context, exchange, backendResponse);
+    if (end === 'stopped') {
+      if (!response.headersSent) throw createExchangeError(context, exchange);
+      endResponse(exchange, 'broken');
       return undefined;
     }
-    const {response} = exchange.admitted;
-    if (end === 'broken' && !response.headersSent) {
-      return handleFailure(
-        context,
-        exchange,
-        backendResponse.target,
-        'lost',
-        undefined,
-      );
+    if (canFinishStream(exchange, end)) {
+      if (!response.headersSent)
+        writeStreamHead(exchange, backendResponse.stream);
+      endResponse(exchange, end);
+      return undefined;
+    }
+    if (!response.headersSent) {
+      const {target} = backendResponse;
+      return handleFailure(context, exchange, target, 'lost', undefined);
     }
-    const next =
-      end === 'broken'
-        ? await resumeStream(context, exchange, initialResponse)
-        : undefined;
+    const next = await resumeStream(context, exchange, initialResponse);
     if (next === undefined) {
-      if (!response.headersSent) throw createExchangeError(context, exchange);
-      // Closing before the end of the body marks the response as incomplete.
-      response.destroy();
+      endResponse(exchange, end);
       return undefined;
     }
     backendResponse = next;
   }
 }
 
+/** Relays the part of a stream that one server sends, and records its end. */
+async function relayStreamPart(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  backendResponse: BackendResponse,
+): Promise<RelayResult> {
+  const {crashGuard} = context;
+  const {stream, send, sentMs, target} = backendResponse;
+  const [, ...partIds] = exchange.suspectIds;
+  const result = await relayEvents(context, exchange, {
+    stream,
+    sender: send.server.id,
+    onBegin: () => crashGuard.recordAnswer(partIds),
+  });
+  const {end, isCutOff, hasBegun, durationMs} = result;
+  if (isCutOff) recordCut(context, exchange, send, sentMs, hasBegun);
+  const attemptEnd = ATTEMPT_END_BY_RELAY_END[end];
+  const isAnswered = attemptEnd === 'answered';
+  const slowness = isAnswered
+    ? computeStreamSlowness(context, backendResponse)
+    : undefined;
+  endSend(context, exchange, send, attemptEnd, slowness);
+  if (isAnswered) {
+    crashGuard.recordAnswer(exchange.suspectIds);
+    observeDecodeSpeed(context, exchange, target.modelName, durationMs);
+  }
+  return result;
+}
+
 function isContinuation(
   {stream: first}: BackendResponse,
   {stream: next}: BackendResponse,
--- a/packages/gateway/src/stages/event_splitter.ts
+++ b/packages/gateway/src/stages/event_splitter.ts
@@ -29,7 +29,7 @@
  * ```ts
  * const splitter = EventSplitter.create();
  * splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2')).lastId; // '1'
- * splitter.hasIncompleteEvent; // true
+ * splitter.incompleteEventBytes; // 5
  * ```
  */
 export class EventSplitter {
@@ -43,11 +43,6 @@
     return new EventSplitter();
   }
 
-  /** True while the last event is incomplete. */
-  get hasIncompleteEvent(): boolean {
-    return this.incompleteBytes > 0;
-  }
-
   /** Bytes received of the event that is incomplete. */
   get incompleteEventBytes(): number {
     return this.incompleteBytes;
--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -15,6 +15,7 @@
 import {dispatchRequest} from './dispatch.js';
 import {hashSession} from './hash_session.js';
 import {OpenExchange} from './open_exchange.js';
+import {endResponse} from './write_response.js';
 import {
   RELAY_REFUSED_HEADER,
   RELAY_ROUTING_HEADER,
@@ -87,7 +88,9 @@
     failure = normalizeError(error);
     if (failure.code === 'internal') logInternalError(context, request, error);
     if (sender === 'host') markRelayRefusal(context, response, failure);
-    respondWithError(context, message, response, request, failure);
+    if (exchange !== undefined && response.headersSent)
+      endResponse(exchange, 'broken');
+    else respondWithError(context, message, response, request, failure);
   } finally {
     exchange?.close();
     endTracking();
@@ -147,10 +150,6 @@
   request: ForwardedRequest,
   error: RouterError,
 ): void {
-  if (response.headersSent) {
-    response.destroy();
-    return;
-  }
   if (response.destroyed) return;
   writeErrorResponse(response, error, {
     requestId: request.id ?? '',
@@ -186,7 +185,11 @@
 ): void {
   const {request, admitted, exchange, failure, response, arrivedMs} = finished;
   const totalMs = performance.now() - arrivedMs;
-  const outcome = failure?.code ?? exchange?.stopped ?? 'answered';
+  const isBroken = exchange?.responseVerdict === 'broken';
+  const outcome =
+    failure?.code ??
+    exchange?.stopped ??
+    (isBroken ? 'stream_broken' : 'answered');
   const status =
     failure === undefined
       ? response.statusCode
@@ -215,6 +218,7 @@
     escalatedMs: roundMs(exchange?.escalatedMs),
     expectedFirstMs: roundMs(exchange?.expectedFirstMs),
     resumptions: exchange?.resumptions || undefined,
+    responseEnd: exchange?.responseVerdict,
     part: readQuarantinedPart(exchange),
     firstMs: roundMs(exchange?.firstMs),
     totalMs: roundMs(totalMs),
--- a/packages/gateway/src/stages/open_exchange.ts
+++ b/packages/gateway/src/stages/open_exchange.ts
@@ -3,10 +3,13 @@
   digestRequest,
   isRetryableKind,
   RouterError,
+  StreamProgress,
+  type BodyFraming,
   type ForwardOrganisation,
   type ForwardRoute,
   listSuspectIds,
   type Quarantine,
+  type ResponseVerdict,
 } from '@anvilrudder/core';
 import type {ForwardedRequest} from '../ports.js';
 
@@ -59,7 +62,12 @@
   escalatedMs: number | undefined;
   resumptions = 0;
   firstMs: number | undefined;
-  lastEventId: string | undefined;
+  /** What the caller has of a stream, and what is known of its rest. */
+  readonly progress: StreamProgress;
+  /** Framing of the response to the caller, if it is a stream. */
+  callerFraming: BodyFraming = 'chunks';
+  /** Undefined until the response to the caller has ended. */
+  responseVerdict: ResponseVerdict | undefined;
   /** Reason for which it was not sent, or not again. */
   quarantine: Quarantine | undefined;
   /** It is sent to one server only, as it may make servers crash. */
@@ -77,7 +85,7 @@
       this.digest,
       request.generation?.parts ?? [],
     );
-    this.lastEventId = request.lastEventId;
+    this.progress = StreamProgress.create(request.lastEventId);
     const leftMs = Math.max(0, this.endMs - performance.now());
     this.timer = setTimeout(() => this.stop('timeLimit'), leftMs);
     admitted.response.once('close', () => {
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -1,140 +1,167 @@
-import {isTransportError} from '@anvilrudder/clients';
-import {followsEvent} from '@anvilrudder/core';
+import {
+  isTransportError,
+  type HttpStream,
+  type TransportFailure,
+} from '@anvilrudder/clients';
+import type {ResponseVerdict} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {EventSplitter} from './event_splitter.js';
 import type {OpenExchange} from './open_exchange.js';
-import {recordCut} from './record_send.js';
-import type {BackendResponse} from './send_attempt.js';
 import {waitForDrain, writeStreamHead} from './write_response.js';
 
-/** How relaying the stream of one server ended. */
-export type RelayEnd = 'whole' | 'broken' | 'stopped';
+/** How relaying the stream of one sender ended. */
+export type RelayEnd = ResponseVerdict | 'stopped';
 
-/** Result of relaying the stream of one server. */
+/** Why no more of a stream is relayed. */
+type StreamFailure = TransportFailure | 'eventTooLarge' | 'misplaced';
+
+/** A stream, and the server or host that sends it. */
+export interface StreamSource {
+  readonly stream: HttpStream;
+  readonly sender: string;
+  /** Called before the first events are relayed. */
+  readonly onBegin?: () => void;
+}
+
+/** Result of relaying the stream of one sender. */
 export interface RelayResult {
   readonly end: RelayEnd;
-  /** Time from the first relayed chunk to the last. */
+  /** The connection ended before the stream did, as if the sender had crashed. */
+  readonly isCutOff: boolean;
+  /** At least one event was relayed. */
+  readonly hasBegun: boolean;
+  /** Time from the first relayed events to the last. */
   readonly durationMs: number;
 }
 
 /**
- * Relays the events of one server, each once it is complete. The head is
- * written with the first event; a resumed stream keeps the head from its first
- * server. The caller gets chunks, also where only the end of the connection
- * delimits the stream, so that one that breaks off does not look complete.
+ * Relays the events of one sender, each once it is complete. The head is written
+ * with the first event; a resumed stream keeps the head from its first server.
  *
  * @example
  * ```ts
- * const {end} = await relayEvents(context, exchange, backendResponse);
+ * const {end} = await relayEvents(context, exchange, {stream, sender: 'i-1'});
  * ```
  */
-export async function relayEvents(
+export function relayEvents(
   context: GatewayContext,
   exchange: OpenExchange,
-  backendResponse: BackendResponse,
+  source: StreamSource,
 ): Promise<RelayResult> {
-  const {response, request} = exchange.admitted;
-  const {send, sentMs} = backendResponse;
-  const splitter = EventSplitter.create();
-  let chunkCount = 0;
-  let firstMs = 0;
-  let lastMs = 0;
-  const endOversized = (): RelayResult => {
-    const {id} = request;
-    context.logger.warn('event_too_large', {
-      request: id,
-      server: send.server.id,
-    });
-    return {end: 'broken', durationMs: lastMs - firstMs};
-  };
-  const endMisplaced = (): RelayResult => {
-    backendResponse.stream.closeConnection();
-    context.logger.warn('stream_misplaced', {
-      request: request.id,
-      server: send.server.id,
-      after: exchange.lastEventId,
-    });
-    return {end: 'broken', durationMs: 0};
-  };
-  const finish = (end: RelayEnd, failure?: string): RelayResult => {
-    if (end === 'broken')
-      recordCut(context, exchange, send, sentMs, chunkCount > 0);
-    logStreamEnd(context, exchange, {
-      end,
-      failure,
-      backendResponse,
-      chunkCount,
-      incompleteBytes: splitter.incompleteEventBytes,
-    });
-    return {end, durationMs: lastMs - firstMs};
-  };
-  try {
-    for await (const chunk of backendResponse.stream.chunks) {
-      const {bytes, firstId, lastId} = splitter.push(chunk);
-      if (splitter.isEventTooLarge) return endOversized();
-      if (bytes.length === 0) continue;
-      if (exchange.stopped !== undefined) return finish('stopped');
-      const isResumed = exchange.resumptions > 0 && chunkCount === 0;
-      if (isResumed && !followsEvent(exchange.lastEventId, firstId))
-        return endMisplaced();
-      lastMs = performance.now();
-      if (chunkCount === 0) {
-        firstMs = lastMs;
-        const [, ...partIds] = exchange.suspectIds;
-        context.crashGuard.recordAnswer(partIds);
+  return EventRelay.create(context, exchange, source).run();
+}
+
+/** Relays the stream of one sender. */
+class EventRelay {
+  private readonly splitter = EventSplitter.create();
+  private chunkCount = 0;
+  private firstMs = 0;
+  private lastMs = 0;
+
+  private constructor(
+    private readonly context: GatewayContext,
+    private readonly exchange: OpenExchange,
+    private readonly source: StreamSource,
+  ) {}
+
+  static create(
+    context: GatewayContext,
+    exchange: OpenExchange,
+    source: StreamSource,
+  ): EventRelay {
+    return new EventRelay(context, exchange, source);
+  }
+
+  async run(): Promise<RelayResult> {
+    this.exchange.progress.beginPart();
+    return this.conclude(await this.relayChunks());
+  }
+
+  /** Returns why the stream broke off; undefined if its sender ended it. */
+  private async relayChunks(): Promise<StreamFailure | undefined> {
+    try {
+      for await (const chunk of this.source.stream.chunks) {
+        const failure = await this.relayChunk(chunk);
+        if (failure !== undefined) return failure;
       }
-      chunkCount += 1;
-      if (!response.headersSent)
-        writeStreamHead(exchange, backendResponse.stream);
-      if (lastId !== undefined) exchange.lastEventId = lastId;
-      if (!response.write(bytes)) await waitForDrain(exchange);
+    } catch (error) {
+      if (!isTransportError(error)) throw error;
+      return error.failure;
     }
-  } catch (error) {
-    if (!isTransportError(error)) throw error;
-    return finish(
-      exchange.stopped === undefined ? 'broken' : 'stopped',
-      error.failure,
-    );
+    return undefined;
   }
-  if (exchange.stopped !== undefined) return finish('stopped');
-  return finish(splitter.hasIncompleteEvent ? 'broken' : 'whole');
-}
 
-interface StreamEnd {
-  readonly end: RelayEnd;
-  readonly failure: string | undefined;
-  readonly backendResponse: BackendResponse;
-  readonly chunkCount: number;
-  readonly incompleteBytes: number;
-}
+  private async relayChunk(chunk: Buffer): Promise<StreamFailure | undefined> {
+    const {exchange, splitter, source} = this;
+    const {bytes, firstId, lastId} = splitter.push(chunk);
+    if (splitter.isEventTooLarge) return 'eventTooLarge';
+    if (bytes.length === 0) return undefined;
+    if (exchange.stopped !== undefined) return 'aborted';
+    if (!this.isInPlace(firstId)) {
+      source.stream.closeConnection();
+      return 'misplaced';
+    }
+    this.recordTime();
+    this.chunkCount += 1;
+    exchange.progress.recordEvents(lastId);
+    const {response} = exchange.admitted;
+    if (!response.headersSent) writeStreamHead(exchange, source.stream);
+    if (!response.write(bytes)) await waitForDrain(exchange);
+    return undefined;
+  }
 
-/** Logs who ended a stream and where; a framed end in order needs no line. */
-function logStreamEnd(
-  {logger, metrics}: GatewayContext,
-  {admitted, lastEventId}: OpenExchange,
-  {end, failure, backendResponse, chunkCount, incompleteBytes}: StreamEnd,
-): void {
-  const {framing} = backendResponse.stream;
-  metrics.count('stream_ends_total', {framing, end});
-  if (end === 'whole' && framing !== 'connection' && chunkCount > 0) return;
-  logger.info('stream_ended', {
-    request: admitted.request.id,
-    server: backendResponse.send.server.id,
-    end,
-    framing,
-    failure: failure ?? 'none',
-    chunks: chunkCount,
-    lastEvent: lastEventId,
-    incompleteBytes,
-  });
-}
+  // Where a stream can't be resumed, ids of events may mean anything.
+  private isInPlace(firstId: string | undefined): boolean {
+    const {admitted, progress} = this.exchange;
+    return !admitted.route.isResumable || progress.isNext(firstId);
+  }
 
-/** Ends a stream that was received completely. */
-export function endStream(
-  exchange: OpenExchange,
-  backendResponse: BackendResponse,
-): void {
-  const {response} = exchange.admitted;
-  if (!response.headersSent) writeStreamHead(exchange, backendResponse.stream);
-  response.end();
+  private recordTime(): void {
+    this.lastMs = performance.now();
+    if (this.chunkCount > 0) return;
+    this.firstMs = this.lastMs;
+    this.source.onBegin?.();
+  }
+
+  private conclude(failure: StreamFailure | undefined): RelayResult {
+    const {exchange, source, splitter} = this;
+    const {framing} = source.stream;
+    const {incompleteEventBytes: incompleteBytes} = splitter;
+    const hasFailed = failure !== undefined;
+    const end =
+      exchange.stopped === undefined
+        ? exchange.progress.judgeEnd({framing, hasFailed, incompleteBytes})
+        : 'stopped';
+    this.logEnd(end, failure, incompleteBytes);
+    const isOpenEnd = framing === 'connection' || incompleteBytes > 0;
+    const isCutOff = failure === 'cut' || (!hasFailed && isOpenEnd);
+    return {
+      end,
+      isCutOff: end === 'broken' && isCutOff,
+      hasBegun: this.chunkCount > 0,
+      durationMs: this.lastMs - this.firstMs,
+    };
+  }
+
+  /** Logs who ended a stream and where; a framed end in order needs no line. */
+  private logEnd(
+    end: RelayEnd,
+    failure: StreamFailure | undefined,
+    incompleteBytes: number,
+  ): void {
+    const {context, exchange, source, chunkCount} = this;
+    const {framing} = source.stream;
+    context.metrics.count('stream_ends_total', {framing, end});
+    if (end === 'complete' && chunkCount > 0) return;
+    context.logger.info('stream_ended', {
+      request: exchange.admitted.request.id,
+      server: source.sender,
+      end,
+      framing,
+      failure: failure ?? 'none',
+      chunks: chunkCount,
+      lastEvent: exchange.progress.lastEventId,
+      incompleteBytes,
+    });
+  }
 }
--- a/packages/gateway/src/stages/relay_through_host.ts
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -2,10 +2,12 @@
 import type {GatewayContext} from '../gateway_context.js';
 import {createExchangeError} from './exchange_error.js';
 import type {OpenExchange} from './open_exchange.js';
-import {readResponseBody} from './read_response_body.js';
+import {readResponse} from './read_response.js';
+import {relayEvents} from './relay_stream.js';
 import {
+  endResponse,
+  isRelayedAsStream,
   respondWithBody,
-  waitForDrain,
   writeStreamHead,
 } from './write_response.js';
 
@@ -30,7 +32,6 @@
 const MAX_ASKED_HOSTS = 2;
 /** Maximum idle time of a reused connection, see the connections to servers. */
 const MAX_IDLE_MS = 3000;
-const STREAM_STATUS = 200;
 
 /**
  * Lets another host send a request that no server has received, and relays its
@@ -64,7 +65,7 @@
     if (refusal === undefined) {
       exchange.relayedTo = host;
       context.metrics.count('relayed_requests_total');
-      await relayResponse(context, exchange, stream);
+      await relayResponse(context, exchange, stream, host);
       return 'answered';
     }
     stream.discard();
@@ -120,33 +121,28 @@
   context: GatewayContext,
   exchange: OpenExchange,
   stream: HttpStream,
+  host: string,
 ): Promise<void> {
-  const {route} = exchange.admitted;
-  const isStream = route.kind === 'stream' && stream.status === STREAM_STATUS;
-  try {
-    if (isStream) await relayChunks(exchange, stream);
-    else await relayBody(context, exchange, stream);
-  } catch (error) {
-    if (!isTransportError(error) && !(error instanceof RangeError)) throw error;
-    const {response} = exchange.admitted;
-    if (!response.headersSent) throw createExchangeError(context, exchange);
-    // Closing before the end of the body marks the response as incomplete.
-    response.destroy();
-  }
+  if (isRelayedAsStream(exchange, stream))
+    await relayStream(context, exchange, stream, host);
+  else await relayBody(context, exchange, stream);
 }
 
-// The other host passes on whole events, so chunks need not be split again.
-async function relayChunks(
+// The other host has resumed the stream wherever it could.
+async function relayStream(
+  context: GatewayContext,
   exchange: OpenExchange,
   stream: HttpStream,
+  sender: string,
 ): Promise<void> {
   const {response} = exchange.admitted;
-  for await (const chunk of stream.chunks) {
-    if (!response.headersSent) writeStreamHead(exchange, stream);
-    if (!response.write(chunk)) await waitForDrain(exchange);
+  const {end} = await relayEvents(context, exchange, {stream, sender});
+  const verdict = end === 'stopped' ? 'broken' : end;
+  if (!response.headersSent) {
+    if (verdict === 'broken') throw createExchangeError(context, exchange);
+    writeStreamHead(exchange, stream);
   }
-  if (!response.headersSent) writeStreamHead(exchange, stream);
-  response.end();
+  endResponse(exchange, verdict);
 }
 
 async function relayBody(
@@ -154,8 +150,8 @@
   exchange: OpenExchange,
   stream: HttpStream,
 ): Promise<void> {
-  const body = await readResponseBody(stream, context.largeBodies);
-  if (exchange.stopped !== undefined)
+  const {body, verdict} = await readResponse(stream, context.largeBodies);
+  if (exchange.stopped !== undefined || verdict === 'broken')
     throw createExchangeError(context, exchange);
-  respondWithBody(exchange, stream, body);
+  respondWithBody(exchange, stream, body, verdict);
 }
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -232,7 +232,7 @@
     organisation: organisation?.name,
     model: target.model,
     urgency: request.generation && resolveUrgency(exchange, target.workMs),
-    lastEventId: exchange.lastEventId,
+    lastEventId: exchange.progress.lastEventId,
   };
 }
 
--- a/packages/gateway/src/stages/write_response.ts
+++ b/packages/gateway/src/stages/write_response.ts
@@ -1,24 +1,51 @@
 import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {HttpStream} from '@anvilrudder/clients';
+import {
+  chooseCallerEnd,
+  isEventStream,
+  type CallerEnd,
+  type ResponseVerdict,
+} from '@anvilrudder/core';
 import type {OpenExchange} from './open_exchange.js';
 import {copyEndToEndHeaders, delimitByClose} from './response_headers.js';
 
-/** Responds to the caller with the response of a server, read whole. */
+/** A caller that reads nothing for this time loses what it has not read. */
+const FLUSH_TIMEOUT_MS = 1000;
+/** A reset that arrives together with bytes looks like a close to many callers. */
+const RESET_DELAY_MS = 50;
+
+/** Responds to the caller with the response of a server, read to its end. */
 export function respondWithBody(
   exchange: OpenExchange,
   stream: HttpStream,
   body: Buffer,
+  verdict: ResponseVerdict,
 ): void {
   const {response, arrivedMs, request} = exchange.admitted;
   const headers = copyEndToEndHeaders(stream.headers);
-  if (stream.framing === 'connection') delimitByClose(response);
+  if (verdict === 'unknown') delimitByClose(response);
   else if (request.method !== 'HEAD') headers['content-length'] = body.length;
   exchange.firstMs = performance.now() - arrivedMs;
+  exchange.responseVerdict = verdict;
   response.writeHead(stream.status, headers);
   response.end(body);
 }
 
-/** Writes the head of a stream, whose body the caller gets in chunks. */
+/** True if the events of a response are relayed as they arrive. */
+export function isRelayedAsStream(
+  {admitted: {route}}: OpenExchange,
+  {status, headers}: HttpStream,
+): boolean {
+  if (route.kind !== 'stream') return false;
+  return isEventStream({status, contentType: headers['content-type']}, true);
+}
+
+/**
+ * Writes the head of a stream. The caller gets chunks, unless only the end of the
+ * connection marks the end of the stream.
+ */
 export function writeStreamHead(
   exchange: OpenExchange,
   stream: HttpStream,
@@ -26,10 +53,61 @@
   const {response, arrivedMs} = exchange.admitted;
   const headers = copyEndToEndHeaders(stream.headers);
   delete headers['content-length'];
+  if (stream.framing === 'connection') delimitByClose(response);
+  // Callers of HTTP/1.0 get no chunks either.
+  if (!response.useChunkedEncodingByDefault)
+    exchange.callerFraming = 'connection';
   response.writeHead(stream.status, headers);
   exchange.firstMs = performance.now() - arrivedMs;
 }
 
+/** True if the caller may be told no less than that a stream has ended. */
+export function canFinishStream(
+  {callerFraming}: OpenExchange,
+  verdict: ResponseVerdict,
+): boolean {
+  return chooseCallerEnd(verdict, callerFraming) === 'finish';
+}
+
+const WRITE_END: Readonly<
+  Record<CallerEnd, (response: ServerResponse) => void>
+> = {
+  finish: response => response.end(),
+  cut: response => closeAfterWrites(response, socket => socket.destroy()),
+  reset: response =>
+    closeAfterWrites(response, socket => {
+      setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+    }),
+};
+
+/** Ends a response whose head has been written, as its verdict says. */
+export function endResponse(
+  exchange: OpenExchange,
+  verdict: ResponseVerdict,
+): void {
+  exchange.responseVerdict = verdict;
+  WRITE_END[chooseCallerEnd(verdict, exchange.callerFraming)](
+    exchange.admitted.response,
+  );
+}
+
+/** Closes a connection once what was written to it has been sent. */
+function closeAfterWrites(
+  response: ServerResponse,
+  close: (socket: Socket) => void,
+): void {
+  const {socket} = response;
+  if (socket === null || !socket.writable) {
+    response.destroy();
+    return;
+  }
+  const timer = setTimeout(() => close(socket), FLUSH_TIMEOUT_MS);
+  socket.write('', () => {
+    clearTimeout(timer);
+    close(socket);
+  });
+}
+
 /** Waits until the caller has read what was written, or the exchange stops. */
 export async function waitForDrain(exchange: OpenExchange): Promise<void> {
   const {response} = exchange.admitted;
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -43,7 +43,7 @@
   createMetricsServer,
   createReadinessServer,
 } from './server/status_servers.js';
-import {MAX_LARGE_BODIES_BYTES} from './stages/read_response_body.js';
+import {MAX_LARGE_BODIES_BYTES} from './stages/read_response.js';
 import {
   computeDrainMs,
   drainCallerServer,
