See a reset behind unread bytes as a break, not as the end of an answer

Cause: where bytes and a reset arrive before the host reads, the runtime reads the bytes, sees the hang-up and reports an end in order instead of the error (epoll: EPOLLIN, EPOLLERR and EPOLLHUP at once, a partial read, then 'end'). Class: an end is believed as no sign of a break was seen.

Change: behind the end of such an answer the host writes no bytes to its connection. That sends nothing, and fails with ECONNRESET after a reset alone (strace: write(19, "", 0) = -1 ECONNRESET, 0 after a close). The writable half therefore stays open behind an end.

Answers with a length or chunks don't need it.

--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -1,11 +1,13 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Socket} from 'node:net';
+import type {BodyFraming} from '@anvilrudder/core';
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import {
   HttpExchange,
   type ExchangeOptions,
   type HttpStream,
 } from './http_exchange.js';
+import {wasReset} from './reset_detection.js';
 import {ResponseByteLimit} from './response_byte_limit.js';
 
 /** Options of {@link ConnectionPool}. */
@@ -57,7 +59,8 @@
  * timeout fire up to a second late.
  */
 function createPunctualConnector(timeoutMs: number): buildConnector.connector {
-  const connect = buildConnector({timeout: 0});
+  // Open behind an end, so that a reset can be told from it.
+  const connect = buildConnector({timeout: 0, allowHalfOpen: true});
   return (target, callback) => {
     const timer = setTimeout(
       () => socket.destroy(new Error('connect timeout')),
@@ -75,6 +78,7 @@
 class PooledConnection {
   private readonly client: Client;
   private hasSocketFailed = false;
+  private socket: Socket | undefined;
   private byteLimit: ResponseByteLimit | undefined;
   isClosed = false;
   idleSinceMs = 0;
@@ -105,9 +109,13 @@
     return new PooledConnection(options);
   }
 
-  /** False if a reset may have truncated the response that was being read. */
-  get hasHealthySocket(): boolean {
-    return !this.hasSocketFailed;
+  /**
+   * Returns false if a reset may have truncated the response that was being read.
+   */
+  hasEndedInOrder(framing: BodyFraming): boolean {
+    if (this.hasSocketFailed) return false;
+    if (framing !== 'connection') return true;
+    return this.socket !== undefined && !wasReset(this.socket);
   }
 
   dispatch(request: PooledRequest, handler: Dispatcher.DispatchHandler): void {
@@ -129,6 +137,7 @@
   // This listener must run before that of undici, which treats a connection
   // reset as the normal end of a response that ends with the connection.
   private watchSocket(socket: Socket): void {
+    this.socket = socket;
     this.byteLimit = ResponseByteLimit.watch(socket, MAX_OVERHEAD_BYTES);
     socket.once('error', () => {
       this.hasSocketFailed = true;
@@ -199,7 +208,7 @@
     const connection = this.takeIdle(request.maxIdleMs) ?? this.connect();
     const exchange = HttpExchange.create({
       ...request,
-      confirmEnd: () => connection?.hasHealthySocket ?? false,
+      confirmEnd: framing => connection?.hasEndedInOrder(framing) ?? false,
       closeConnection: () => connection?.close(),
     });
     if (connection === undefined) {
--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -30,7 +30,7 @@
    * with `cut`. This is needed because undici treats a connection reset as the
    * normal end of a response that ends with the connection.
    */
-  readonly confirmEnd?: () => boolean;
+  readonly confirmEnd?: (framing: BodyFraming) => boolean;
   /** Closes the connection, during the exchange or after it. */
   readonly closeConnection?: () => void;
 }
@@ -69,6 +69,7 @@
   private isFinished = false;
   private isDiscarding = false;
   private remainingBytes: number | undefined;
+  private framing: BodyFraming = 'connection';
   private controller: Dispatcher.DispatchController | undefined;
   private timer: NodeJS.Timeout | undefined;
   private readonly chunks: ChunkQueue;
@@ -125,11 +126,12 @@
     }
     this.phase = 'streaming';
     this.remainingBytes = parseContentLength(headers['content-length']);
+    this.framing = readBodyFraming(headers);
     this.startTimer(this.options.idleTimeoutMs);
     this.resolveOpened({
       status,
       headers,
-      framing: readBodyFraming(headers),
+      framing: this.framing,
       chunks: this.chunks,
       discard: () => this.discard(),
       closeConnection: () => this.closeConnection(),
@@ -148,7 +150,7 @@
 
   onResponseEnd(): void {
     if (this.isFinished) return;
-    if (this.options.confirmEnd?.() === false) {
+    if (this.options.confirmEnd?.(this.framing) === false) {
       this.fail('cut');
       return;
     }
