Let an odd entry of the store cost that entry alone

Report of other operators: one odd entry among those of the servers ended hosts again and again, or they stopped following the list.

Seen here (odd_entries, written first: 2 passed, 24 failed): an entry of servers, configurations or rollouts that is nested 100,000 levels deep ended the host (RangeError in the text that is made of it, an unhandled rejection of the watch), one of hosts with port 99999 did too (ERR_SOCKET_BAD_PORT of a datagram); a server with port 99999 or address 999.1.1.1 cost requests 500; numbers out of range, states named like properties of all objects, fields of another type and organisations or services that are no list were taken; an entry that can't be used was logged with each list.

Class: a field is used without a look at its range.

odd_entries and configuration_changes: 31 passed.

--- a/packages/clients/src/http/json.ts
+++ b/packages/clients/src/http/json.ts
@@ -34,6 +34,24 @@
   return typeof value === 'string' ? value : undefined;
 }
 
+/** Returns the field if it is an integer that numbers hold exactly. */
+export function readInteger(
+  object: JsonObject,
+  field: string,
+): number | undefined {
+  const value = object[field];
+  return Number.isSafeInteger(value) ? (value as number) : undefined;
+}
+
+/** Returns the objects of a field that is an array, otherwise undefined. */
+export function readObjectsOf(
+  object: JsonObject,
+  field: string,
+): readonly JsonObject[] | undefined {
+  const value = object[field];
+  return Array.isArray(value) ? value.filter(isJsonObject) : undefined;
+}
+
 /** Returns the field if it is an array of objects, otherwise undefined. */
 export function readObjects(
   object: JsonObject,
--- a/packages/gateway/src/control/hosts/host_registry.ts
+++ b/packages/gateway/src/control/hosts/host_registry.ts
@@ -5,7 +5,7 @@
   readString,
   type JsonObject,
 } from '@anvilrudder/clients';
-import type {ObjectStore} from '@anvilrudder/core';
+import {isSocketAddress, type ObjectStore} from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
 import type {WatchedKind} from '../store/watch_kind.js';
 
@@ -50,11 +50,12 @@
   retryMs: 2000,
 } as const satisfies HostRegistryIntervals;
 
-/** Decodes the entry of a host; undefined if it has no address. */
+/** Decodes the entry of a host; undefined if it has no valid address. */
 export function readHostEntry(entry: JsonObject): HostEntry | undefined {
   const address = readString(entry, 'address');
   const failureDomain = readString(entry, 'failureDomain');
-  return address === undefined ? undefined : {address, failureDomain};
+  if (address === undefined || !isSocketAddress(address)) return undefined;
+  return {address, failureDomain};
 }
 
 /**
--- a/packages/gateway/src/control/store/watch_kind.ts
+++ b/packages/gateway/src/control/store/watch_kind.ts
@@ -67,12 +67,16 @@
   const {versionTracker, readWaitMs} = options;
   const restarter = WatchRestarter.create();
   versionTracker.register(kind.prefix, restarter);
+  const unreadable = new Map<string, number>();
   let unavailableSinceMs: number | undefined;
   const decodeObject = (object: StoredObject): DecodedObject<T> => {
     const name = object.key.slice(kind.prefix.length);
     const json = parseJsonObject(object.value);
     const value = json && kind.decode(name, json);
-    if (value === undefined) {
+    if (value !== undefined) unreadable.delete(name);
+    else if (unreadable.get(name) !== object.version) {
+      // Lists bring the same version of an object again and again.
+      unreadable.set(name, object.version);
       metrics.count('unreadable_objects_total', {kind: kind.prefix});
       logger.warn('object_unreadable', {
         key: object.key,
@@ -86,11 +90,16 @@
     kind.prefix,
     {
       onSnapshot: objects => {
+        const listed = new Set(objects.map(({key}) => key));
+        for (const name of unreadable.keys())
+          if (!listed.has(kind.prefix + name)) unreadable.delete(name);
         handlers.onAll(objects.map(decodeObject));
       },
       onEvent: ({key, version, value}) => {
         if (value === undefined) {
-          handlers.onRemoved(key.slice(kind.prefix.length));
+          const name = key.slice(kind.prefix.length);
+          unreadable.delete(name);
+          handlers.onRemoved(name);
           return;
         }
         handlers.onPut(decodeObject({key, version, value}));
