--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -25,6 +25,6 @@
 export * from './utils/backoff.js';
 export * from './utils/circuit_breaker.js';
 export * from './utils/delay.js';
-export * from './utils/hangup_listener.js';
+export * from './utils/signal_listener.js';
 export * from './utils/sse_parser.js';
 export * from './utils/token_bucket.js';
--- a/packages/clients/src/utils/hangup_listener.ts
+++ b/packages/clients/src/utils/signal_listener.ts
@@ -1,8 +1,8 @@
 /**
- * Listens to SIGHUP from the start of the program, as the signal would end a
+ * Listens to a signal from the start of the program, as the signal would end a
  * process that does not. A signal that comes during the start is handled after it.
  */
-export class HangupListener {
+export class SignalListener {
   private handler: (() => void) | undefined;
   private isPending = false;
 
@@ -11,13 +11,13 @@
   /**
    * @example
    * ```ts
-   * const hangups = HangupListener.create();
+   * const hangups = SignalListener.create('SIGHUP');
    * hangups.handle(() => reloadSettings());
    * ```
    */
-  static create(): HangupListener {
-    const listener = new HangupListener();
-    process.on('SIGHUP', () => listener.receive());
+  static create(signal: NodeJS.Signals): SignalListener {
+    const listener = new SignalListener();
+    process.on(signal, () => listener.receive());
     return listener;
   }
 
--- a/packages/entry/src/cli/entry_command.ts
+++ b/packages/entry/src/cli/entry_command.ts
@@ -1,5 +1,5 @@
 import {readFileSync} from 'node:fs';
-import {HangupListener} from '@anvilrudder/clients';
+import {SignalListener} from '@anvilrudder/clients';
 import {formatFinding} from '@anvilrudder/core';
 import {defineCommand, type ArgsDef} from 'citty';
 import {parseSettings} from '../config/parse_settings.js';
@@ -35,7 +35,7 @@
   },
   args: ENTRY_OPTIONS,
   async run({args}) {
-    const hangups = HangupListener.create();
+    const hangups = SignalListener.create('SIGHUP');
     const settings = loadSettings(args.config);
     if (settings === undefined) {
       process.exitCode = ENTRY_EXIT_CODES.invalidSettings;
