--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -234,7 +234,7 @@
     }
     const next = await resumeStream(context, exchange, initialResponse);
     if (next === undefined) {
-      endResponse(exchange, end);
+      endResponse(exchange, 'broken');
       return undefined;
     }
     backendResponse = next;
--- a/packages/gateway/src/stages/write_response.ts
+++ b/packages/gateway/src/stages/write_response.ts
@@ -12,7 +12,7 @@
 import {copyEndToEndHeaders, delimitByClose} from './response_headers.js';
 
 /** A caller that reads nothing for this time loses what it has not read. */
-const FLUSH_TIMEOUT_MS = 1000;
+const FLUSH_TIMEOUT_MS = 300;
 /** A reset that arrives together with bytes looks like a close to many callers. */
 const RESET_DELAY_MS = 50;
 
@@ -61,7 +61,7 @@
   exchange.firstMs = performance.now() - arrivedMs;
 }
 
-/** True if the caller may be told no less than that a stream has ended. */
+/** True if a stream with this verdict ends in order for its caller. */
 export function canFinishStream(
   {callerFraming}: OpenExchange,
   verdict: ResponseVerdict,
