--- a/packages/gateway/src/stages/admit_in_drain.ts
+++ b/packages/gateway/src/stages/admit_in_drain.ts
@@ -27,7 +27,6 @@
     leftMs: drain.leftMs,
     limitMs: exchange.remainingMs,
     expectedMs: estimateDurationMs(context, exchange),
-    isRetryable: exchange.isRetryable,
   });
   if (isServed) return;
   metrics.count('requests_rejected_in_drain_total');
