Judge by the spread of its route whether a request can end in a drain

Cause: the mean was all that was known of a route, with a fixed margin of a half. Change: routes have an estimator of their own, with the mean distance of durations from their mean; four such distances must fit as well. The estimator of decode times is no longer used for routes.

--- a/packages/core/src/forwarding/drain_admission.ts
+++ b/packages/core/src/forwarding/drain_admission.ts
@@ -1,15 +1,19 @@
+import type {DurationEstimate} from './duration_estimator.js';
+
 /** What is known of a request that arrives while its host drains. */
 export interface DrainingRequest {
   /** Time until the host cuts what is still in progress. */
   readonly leftMs: number;
   /** Time after which the request ends in any case. */
   readonly limitMs: number;
-  /** Mean duration of such requests; undefined if there was none so far. */
-  readonly expectedMs: number | undefined;
+  /** Duration of such requests; undefined if there was none so far. */
+  readonly expected: DurationEstimate | undefined;
 }
 
-/** Most requests take less than this multiple of the mean duration. */
+/** Requests of equal length take less than this multiple of the mean duration. */
 const DURATION_MARGIN = 1.5;
+/** Nearly all requests are less than this multiple of the deviation above the mean. */
+const DEVIATION_MARGIN = 4;
 
 /**
  * Decides whether a host that drains can serve a request whole. A request of
@@ -19,14 +23,24 @@
  * @returns false if the request would be cut; it should go to another host.
  * @example
  * ```ts
- * canServeInDrain({leftMs: 3000, limitMs: 12_000, expectedMs: 900}); // true
- * canServeInDrain({leftMs: 3000, limitMs: 12_000, expectedMs: undefined}); // false
+ * const expected = {meanMs: 900, deviationMs: 100};
+ * canServeInDrain({leftMs: 3000, limitMs: 12_000, expected}); // true
+ * canServeInDrain({leftMs: 3000, limitMs: 12_000, expected: undefined}); // false
  * ```
  */
 export function canServeInDrain({
   leftMs,
   limitMs,
-  expectedMs = Infinity,
+  expected,
 }: DrainingRequest): boolean {
-  return Math.min(limitMs, DURATION_MARGIN * expectedMs) <= leftMs;
+  return Math.min(limitMs, estimateLongestMs(expected)) <= leftMs;
+}
+
+function estimateLongestMs(expected: DurationEstimate | undefined): number {
+  if (expected === undefined) return Infinity;
+  const {meanMs, deviationMs} = expected;
+  return Math.max(
+    DURATION_MARGIN * meanMs,
+    meanMs + DEVIATION_MARGIN * deviationMs,
+  );
 }
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -27,3 +27,4 @@
 export * from './crash_suspects.js';
 export * from './decode_time_estimator.js';
 export * from './drain_admission.js';
+export * from './duration_estimator.js';
--- a/packages/core/test/forwarding/drain_admission.test.ts
+++ b/packages/core/test/forwarding/drain_admission.test.ts
@@ -1,12 +1,14 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {canServeInDrain} from '../../src/index.js';
+import {canServeInDrain, DurationEstimator} from '../../src/index.js';
 
 interface Case {
   readonly title: string;
   readonly leftMs: number;
   readonly limitMs: number;
   readonly expectedMs?: number;
+  /** Default 0. */
+  readonly deviationMs?: number;
   readonly isServed: boolean;
 }
 
@@ -44,6 +46,22 @@
     limitMs: 12_000,
     isServed: false,
   },
+  {
+    title: 'some of such requests take far longer than the mean',
+    leftMs: 4000,
+    limitMs: 12_000,
+    expectedMs: 2000,
+    deviationMs: 600,
+    isServed: false,
+  },
+  {
+    title: 'such requests differ little and end before the drain does',
+    leftMs: 4000,
+    limitMs: 12_000,
+    expectedMs: 2000,
+    deviationMs: 400,
+    isServed: true,
+  },
   {
     title: 'the time is over',
     leftMs: -1,
@@ -53,8 +71,24 @@
   },
 ];
 
-for (const {title, isServed, expectedMs, ...request} of CASES) {
+for (const {
+  title,
+  isServed,
+  expectedMs: meanMs,
+  deviationMs = 0,
+  ...request
+} of CASES) {
   test(`a request is ${isServed ? 'served' : 'rejected'} in a drain if ${title}`, () => {
-    assert.equal(canServeInDrain({...request, expectedMs}), isServed);
+    const expected = meanMs === undefined ? undefined : {meanMs, deviationMs};
+    assert.equal(canServeInDrain({...request, expected}), isServed);
   });
 }
+
+test('the deviation of durations grows with those that are far from their mean', () => {
+  const durations = DurationEstimator.create();
+  assert.equal(durations.estimate('read'), undefined);
+  durations.observe('read', 200);
+  assert.deepEqual(durations.estimate('read'), {meanMs: 200, deviationMs: 0});
+  durations.observe('read', 600);
+  assert.deepEqual(durations.estimate('read'), {meanMs: 220, deviationMs: 100});
+});
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -5,6 +5,7 @@
   ServerReach,
   ServerTable,
   DecodeTimeEstimator,
+  DurationEstimator,
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
 import type {GatewaySettings} from './config/settings.js';
@@ -37,6 +38,8 @@
   readonly hostMessenger: HostMessenger;
   readonly prefillEstimator: PrefillTimeEstimator;
   readonly decodeEstimator: DecodeTimeEstimator;
+  /** Durations of requests without generation, by route. */
+  readonly routeDurations: DurationEstimator;
   readonly versions: VersionSelector;
   readonly brittleServers: BrittleServers;
   readonly crashGuard: CrashGuard;
--- a/packages/gateway/src/stages/admit_in_drain.ts
+++ b/packages/gateway/src/stages/admit_in_drain.ts
@@ -1,7 +1,10 @@
-import {canServeInDrain, RouterError} from '@anvilrudder/core';
+import {
+  canServeInDrain,
+  RouterError,
+  type DurationEstimate,
+} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {chooseInitialModel, chooseTarget} from './choose_target.js';
-import {estimateRouteMs} from './observe_response.js';
 import type {OpenExchange} from './open_exchange.js';
 
 /** Another host accepts the request at once; the range spreads the callers. */
@@ -26,7 +29,7 @@
   const isServed = canServeInDrain({
     leftMs: drain.leftMs,
     limitMs: exchange.remainingMs,
-    expectedMs: estimateDurationMs(context, exchange),
+    expected: estimateDuration(context, exchange),
   });
   if (isServed) return;
   metrics.count('requests_rejected_in_drain_total');
@@ -38,13 +41,14 @@
 }
 
 /** Estimates the duration of a request; undefined if nothing is known of it. */
-function estimateDurationMs(
+function estimateDuration(
   context: GatewayContext,
   exchange: OpenExchange,
-): number | undefined {
+): DurationEstimate | undefined {
   const {route, request} = exchange.admitted;
   const {generation} = request;
-  if (generation === undefined) return estimateRouteMs(context, route.name);
+  if (generation === undefined)
+    return context.routeDurations.estimate(route.name);
   const {decodeEstimator, prefillEstimator} = context;
   const model = chooseInitialModel(exchange);
   const forecastMs = chooseTarget(context, exchange, model)?.forecastMs;
@@ -55,5 +59,7 @@
   // A model without observations makes the whole unknown.
   if (forecastMs === undefined || !decodeTimesMs.every(timeMs => timeMs > 0))
     return undefined;
-  return prefillEstimator.forecastMs(forecastMs) + Math.max(...decodeTimesMs);
+  const meanMs =
+    prefillEstimator.forecastMs(forecastMs) + Math.max(...decodeTimesMs);
+  return {meanMs, deviationMs: 0};
 }
--- a/packages/gateway/src/stages/observe_response.ts
+++ b/packages/gateway/src/stages/observe_response.ts
@@ -33,25 +33,9 @@
   const {route, request} = exchange.admitted;
   if (end !== 'answered' || request.generation) return undefined;
   const elapsedMs = performance.now() - sentMs;
-  const expectedMs = estimateRouteMs(context, route.name);
-  context.decodeEstimator.observe(formatRouteKey(route.name), 1, elapsedMs);
-  return expectedMs && Math.log(elapsedMs / expectedMs);
-}
-
-/**
- * Estimates how long requests of a route without generation take.
- *
- * @returns undefined without observations.
- */
-export function estimateRouteMs(
-  {decodeEstimator}: GatewayContext,
-  route: string,
-): number | undefined {
-  return decodeEstimator.estimateMs(formatRouteKey(route), 1) || undefined;
-}
-
-function formatRouteKey(route: string): string {
-  return `route ${route}`;
+  const expected = context.routeDurations.estimate(route.name);
+  context.routeDurations.observe(route.name, elapsedMs);
+  return expected && Math.log(elapsedMs / expected.meanMs);
 }
 
 /**
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -6,6 +6,7 @@
   ServerReach,
   ServerTable,
   DecodeTimeEstimator,
+  DurationEstimator,
   type ObjectStore,
   type Random,
 } from '@anvilrudder/core';
@@ -199,6 +200,7 @@
       initialMsPerToken: INITIAL_PREFILL_MS_PER_TOKEN,
     }),
     decodeEstimator: DecodeTimeEstimator.create(),
+    routeDurations: DurationEstimator.create(),
     drain,
   };
   const abortController = new AbortController();
