--- a/packages/gateway/src/stages/choose_relay.ts
+++ b/packages/gateway/src/stages/choose_relay.ts
@@ -24,8 +24,11 @@
   const serverCount = hostRelay.countServers(service);
   const mode = reach.chooseSendMode(service, serverCount, performance.now());
   if (mode === 'direct') return false;
-  if (mode === 'unreachable' || exchange.admitted.isRelayed)
+  if (mode === 'unreachable' || exchange.admitted.isRelayed) {
+    const request = exchange.admitted.request.id;
+    context.logger.info('service_unreached', {request, service, mode});
     throw createExchangeError(context, exchange);
+  }
   const result = await relayThroughHost(context, exchange, service);
   if (result === 'refused') throw createExchangeError(context, exchange);
   return result === 'answered';
--- a/packages/gateway/src/stages/open_exchange.ts
+++ b/packages/gateway/src/stages/open_exchange.ts
@@ -11,6 +11,7 @@
   type Quarantine,
   type ResponseVerdict,
 } from '@anvilrudder/core';
+import type {VersionBasis} from '../control/rollouts/version_selector.js';
 import type {ForwardedRequest} from '../ports.js';
 
 /** Reason for ending an exchange before its response is complete. */
@@ -54,6 +55,8 @@
   model: string | undefined;
   server: string | undefined;
   softwareVersion: string | undefined;
+  /** Why that version was chosen; undefined if only one runs. */
+  versionBasis: VersionBasis | undefined;
   confidence: number | undefined;
   escalations = 0;
   /** Expected time to the first event of the larger model. */
--- a/packages/gateway/src/stages/record_send.ts
+++ b/packages/gateway/src/stages/record_send.ts
@@ -12,6 +12,12 @@
 export const MISDIRECTED_STATUS = 421;
 const UNAVAILABLE_STATUS = 503;
 
+/** How a send ended, and the logarithm of its time over the expected time. */
+export interface VersionAnswer {
+  readonly end: AttemptEnd | undefined;
+  readonly slowness: number | undefined;
+}
+
 /** Records that a request of a session begins or ends at a server. */
 export function recordSession(
   {versions}: GatewayContext,
@@ -41,6 +47,27 @@
   });
 }
 
+/**
+ * Logs how a send ended while several versions of its service run. Of one that
+ * the time limit ends, the end is unknown and the time is a lower bound.
+ */
+export function logVersionAnswer(
+  {logger}: GatewayContext,
+  {admitted, versionBasis, stopped}: OpenExchange,
+  {server, notBeforeMs}: InFlightSend,
+  {end, slowness}: VersionAnswer,
+): void {
+  if (versionBasis === undefined) return;
+  logger.info('version_answered', {
+    request: admitted.request.id,
+    route: admitted.route.name,
+    version: server.softwareVersion,
+    end: end ?? stopped ?? 'unknown',
+    elapsedMs: Math.round(performance.now() - notBeforeMs),
+    slowness: slowness?.toFixed(2),
+  });
+}
+
 /**
  * Records that a server cut a request, so that it may have crashed on it. An
  * answer that has begun clears the parts of the prompt, but not the request.
--- a/packages/gateway/src/stages/relay_through_host.ts
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -29,6 +29,13 @@
 /** Header with the version of the configuration that a request was admitted by. */
 export const RELAY_ROUTING_HEADER = 'relay-routing-version';
 
+/** A host has not sent a request for a service, with its reason. */
+interface HostRefusal {
+  readonly service: string;
+  readonly host: string;
+  readonly refusal: string;
+}
+
 const MAX_ASKED_HOSTS = 2;
 /** Maximum idle time of a reused connection, see the connections to servers. */
 const MAX_IDLE_MS = 3000;
@@ -71,6 +78,7 @@
     stream.discard();
     exchange.mayHaveRun = false;
     result = 'refused';
+    logRefusal(context, exchange, {service, host, refusal: String(refusal)});
     if (refusal === ('stopping' satisfies RelayRefusal))
       hostRelay.leaveOut(host);
     if (refusal === ('unreached' satisfies RelayRefusal))
@@ -79,6 +87,20 @@
   return result;
 }
 
+function logRefusal(
+  {logger, metrics}: GatewayContext,
+  {admitted}: OpenExchange,
+  {service, host, refusal}: HostRefusal,
+): void {
+  metrics.count('relay_refusals_total', {refusal});
+  logger.info('relay_refused', {
+    request: admitted.request.id,
+    service,
+    byHost: host,
+    refusal,
+  });
+}
+
 /** Sends the request to a host; undefined if the host did not get it. */
 async function askHost(
   context: GatewayContext,
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -17,6 +17,7 @@
 import {
   asksForPause,
   logVersion,
+  logVersionAnswer,
   MISDIRECTED_STATUS,
   recordAvailability,
   recordCut,
@@ -96,6 +97,7 @@
   exchange.triedServerIds.add(server.id);
   exchange.server = server.id;
   exchange.softwareVersion = server.softwareVersion;
+  exchange.versionBasis = target.versionBasis;
   exchange.model = model;
   logVersion(context, exchange, target);
   const pool = context.pools.get(server, service.maxConnections);
@@ -179,6 +181,7 @@
 ): void {
   context.servers.end(send, end, performance.now());
   recordSession(context, exchange, send.server);
+  logVersionAnswer(context, exchange, send, {end, slowness});
   if (end === undefined) return;
   context.versions.recordOutcome({
     service: send.server.service,
