--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -18,6 +18,7 @@
 export {HostRelay} from './control/hosts/host_relay.js';
 export * from './control/hosts/host_messenger.js';
 export type {RolloutAnnouncement} from './control/rollouts/rollout_announcement.js';
+export type {VersionKey} from './control/rollouts/version_selector.js';
 export {RolloutController} from './control/rollouts/rollout_controller.js';
 export type {
   RolloutProgressCodec,
