Keep the old version's requests from the new one where the old one is lost

What callers saw: a bad version got nearly all requests of some hosts, 157 of 281 in a rollout where 72 are allowed, and went on getting them after it was found.

Cause: where the registrations of the old version's servers lapse, the new version's are the only ones listed, and a choice was no longer made: one version listed, or no server of the chosen one, meant all servers. Class: the absence of an alternative is taken for a decision.

Now a request that needs the old version goes to a host that lists it, over the same way as for lost links, or is refused as not run. A bad version gets none; one that has not proven good gets its sample and up to thirty answers without a session, so that a good one gets all requests soon.

--- a/packages/gateway/src/control/rollouts/active_rollout.ts
+++ b/packages/gateway/src/control/rollouts/active_rollout.ts
@@ -86,6 +86,9 @@
 /** A version may be bad only under the load of all requests. */
 const MIN_ANSWERS_SINCE_SHIFT = 8;
 
+/** Answers that show whether half of them fail, though some of the old ones did. */
+const ANSWERS_TO_JUDGE = 30;
+
 /** Side of all new requests; undefined if it depends on the request. */
 const SIDE_BY_PHASE: Readonly<Record<RolloutPhase, RolloutSide | undefined>> = {
   sampling: undefined,
@@ -122,6 +125,25 @@
   return {side: 'new', basis: 'sampled'};
 }
 
+/**
+ * True if a request of the old version must not go to the new one although no
+ * server of the old one is left. A bad version gets none; one that has not proven
+ * good gets its sample, what was sent once already, and a few requests without a
+ * session, so that it is judged soon.
+ */
+export function mustKeepOldVersion(
+  {isNewVersionBad, plan, evidence}: ActiveRollout,
+  {previousVersion, session}: VersionKey,
+): boolean {
+  if (plan.phase === 'succeeded') return false;
+  if (isNewVersionBad || plan.phase === 'rolledBack') return true;
+  if (previousVersion !== undefined) return false;
+  const assessment = evidence.assess();
+  if (assessment !== 'unknown') return assessment === 'suspect';
+  const mayMove = session === undefined || !plan.holdsSessions;
+  return !mayMove || evidence.countRequests('new') >= ANSWERS_TO_JUDGE;
+}
+
 /** True for a sampled session that may have begun on the old version. */
 function isHeld(
   {plan, heldSessions, sampleSessionsAfterMs}: ActiveRollout,
--- a/packages/gateway/src/control/rollouts/rollout_controller.ts
+++ b/packages/gateway/src/control/rollouts/rollout_controller.ts
@@ -14,6 +14,7 @@
   findDueState,
   holdSession,
   isFinalState,
+  mustKeepOldVersion,
   resolveFinalState,
   sideOf,
   type ActiveRollout,
@@ -154,14 +155,18 @@
     records: readonly ServerRecord[],
     key: VersionKey,
   ): VersionSelection {
+    const rollout = this.rollouts.get(service);
     if (haveSameVersion(records)) {
-      if (records.length > 0 && !this.rollouts.has(service)) {
-        this.stableVersions.set(service, records[0].server.softwareVersion);
-      }
-      return {records, basis: undefined};
+      if (rollout === undefined) this.recordStable(service, records);
+      if (rollout === undefined || !isOfNewVersion(rollout, records))
+        return {records, basis: undefined};
     }
     const selection = this.selectVersion(service, records, key);
     if (selection.records.length > 0) return selection;
+    if (rollout !== undefined && mustKeepOldVersion(rollout, key)) {
+      const {target} = rollout.plan.order;
+      return {records: [], basis: 'oldVersionLost', lostBefore: target};
+    }
     return {records, basis: 'noServerLeft'};
   }
 
@@ -205,6 +210,14 @@
     }
   }
 
+  private recordStable(
+    service: string,
+    records: readonly ServerRecord[],
+  ): void {
+    if (records.length === 0) return;
+    this.stableVersions.set(service, records[0].server.softwareVersion);
+  }
+
   private addHeard({
     service,
     target,
@@ -306,3 +319,11 @@
   const first = records[0]?.server.softwareVersion;
   return records.every(({server}) => server.softwareVersion === first);
 }
+
+function isOfNewVersion(
+  rollout: ActiveRollout,
+  records: readonly ServerRecord[],
+): boolean {
+  const version = records[0]?.server.softwareVersion;
+  return version !== undefined && sideOf(rollout, version) === 'new';
+}
--- a/packages/gateway/src/control/rollouts/version_selector.ts
+++ b/packages/gateway/src/control/rollouts/version_selector.ts
@@ -26,13 +26,17 @@
   /** No rollout is known; the version is the one that ran alone before. */
   | 'stable'
   /** The chosen version has no server that the request may go to. */
-  | 'noServerLeft';
+  | 'noServerLeft'
+  /** As above, but the new version must not take the requests of the old one. */
+  | 'oldVersionLost';
 
 /** The servers that a request may go to, and why. */
 export interface VersionSelection {
   readonly records: readonly ServerRecord[];
   /** Undefined if all servers run the same version. */
   readonly basis: VersionBasis | undefined;
+  /** New version in place of which the old one is needed, if that is lost. */
+  readonly lostBefore?: string;
 }
 
 /** Outcome of one send to a version. */
--- a/packages/gateway/src/stages/choose_relay.ts
+++ b/packages/gateway/src/stages/choose_relay.ts
@@ -32,17 +32,26 @@
 }
 
 /**
- * Lets another host send the request if this one has no share of the room that
- * the brittle servers of its service have.
+ * Lets another host send a request for which this one has no server: it may list
+ * servers of the version that is needed, or have a share of the room that brittle
+ * servers have.
+ *
+ * @returns true if the caller has its response.
  */
-export async function relayIfBrittle(
+export async function relayIfNoServer(
   context: GatewayContext,
   exchange: OpenExchange,
 ): Promise<boolean> {
   const service = findService(context, exchange)?.name;
   if (service === undefined || exchange.admitted.isRelayed) return false;
-  if (!context.brittleServers.isBrittle(service)) return false;
-  return (await relayThroughHost(context, exchange, service)) === 'answered';
+  const {lostBeforeVersion} = exchange;
+  const isBrittle = context.brittleServers.isBrittle(service);
+  if (lostBeforeVersion === undefined && !isBrittle) return false;
+  const needed =
+    lostBeforeVersion === undefined
+      ? service
+      : `${service}<${lostBeforeVersion}`;
+  return (await relayThroughHost(context, exchange, needed)) === 'answered';
 }
 
 /** True if no server is left that the request could be sent to directly. */
@@ -56,12 +65,13 @@
   return attempts === 0 && (!hasTarget || unsentCount === UNSENT_BEFORE_RELAY);
 }
 
-/** True if this host could not send the request as it has lost its links. */
-export function hasNoLinks(
+/** True if this host has lost what the request needs: links, or a version. */
+export function hasLostServers(
   context: GatewayContext,
   exchange: OpenExchange,
 ): boolean {
-  const {attempts, unsentCount} = exchange;
+  const {attempts, unsentCount, lostBeforeVersion} = exchange;
+  if (lostBeforeVersion !== undefined) return true;
   if (attempts === 0 && unsentCount > 0) return true;
   const service = findService(context, exchange)?.name;
   return service !== undefined && context.hostRelay.isCutOff(service);
--- a/packages/gateway/src/stages/choose_target.ts
+++ b/packages/gateway/src/stages/choose_target.ts
@@ -72,15 +72,16 @@
     MAX_LIMIT_DELAY_MS,
     exchange.remainingMs * MAX_LIMIT_DELAY_SHARE,
   );
-  const {records: ofVersion, basis} = context.versions.select(
-    service.name,
-    eligible,
-    {
-      session: request.session,
-      stickyKey: readStickyKey(exchange),
-      previousVersion: exchange.softwareVersion,
-    },
-  );
+  const {
+    records: ofVersion,
+    basis,
+    lostBefore,
+  } = context.versions.select(service.name, eligible, {
+    session: request.session,
+    stickyKey: readStickyKey(exchange),
+    previousVersion: exchange.softwareVersion,
+  });
+  exchange.lostBeforeVersion = lostBefore;
   const choice = chooseServer({
     candidates: ofVersion.filter(
       record =>
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -7,7 +7,7 @@
 import type {GatewayContext} from '../gateway_context.js';
 import {beginTrial} from './begin_trial.js';
 import {
-  relayIfBrittle,
+  relayIfNoServer,
   relayIfCutOff,
   shouldRelayUnsent,
 } from './choose_relay.js';
@@ -94,7 +94,7 @@
   if (await relayIfCutOff(context, exchange)) return;
   let target = chooseTarget(context, exchange, chooseInitialModel(exchange));
   if (target === undefined) {
-    if (await relayIfBrittle(context, exchange)) return;
+    if (await relayIfNoServer(context, exchange)) return;
     throw createExchangeError(context, exchange);
   }
   context.retryBudgets.get(target.service.name).recordFirst(performance.now());
--- a/packages/gateway/src/stages/open_exchange.ts
+++ b/packages/gateway/src/stages/open_exchange.ts
@@ -55,6 +55,11 @@
   model: string | undefined;
   server: string | undefined;
   softwareVersion: string | undefined;
+  /**
+   * New version of a rollout, if this host lists no server of the one before that
+   * the request needs.
+   */
+  lostBeforeVersion: string | undefined;
   /** Why that version was chosen; undefined if only one runs. */
   versionBasis: VersionBasis | undefined;
   confidence: number | undefined;
--- a/packages/gateway/src/stages/relay_through_host.ts
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -32,9 +32,10 @@
 /** Header with the version of the configuration that a request was admitted by. */
 export const RELAY_ROUTING_HEADER = 'relay-routing-version';
 
-/** A host has not sent a request for a service, with its reason. */
+/** A host has not sent a request, with its reason. */
 interface HostRefusal {
-  readonly service: string;
+  /** The service, or the version of it, that the request needs. */
+  readonly needed: string;
   readonly host: string;
   readonly refusal: string;
 }
@@ -46,7 +47,7 @@
  * Lets another host send a request that no server has received, and relays its
  * response to the caller.
  *
- * @param service whose servers this host does not reach.
+ * @param needed the service, or the version of it, that this host does not reach.
  * @throws RouterError if the request may have run without a response.
  * @example
  * ```ts
@@ -56,12 +57,12 @@
 export async function relayThroughHost(
   context: GatewayContext,
   exchange: OpenExchange,
-  service: string,
+  needed: string,
 ): Promise<RelayThroughHostResult> {
   const {hostRelay} = context;
   const search = RelaySearch.create();
   while (search.mayAsk) {
-    const choice = hostRelay.chooseHost(service, search.asked);
+    const choice = hostRelay.chooseHost(needed, search.asked);
     if (choice.kind === 'unreached') return 'refused';
     if (choice.kind === 'none') break;
     const host = choice.address;
@@ -82,7 +83,7 @@
     exchange.mayHaveRun = false;
     const isUnreached = refusal === ('unreached' satisfies RelayRefusal);
     search.recordFailure(host, isUnreached ? 'unreached' : 'unavailable');
-    recordRefusal(context, exchange, {service, host, refusal: String(refusal)});
+    recordRefusal(context, exchange, {needed, host, refusal: String(refusal)});
   }
   return search.wasRefused ? 'refused' : 'noHost';
 }
@@ -93,23 +94,23 @@
   exchange: OpenExchange,
   hostRefusal: HostRefusal,
 ): void {
-  const {service, host, refusal} = hostRefusal;
+  const {needed, host, refusal} = hostRefusal;
   const {hostRelay} = context;
   logRefusal(context, exchange, hostRefusal);
   if (refusal === ('stopping' satisfies RelayRefusal)) hostRelay.leaveOut(host);
   if (refusal === ('unreached' satisfies RelayRefusal))
-    hostRelay.recordHostUnreached(service, host);
+    hostRelay.recordHostUnreached(needed, host);
 }
 
 function logRefusal(
   {logger, metrics}: GatewayContext,
   {admitted}: OpenExchange,
-  {service, host, refusal}: HostRefusal,
+  {needed, host, refusal}: HostRefusal,
 ): void {
   metrics.count('relay_refusals_total', {refusal});
   logger.info('relay_refused', {
     request: admitted.request.id,
-    service,
+    needed,
     byHost: host,
     refusal,
   });
