Find a version that is slow for a share of its requests

Cause, two parts of one class, a yardstick that the measured thing moves: the mean time of a route was learnt from the new version's answers too (520 ms first counted as 2.7, later as 1.9 above the expected time, which had grown from 35 to 130 ms), and the mean of the logarithms hides a share of slow answers, among them those of routes that hardly take time.

Now the share of answers that take 2.5 times the expected time is compared by route with the old version's share, by the test that judges failures; expected times are not learnt from a version that is judged; an answer that was slow already when its time was over counts, if the server has answered another request since. The counts travel in a field of their own, which earlier builds ignore.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,4 +1,4 @@
-export type {AnswerCounters} from './answer_counters.js';
+export type {AnswerCounters, DurationCounts} from './answer_counters.js';
 export * from './attempt_outcome.js';
 export * from './brittle_server.js';
 export * from './exchange_types.js';
@@ -23,6 +23,7 @@
 export * from './server_load.js';
 export * from './server_table.js';
 export * from './session_versions.js';
+export * from './slow_answer.js';
 export * from './stream_progress.js';
 export * from './stream_resumption.js';
 export * from './suspect_ids.js';
--- a/packages/core/src/forwarding/pooled_answers.ts
+++ b/packages/core/src/forwarding/pooled_answers.ts
@@ -1,5 +1,6 @@
 import {
   addAnswer,
+  addUnfinishedSlowAnswer,
   NO_ANSWERS,
   subtractAnswers,
   sumAnswers,
@@ -59,13 +60,12 @@
 
   /** Counts an answer that this host has received. */
   record(route: string, side: RolloutSide, outcome: AnswerOutcome): void {
-    const key = formatKey(route, side);
-    const before = this.ownRows.get(key)?.row.counters ?? NO_ANSWERS;
-    const counters = addAnswer(before, outcome);
-    const row = {route, side, counters};
-    this.revision += 1;
-    this.ownRows.set(key, {row, revision: this.revision});
-    this.addGrowth(row, before);
+    this.update(route, side, before => addAnswer(before, outcome));
+  }
+
+  /** Counts an answer that was slow when this host gave it up. */
+  recordUnfinishedSlow(route: string, side: RolloutSide): void {
+    this.update(route, side, addUnfinishedSlowAnswer);
   }
 
   /**
@@ -78,7 +78,7 @@
       const key = `${formatKey(row.route, row.side)}|${member}`;
       const known = this.remoteRows.get(key);
       const before = known?.counters ?? NO_ANSWERS;
-      if (row.counters.requests <= before.requests) continue;
+      if (!hasGrown(row.counters, before)) continue;
       const isFull = this.remoteRows.size >= MAX_REMOTE_ROWS;
       if (known === undefined && isFull) continue;
       this.remoteRows.set(key, row);
@@ -117,6 +117,19 @@
     return {rows, revision: this.revision};
   }
 
+  private update(
+    route: string,
+    side: RolloutSide,
+    count: (before: AnswerCounters) => AnswerCounters,
+  ): void {
+    const key = formatKey(route, side);
+    const before = this.ownRows.get(key)?.row.counters ?? NO_ANSWERS;
+    const row = {route, side, counters: count(before)};
+    this.revision += 1;
+    this.ownRows.set(key, {row, revision: this.revision});
+    this.addGrowth(row, before);
+  }
+
   private addGrowth(
     {route, side, counters}: AnswerRow,
     before: AnswerCounters,
@@ -130,3 +143,10 @@
 function formatKey(route: string, side: RolloutSide): string {
   return `${side}|${route}`;
 }
+
+/** False for counters that arrive late or again. */
+function hasGrown(counters: AnswerCounters, before: AnswerCounters): boolean {
+  if (counters.requests !== before.requests)
+    return counters.requests > before.requests;
+  return counters.durations.count > before.durations.count;
+}
--- a/packages/core/src/forwarding/server_table.ts
+++ b/packages/core/src/forwarding/server_table.ts
@@ -29,6 +29,8 @@
   readonly server: RegisteredServer;
   readonly health: ServerHealth;
   readonly availability: ServerAvailability;
+  /** When an answer last came from the server; -Infinity before the first. */
+  readonly answeredMs: number;
   /** Requests in flight from this host. */
   readonly inFlight: number;
   /** Work of this host's requests that the server has not begun to answer. */
@@ -47,6 +49,7 @@
   server: RegisteredServer;
   health: ServerHealth;
   availability: ServerAvailability;
+  answeredMs: number;
   inFlight: number;
   unansweredWorkMs: number;
   backlogEndMs: number;
@@ -227,6 +230,7 @@
     if (record === undefined) return;
     record.inFlight = Math.max(0, record.inFlight - 1);
     if (end === undefined) return;
+    if (end === 'answered') record.answeredMs = nowMs;
     record.health = recordAttempt(record.health, end, nowMs);
   }
 
@@ -265,6 +269,7 @@
     server,
     health: INITIAL_HEALTH,
     availability: {...INITIAL_AVAILABILITY, isLeaving},
+    answeredMs: -Infinity,
     inFlight: 0,
     unansweredWorkMs: 0,
     backlogEndMs: -Infinity,
--- a/packages/core/src/forwarding/version_evidence.ts
+++ b/packages/core/src/forwarding/version_evidence.ts
@@ -9,6 +9,7 @@
   type AnswerRow,
   type RolloutSide,
 } from './pooled_answers.js';
+import type {DurationCounts} from './answer_counters.js';
 import type {VersionAssessment} from './rollout_plan.js';
 import {SlownessBaseline} from './slowness_baseline.js';
 
@@ -23,6 +24,8 @@
    * expected time.
    */
   readonly slowness: number | undefined;
+  /** It took far longer than expected; undefined if that is not known. */
+  readonly isSlow?: boolean;
 }
 
 /** Requests of one version and how many of them failed. */
@@ -69,6 +72,10 @@
 const USUAL_FAILURE_RATE = 0.02;
 /** Answers that an assumed failure rate weighs as much as. */
 const ASSUMED_RATE_COUNT = {ofService: 4, ofRoute: 20} as const;
+/** Tolerated increase of the share of slow answers. */
+const SLOW_SHARE_TOLERANCE = 0.1;
+/** Share of slow answers of an old version without timed answers. */
+const USUAL_SLOW_SHARE = 0.05;
 /** Tolerated difference in slowness (logarithm of a time ratio). */
 const SLOWNESS_TOLERANCE = Math.log(1.3);
 /** Standard errors beyond the tolerance at which a version counts as slow. */
@@ -104,9 +111,18 @@
   }
 
   /** Counts an answer that this host has received. */
-  record({route, side, hasFailed, slowness}: VersionSample): void {
+  record({route, side, hasFailed, slowness, isSlow}: VersionSample): void {
     const relativeSlowness = this.relateSlowness(side, slowness);
-    this.answers.record(route, side, {hasFailed, slowness: relativeSlowness});
+    this.answers.record(route, side, {
+      hasFailed,
+      slowness: relativeSlowness,
+      isSlow,
+    });
+  }
+
+  /** Counts an answer that was slow when its request's time was over. */
+  recordUnfinishedSlow(route: string, side: RolloutSide): void {
+    this.answers.recordUnfinishedSlow(route, side);
   }
 
   private relateSlowness(
@@ -145,13 +161,16 @@
 
   /** Finds a regression of the new version; undefined when there is none. */
   findRegression(): RegressionKind | undefined {
-    const reason = this.findFailureRegression(REGRESSION_EVIDENCE);
-    return reason ?? (this.isSlow() ? 'slowness' : undefined);
+    if (this.hasFailures(REGRESSION_EVIDENCE)) return 'failures';
+    const isSlow = this.hasSlowShare(REGRESSION_EVIDENCE) || this.isSlow();
+    return isSlow ? 'slowness' : undefined;
   }
 
   /** True when the new version may be a regression; retries should avoid it. */
   isSuspect(): boolean {
-    return this.findFailureRegression(SUSPECT_EVIDENCE) !== undefined;
+    return (
+      this.hasFailures(SUSPECT_EVIDENCE) || this.hasSlowShare(SUSPECT_EVIDENCE)
+    );
   }
 
   /** Assesses the new version while it is sampled. */
@@ -188,18 +207,35 @@
     );
   }
 
-  private findFailureRegression(
-    limits: EvidenceLimits,
-  ): RegressionKind | undefined {
-    const strata = this.listFailureStrata();
-    // A version may fail on one route only, or on all of them a little.
-    const isFound =
-      computeStratifiedErrorEvidence(strata) > limits.onAllRoutes ||
-      strata.some(
-        stratum =>
-          computeStratifiedErrorEvidence([stratum]) > limits.onOneRoute,
+  private hasFailures(limits: EvidenceLimits): boolean {
+    return exceeds(this.listFailureStrata(), limits);
+  }
+
+  /**
+   * Whether more answers than of the old version are slow. That shows a version
+   * that is slow for some requests, whose mean hardly differs.
+   */
+  private hasSlowShare(limits: EvidenceLimits): boolean {
+    return exceeds(this.listSlowStrata(), limits);
+  }
+
+  /** Lists the timed answers of the new version by route. */
+  private listSlowStrata(): readonly ErrorStratum[] {
+    const serviceShare = estimateSlowShare(
+      this.answers.readAll('old').durations,
+      USUAL_SLOW_SHARE,
+      ASSUMED_RATE_COUNT.ofService,
+    );
+    return this.answers.listRoutes('new').map(route => {
+      const {count, slowCount} = this.answers.read(route, 'new').durations;
+      const baselineShare = estimateSlowShare(
+        this.answers.read(route, 'old').durations,
+        serviceShare,
+        ASSUMED_RATE_COUNT.ofRoute,
       );
-    return isFound ? 'failures' : undefined;
+      const acceptedRate = baselineShare + SLOW_SHARE_TOLERANCE;
+      return {requests: count, errors: slowCount, acceptedRate};
+    });
   }
 
   /** Lists the answers of the new version by route. */
@@ -275,6 +311,28 @@
   return (failures + assumedCount * assumedRate) / (requests + assumedCount);
 }
 
+function estimateSlowShare(
+  {count, slowCount}: DurationCounts,
+  assumedShare: number,
+  assumedCount: number,
+): number {
+  const counts = {requests: count, failures: slowCount};
+  return estimateFailureRate(counts, assumedShare, assumedCount);
+}
+
+/** A version may be bad on one route only, or on all of them a little. */
+function exceeds(
+  strata: readonly ErrorStratum[],
+  {onAllRoutes, onOneRoute}: EvidenceLimits,
+): boolean {
+  return (
+    computeStratifiedErrorEvidence(strata) > onAllRoutes ||
+    strata.some(
+      stratum => computeStratifiedErrorEvidence([stratum]) > onOneRoute,
+    )
+  );
+}
+
 function meanOf({count, sum}: Moments): number {
   return sum / count;
 }
--- a/packages/core/test/forwarding/pooled_answers.test.ts
+++ b/packages/core/test/forwarding/pooled_answers.test.ts
@@ -18,6 +18,7 @@
     requests: 3,
     failures: 2,
     slowness: {count: 2, sum: 1, squareSum: 0.5},
+    durations: {count: 0, slowCount: 0},
   });
   assert.equal(receiver.readAll('old').requests, 1);
 });
--- a/packages/gateway/src/control/rollouts/rollout_announcement.ts
+++ b/packages/gateway/src/control/rollouts/rollout_announcement.ts
@@ -1,4 +1,4 @@
-import type {AnswerRow, RolloutSide} from '@anvilrudder/core';
+import type {AnswerRow, DurationCounts, RolloutSide} from '@anvilrudder/core';
 
 /** What a host tells the others about a rollout. */
 export interface RolloutAnnouncement {
@@ -20,6 +20,7 @@
 const SIDES: readonly RolloutSide[] = ['old', 'new'];
 const ROW_FIELD_COUNT = 7;
 const HELD_SESSIONS_FIELD = 7;
+const DURATIONS_FIELD = 8;
 const MAX_HASH = 0xffff_ffff;
 
 /**
@@ -43,6 +44,8 @@
     announcement.isVersionBad ? '1' : '0',
     announcement.rows.map(encodeRow).join(','),
     announcement.heldSessions.map(hash => hash.toString(16)).join(','),
+    // Apart from the rows, which earlier builds decode strictly.
+    announcement.rows.map(encodeDurations).join(','),
   ];
 }
 
@@ -60,7 +63,7 @@
   );
   if (!(durationMs > 0 && elapsedMs >= 0)) return undefined;
   if (!Number.isSafeInteger(step) || step < 0) return undefined;
-  const rows = decodeRows(rowFields);
+  const rows = decodeRows(rowFields, fields[DURATIONS_FIELD] ?? '');
   const names = [service, target].map(decodeName);
   if (rows === undefined || names.includes(undefined)) return undefined;
   if (heldSessions === undefined) return undefined;
@@ -97,13 +100,36 @@
   ].join(':');
 }
 
-function decodeRows(text: string): readonly AnswerRow[] | undefined {
+function encodeDurations({counters}: AnswerRow): string {
+  const {count, slowCount} = counters.durations;
+  return `${count}:${slowCount}`;
+}
+
+function decodeRows(
+  text: string,
+  durationsText: string,
+): readonly AnswerRow[] | undefined {
   if (text === '') return [];
-  const rows = text.split(',').map(decodeRow);
+  const durationFields = durationsText.split(',');
+  const rows = text
+    .split(',')
+    .map((field, index) => decodeRow(field, durationFields[index]));
   return rows.every(row => row !== undefined) ? rows : undefined;
 }
 
-function decodeRow(text: string): AnswerRow | undefined {
+/** Returns zero counts for the missing field of earlier builds. */
+function decodeDurations(text: string | undefined): DurationCounts | undefined {
+  if (!text) return {count: 0, slowCount: 0};
+  const [count, slowCount] = text.split(':').map(Number);
+  if (!Number.isSafeInteger(count) || !Number.isSafeInteger(slowCount))
+    return undefined;
+  return slowCount >= 0 && slowCount <= count ? {count, slowCount} : undefined;
+}
+
+function decodeRow(
+  text: string,
+  durationsText: string | undefined,
+): AnswerRow | undefined {
   const fields = text.split(':');
   if (fields.length !== ROW_FIELD_COUNT) return undefined;
   const route = decodeName(fields[0]);
@@ -114,11 +140,17 @@
   const [requests, failures, count, sum, squareSum] = numbers;
   const isConsistent =
     failures >= 0 && failures <= requests && count >= 0 && count <= requests;
-  if (!isConsistent) return undefined;
+  const durations = decodeDurations(durationsText);
+  if (!isConsistent || durations === undefined) return undefined;
   return {
     route,
     side,
-    counters: {requests, failures, slowness: {count, sum, squareSum}},
+    counters: {
+      requests,
+      failures,
+      slowness: {count, sum, squareSum},
+      durations,
+    },
   };
 }
 
--- a/packages/gateway/src/control/rollouts/rollout_controller.ts
+++ b/packages/gateway/src/control/rollouts/rollout_controller.ts
@@ -177,16 +177,28 @@
   }
 
   recordOutcome(outcome: VersionOutcome): void {
-    const hasFailed = IS_VERSION_FAILURE[outcome.end];
-    if (hasFailed === undefined) return;
-    const {version, route, service} = outcome;
+    const {version, route, service, end} = outcome;
     const rollout = this.rollouts.get(service);
     if (rollout === undefined) return;
     const side = sideOf(rollout, version);
     // After sampling, full load and cold caches slow down the new version.
     const isSampling = rollout.lastPhase === 'sampling';
     const slowness = isSampling ? outcome.slowness : undefined;
-    rollout.evidence.record({route, side, hasFailed, slowness});
+    const isSlow = isSampling ? outcome.isSlow : undefined;
+    if (end === undefined) {
+      if (isSlow) rollout.evidence.recordUnfinishedSlow(route, side);
+      return;
+    }
+    const hasFailed = IS_VERSION_FAILURE[end];
+    if (hasFailed === undefined) return;
+    rollout.evidence.record({route, side, hasFailed, slowness, isSlow});
+  }
+
+  isUnproven(service: string, version: string): boolean {
+    const rollout = this.rollouts.get(service);
+    if (rollout === undefined || sideOf(rollout, version) === 'old')
+      return false;
+    return rollout.plan.phase !== 'succeeded';
   }
 
   /** Evaluates each rollout and writes its state to the store if it is due. */
--- a/packages/gateway/src/control/rollouts/version_selector.ts
+++ b/packages/gateway/src/control/rollouts/version_selector.ts
@@ -44,9 +44,12 @@
   readonly service: string;
   readonly version: string;
   readonly route: string;
-  readonly end: AttemptEnd;
+  /** Undefined if the request's time was over before the answer came. */
+  readonly end: AttemptEnd | undefined;
   /** Logarithm of the actual time over the expected time. */
   readonly slowness: number | undefined;
+  /** It took far longer than expected; undefined if that is not known. */
+  readonly isSlow?: boolean;
 }
 
 /** Selects the software version of a service for a request. */
@@ -57,6 +60,11 @@
     records: readonly ServerRecord[],
     key: VersionKey,
   ): VersionSelection;
+  /**
+   * True for a version that is judged at the moment: expected times must not be
+   * learnt from its answers.
+   */
+  isUnproven(service: string, version: string): boolean;
   /** Records that a request of a session begins or ends at a version. */
   recordSession(use: SessionUse): void;
   /** Records the outcome of a send. */
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -19,9 +19,9 @@
 import {planEscalation} from './escalate.js';
 import {createExchangeError} from './exchange_error.js';
 import {
+  compareStreamSpeed,
   observeBufferedResponse,
   observeDecodeSpeed,
-  computeStreamSlowness,
 } from './observe_response.js';
 import type {OpenExchange} from './open_exchange.js';
 import {readResponse} from './read_response.js';
@@ -31,6 +31,7 @@
 import {relayEvents, type RelayEnd, type RelayResult} from './relay_stream.js';
 import {
   endSend,
+  endUnfinished,
   sendAttempt,
   type AttemptResult,
   type BackendResponse,
@@ -192,15 +193,20 @@
   );
   if (verdict === 'broken') {
     if (exchange.stopped !== undefined) {
-      endSend(context, exchange, send, undefined);
+      endUnfinished(context, exchange, target, {send, sentMs});
       throw createExchangeError(context, exchange);
     }
     if (isCutOff) recordCut(context, exchange, send, sentMs, true);
     return handleFailure(context, exchange, target, 'lost', backendResponse);
   }
   context.crashGuard.recordAnswer(exchange.suspectIds);
-  const slowness = observeBufferedResponse(context, exchange, end, sentMs);
-  endSend(context, exchange, send, end, slowness);
+  const speed = observeBufferedResponse(
+    context,
+    exchange,
+    end,
+    backendResponse,
+  );
+  endSend(context, exchange, send, end, speed);
   if (exchange.stopped !== undefined)
     throw createExchangeError(context, exchange);
   respondWithBody(exchange, stream, body, verdict);
@@ -259,10 +265,10 @@
   if (isCutOff) recordCut(context, exchange, send, sentMs, hasBegun);
   const attemptEnd = ATTEMPT_END_BY_RELAY_END[end];
   const isAnswered = attemptEnd === 'answered';
-  const slowness = isAnswered
-    ? computeStreamSlowness(context, backendResponse)
+  const speed = isAnswered
+    ? compareStreamSpeed(context, backendResponse)
     : undefined;
-  endSend(context, exchange, send, attemptEnd, slowness);
+  endSend(context, exchange, send, attemptEnd, speed);
   if (isAnswered) {
     crashGuard.recordAnswer(exchange.suspectIds);
     observeDecodeSpeed(context, exchange, target.modelName, durationMs);
--- a/packages/gateway/src/stages/observe_response.ts
+++ b/packages/gateway/src/stages/observe_response.ts
@@ -1,41 +1,97 @@
-import type {AttemptEnd} from '@anvilrudder/core';
+import {isSlowAnswer, type AttemptEnd} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
+import type {SendTarget} from './choose_target.js';
 import type {OpenExchange} from './open_exchange.js';
 import type {BackendResponse} from './send_attempt.js';
 
 /** Shorter forecasts are too imprecise for a comparison. */
 const MIN_EXPECTED_MS = 5;
 
+/** How the time of an answer compares with the expected one. */
+export interface AnswerSpeed {
+  /** Logarithm of the actual over the expected time. */
+  readonly slowness: number;
+  readonly isSlow: boolean;
+}
+
 /**
- * Computes the slowness of a streamed response: the logarithm of the time to
- * the response head over the forecast of the first event. Decode time is left
- * out, because it depends on the other requests of the server.
+ * Compares the time to the head of a streamed response with the forecast of the
+ * first event. Decode time is left out, because it depends on the other requests
+ * of the server.
+ *
+ * @returns undefined without a forecast.
  */
-export function computeStreamSlowness(
-  {prefillEstimator}: GatewayContext,
+export function compareStreamSpeed(
+  context: GatewayContext,
   {target, sentMs, headMs}: BackendResponse,
-): number | undefined {
-  const expectedMs = prefillEstimator.forecastMs(target.forecastMs ?? 0);
-  if (expectedMs < MIN_EXPECTED_MS) return undefined;
-  return Math.log((headMs - sentMs) / expectedMs);
+): AnswerSpeed | undefined {
+  return compareSpeed(headMs - sentMs, forecastFirstMs(context, target));
 }
 
 /**
- * Computes the slowness of a response without generation against the average
- * time of its route, and updates that average.
+ * Compares the time of a response without generation with the mean time of its
+ * route, and updates that mean unless the version is being judged by it.
+ *
+ * @returns undefined if the response is none, or the route had none before.
  */
 export function observeBufferedResponse(
   context: GatewayContext,
   exchange: OpenExchange,
   end: AttemptEnd,
-  sentMs: number,
-): number | undefined {
+  {sentMs, target}: BackendResponse,
+): AnswerSpeed | undefined {
   const {route, request} = exchange.admitted;
   if (end !== 'answered' || request.generation) return undefined;
   const elapsedMs = performance.now() - sentMs;
   const expected = context.routeDurations.estimate(route.name);
-  context.routeDurations.observe(route.name, elapsedMs);
-  return expected && Math.log(elapsedMs / expected.meanMs);
+  if (!isUnproven(context, target))
+    context.routeDurations.observe(route.name, elapsedMs);
+  return compareSpeed(elapsedMs, expected?.meanMs);
+}
+
+/**
+ * Tells whether an answer was slow already when the time of its request was over.
+ * Without an answer to another request since, the links to the server may be cut.
+ */
+export function wasSlowWhenTimeWasOver(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  target: SendTarget,
+  sentMs: number,
+): boolean {
+  const {route, request} = exchange.admitted;
+  const {server} = target.record;
+  const answeredMs = context.servers.find(server.id)?.answeredMs ?? -Infinity;
+  if (answeredMs < sentMs) return false;
+  const expectedMs = request.generation
+    ? forecastFirstMs(context, target)
+    : context.routeDurations.estimate(route.name)?.meanMs;
+  return compareSpeed(performance.now() - sentMs, expectedMs)?.isSlow ?? false;
+}
+
+/** True if the version of a target is being judged by its answers. */
+export function isUnproven(
+  {versions}: GatewayContext,
+  {record, service}: SendTarget,
+): boolean {
+  return versions.isUnproven(service.name, record.server.softwareVersion);
+}
+
+function forecastFirstMs(
+  {prefillEstimator}: GatewayContext,
+  {forecastMs}: SendTarget,
+): number | undefined {
+  const expectedMs = prefillEstimator.forecastMs(forecastMs ?? 0);
+  return expectedMs < MIN_EXPECTED_MS ? undefined : expectedMs;
+}
+
+function compareSpeed(
+  elapsedMs: number,
+  expectedMs: number | undefined,
+): AnswerSpeed | undefined {
+  if (!expectedMs) return undefined;
+  const slowness = Math.log(elapsedMs / expectedMs);
+  return {slowness, isSlow: isSlowAnswer({elapsedMs, expectedMs})};
 }
 
 /**
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -12,7 +12,13 @@
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import type {ResponseHead} from '../ports.js';
+import type {VersionOutcome} from '../control/rollouts/version_selector.js';
 import type {SendTarget} from './choose_target.js';
+import {
+  isUnproven,
+  wasSlowWhenTimeWasOver,
+  type AnswerSpeed,
+} from './observe_response.js';
 import type {OpenExchange} from './open_exchange.js';
 import {
   asksForPause,
@@ -43,6 +49,16 @@
   readonly backendResponse: BackendResponse | undefined;
 }
 
+/** A send without a whole answer. */
+interface UnfinishedSend {
+  readonly send: InFlightSend;
+  /** Time of the send, on the monotonic clock. */
+  readonly sentMs: number;
+}
+
+type SendOutcome = Pick<VersionOutcome, 'end' | 'isSlow'> &
+  Partial<Pick<VersionOutcome, 'slowness'>>;
+
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 /**
@@ -161,7 +177,9 @@
     }
     if (error.failure === 'cut' && !isExchangeStopped)
       recordCut(context, exchange, send, sentMs, false);
-    endSend(context, exchange, send, isExchangeStopped ? undefined : end);
+    if (isExchangeStopped)
+      endUnfinished(context, exchange, target, {send, sentMs});
+    else endSend(context, exchange, send, end);
     return {end, backendResponse: undefined};
   }
 }
@@ -170,25 +188,52 @@
  * Records how a send ended.
  *
  * @param end undefined if the end says nothing about the server.
- * @param slowness logarithm of the actual time over the expected time.
+ * @param speed its time against the expected one, if that is known.
  */
 export function endSend(
   context: GatewayContext,
   exchange: OpenExchange,
   send: InFlightSend,
   end: AttemptEnd | undefined,
-  slowness?: number,
+  speed?: AnswerSpeed,
 ): void {
   context.servers.end(send, end, performance.now());
   recordSession(context, exchange, send.server);
-  logVersionAnswer(context, exchange, send, {end, slowness});
+  logVersionAnswer(context, exchange, send, {
+    end,
+    slowness: speed?.slowness,
+  });
   if (end === undefined) return;
-  context.versions.recordOutcome({
-    service: send.server.service,
-    version: send.server.softwareVersion,
-    route: `${exchange.admitted.route.name}/${exchange.model ?? ''}`,
+  recordOutcome(context, exchange, send, {end, ...speed});
+}
+
+/** Ends a send whose request was stopped before its answer had come whole. */
+export function endUnfinished(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  target: SendTarget,
+  {send, sentMs}: UnfinishedSend,
+): void {
+  endSend(context, exchange, send, undefined);
+  const isTimeOver = exchange.stopped === 'timeLimit';
+  if (!isTimeOver || !exchange.mayHaveRun) return;
+  if (!wasSlowWhenTimeWasOver(context, exchange, target, sentMs)) return;
+  recordOutcome(context, exchange, send, {end: undefined, isSlow: true});
+}
+
+function recordOutcome(
+  {versions}: GatewayContext,
+  {admitted, model}: OpenExchange,
+  {server}: InFlightSend,
+  {end, slowness, isSlow}: SendOutcome,
+): void {
+  versions.recordOutcome({
+    service: server.service,
+    version: server.softwareVersion,
+    route: `${admitted.route.name}/${model ?? ''}`,
     end,
     slowness,
+    isSlow,
   });
 }
 
@@ -215,7 +260,7 @@
   sentMs: number,
 ): void {
   const {generation} = exchange.admitted.request;
-  if (generation === undefined) return;
+  if (generation === undefined || isUnproven(context, target)) return;
   const elapsedMs = performance.now() - sentMs;
   context.prefillEstimator.observe(
     target.modelName,
