Keep connections with unsent bytes of an answer open in a drain

Cause: the runtime counts a connection as idle once the handler has ended its response, with bytes still unsent. CallerConnections now closes those alone on which no response is due and nothing has come since the last one, also in place of the runtime's own method.

--- a/packages/gateway/src/server/caller_connections.ts
+++ b/packages/gateway/src/server/caller_connections.ts
@@ -1,30 +1,34 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
-/** Responses that are due on a connection. */
+/** Requests and responses of a connection. */
 interface ConnectionState {
   pendingCount: number;
   /** A pending response announces the end of the connection. */
   isClosing: boolean;
+  /** Bytes that had been received when the last response was sent. */
+  answeredBytes: number;
 }
 
 /**
- * Connections of callers: those that have carried no request so far, and the
- * responses that are due on the others, where callers may pipeline requests.
+ * Connections of callers and the responses that are due on them; callers may
+ * pipeline requests. A response is due until all of its bytes have been sent.
  */
 export class CallerConnections {
-  private readonly unused = new Set<Socket>();
-  private readonly pending = new Set<Socket>();
-  private readonly states = new WeakMap<Socket, ConnectionState>();
+  private readonly states = new Map<Socket, ConnectionState>();
 
   private constructor(server: Server) {
     server.on('connection', (socket: Socket) => {
-      this.unused.add(socket);
-      socket.once('close', () => {
-        this.unused.delete(socket);
-        this.pending.delete(socket);
+      this.states.set(socket, {
+        pendingCount: 0,
+        isClosing: false,
+        answeredBytes: 0,
       });
+      socket.once('close', () => this.states.delete(socket));
     });
+    // The server's own method closes connections with unsent bytes of a response,
+    // also when it is called by `close`.
+    server.closeIdleConnections = () => this.closeIdle();
   }
 
   /** Watches the connections of a server. */
@@ -44,44 +48,37 @@
     response: ServerResponse,
     isLast: () => boolean,
   ): boolean {
-    this.unused.delete(socket);
-    const state = this.readState(socket);
-    if (!socket.writable || state.isClosing) return false;
+    const state = this.states.get(socket);
+    if (state === undefined || !socket.writable || state.isClosing)
+      return false;
     state.isClosing = isLast();
     state.pendingCount += 1;
-    this.pending.add(socket);
     response.once('finish', () => {
       state.pendingCount -= 1;
       if (state.pendingCount > 0) return;
-      this.pending.delete(socket);
+      state.answeredBytes = socket.bytesRead;
       if (isLast()) socket.end();
     });
     return true;
   }
 
   /**
-   * Closes the connections on which nothing was received. Their callers send
-   * the first request elsewhere.
+   * Closes the connections on which no response is due and nothing has been
+   * received since the last one. Their callers send the next request elsewhere.
    */
-  closeUnused(): void {
-    for (const socket of this.unused) {
-      if (socket.bytesRead === 0) socket.end();
+  closeIdle(): void {
+    for (const [socket, {pendingCount, answeredBytes}] of this.states) {
+      if (pendingCount === 0 && socket.bytesRead === answeredBytes)
+        socket.end();
     }
   }
 
   /**
-   * Resets the connections on which a response is not complete: after a close in
-   * order, one that the end of its connection marks would look complete.
+   * Resets the connections on which a response is due: after a close in order,
+   * one that the end of its connection marks would look complete.
    */
   resetPending(): void {
-    for (const socket of this.pending) socket.resetAndDestroy();
-  }
-
-  private readState(socket: Socket): ConnectionState {
-    const known = this.states.get(socket);
-    if (known !== undefined) return known;
-    const state = {pendingCount: 0, isClosing: false};
-    this.states.set(socket, state);
-    return state;
+    for (const [socket, {pendingCount}] of this.states)
+      if (pendingCount > 0) socket.resetAndDestroy();
   }
 }
--- a/packages/gateway/src/server/drain_caller_server.ts
+++ b/packages/gateway/src/server/drain_caller_server.ts
@@ -34,9 +34,8 @@
   await delay(noticeMs);
   const closed = once(server, 'close').then(() => true);
   server.close();
-  connections.closeUnused();
   while (performance.now() < endMs) {
-    server.closeIdleConnections();
+    connections.closeIdle();
     const isClosed = await Promise.race([
       closed,
       delay(IDLE_CHECK_INTERVAL_MS).then(() => false),
