--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -1,14 +1,10 @@
-import type {IncomingHttpHeaders} from 'node:http';
-import type {Socket} from 'node:net';
-import type {BodyFraming} from '@anvilrudder/core';
-import {buildConnector, Client, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import {
   HttpExchange,
   type ExchangeOptions,
   type HttpStream,
 } from './http_exchange.js';
-import {wasReset} from './reset_detection.js';
-import {ResponseByteLimit} from './response_byte_limit.js';
+import {PooledConnection, type ConnectionRequest} from './pooled_connection.js';
 
 /** Options of {@link ConnectionPool}. */
 export interface ConnectionPoolOptions {
@@ -28,11 +24,7 @@
 }
 
 /** A request to be sent on a connection of the pool. */
-export interface PooledRequest extends ExchangeOptions {
-  readonly method: string;
-  readonly path: string;
-  readonly headers: IncomingHttpHeaders;
-  readonly body: Buffer | undefined;
+export interface PooledRequest extends ExchangeOptions, ConnectionRequest {
   /** Maximum idle time in milliseconds of a connection that is reused. */
   readonly maxIdleMs: number;
 }
@@ -43,108 +35,6 @@
   onConnect: () => undefined,
 } as const satisfies Partial<ConnectionPoolOptions>;
 
-/** Upper limit of the keep-alive time that a server may request. */
-const MAX_KEEP_ALIVE_MS = 30_000;
-/**
- * Idle connections are closed this long before the server would close them, so
- * that no request is written to a connection that the server is closing.
- */
-const KEEP_ALIVE_MARGIN_MS = 1000;
-
-/** Maximum size of a response without its body. */
-const MAX_OVERHEAD_BYTES = 256 * 1024;
-
-/**
- * Creates a connector that gives up in time. The timers of undici's own connect
- * timeout fire up to a second late.
- */
-function createPunctualConnector(timeoutMs: number): buildConnector.connector {
-  // Open behind an end, so that a reset can be told from it.
-  const connect = buildConnector({timeout: 0, allowHalfOpen: true});
-  return (target, callback) => {
-    const timer = setTimeout(
-      () => socket.destroy(new Error('connect timeout')),
-      timeoutMs,
-    );
-    // The declared type lacks the socket that undici returns.
-    const socket = connect(target, (...result: Parameters<typeof callback>) => {
-      clearTimeout(timer);
-      callback(...result);
-    }) as unknown as Socket;
-  };
-}
-
-/** A connection that carries one request at a time. */
-class PooledConnection {
-  private readonly client: Client;
-  private hasSocketFailed = false;
-  private socket: Socket | undefined;
-  private byteLimit: ResponseByteLimit | undefined;
-  isClosed = false;
-  idleSinceMs = 0;
-
-  private constructor(options: Required<ConnectionPoolOptions>) {
-    const connect = createPunctualConnector(options.connectTimeoutMs);
-    this.client = new Client(`http://${options.address}`, {
-      pipelining: 1,
-      keepAliveTimeout: options.keepAliveTimeoutMs,
-      keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: (target, callback) => {
-        connect(target, (error, socket) => {
-          if (socket) this.watchSocket(socket);
-          if (error) callback(error, null);
-          else callback(null, socket as Socket);
-        });
-      },
-    });
-    this.client.on('connect', options.onConnect);
-    this.client.on('disconnect', () => this.close());
-    this.client.on('connectionError', () => this.close());
-  }
-
-  static create(options: Required<ConnectionPoolOptions>): PooledConnection {
-    return new PooledConnection(options);
-  }
-
-  /**
-   * Returns false if a reset may have truncated the response that was being read.
-   */
-  hasEndedInOrder(framing: BodyFraming): boolean {
-    if (this.hasSocketFailed) return false;
-    if (framing !== 'connection') return true;
-    return this.socket !== undefined && !wasReset(this.socket);
-  }
-
-  dispatch(request: PooledRequest, handler: Dispatcher.DispatchHandler): void {
-    const {method, path, headers, body} = request;
-    this.client.dispatch({method, path, headers, body}, handler);
-  }
-
-  /** Records bytes of the body of a response. */
-  countBody(bytes: number): void {
-    this.byteLimit?.countBody(bytes);
-  }
-
-  close(): void {
-    if (this.isClosed) return;
-    this.isClosed = true;
-    this.client.destroy().catch(() => undefined);
-  }
-
-  // This listener must run before that of undici, which treats a connection
-  // reset as the normal end of a response that ends with the connection.
-  private watchSocket(socket: Socket): void {
-    this.socket = socket;
-    this.byteLimit = ResponseByteLimit.watch(socket, MAX_OVERHEAD_BYTES);
-    socket.once('error', () => {
-      this.hasSocketFailed = true;
-    });
-  }
-}
-
 /**
  * Creates a dispatch handler that forwards the events of a request to the
  * exchange and reports when the connection is free.
--- a/packages/clients/src/http/json.ts
+++ b/packages/clients/src/http/json.ts
@@ -43,8 +43,11 @@
   return Number.isSafeInteger(value) ? (value as number) : undefined;
 }
 
-/** Returns the objects of a field that is an array, otherwise undefined. */
-export function readObjectsOf(
+/**
+ * Returns the items of a field that are objects, without those that are not;
+ * undefined if it is no array.
+ */
+export function readObjectItems(
   object: JsonObject,
   field: string,
 ): readonly JsonObject[] | undefined {
--- a/packages/core/src/forwarding/response_end.ts
+++ b/packages/core/src/forwarding/response_end.ts
@@ -20,10 +20,10 @@
 
 /** What is known of the events of a stream when the response of a server ends. */
 export interface EventEvidence {
-  /** Events of this server that arrived whole. */
-  readonly count: number;
+  /** An event of this server has arrived whole. */
+  readonly hasWhole: boolean;
   /** A server has begun an event that has not arrived whole since. */
-  readonly isOneOutstanding: boolean;
+  readonly hasOutstanding: boolean;
 }
 
 /** What is known of a response when it ends. */
@@ -49,10 +49,10 @@
   hasFailed,
   events,
 }: ResponseEvidence): ResponseVerdict {
-  if (hasFailed || events?.isOneOutstanding) return 'broken';
+  if (hasFailed || events?.hasOutstanding) return 'broken';
   if (framing !== 'connection') return 'complete';
   // A server that stops behind its head closes a stream in the same way.
-  return events?.count === 0 ? 'broken' : 'unknown';
+  return events?.hasWhole === false ? 'broken' : 'unknown';
 }
 
 const CALLER_END_BY_VERDICT: Readonly<
--- a/packages/core/src/forwarding/stream_progress.ts
+++ b/packages/core/src/forwarding/stream_progress.ts
@@ -19,7 +19,7 @@
  */
 export class StreamProgress {
   private eventId: string | undefined;
-  private partEventCount = 0;
+  private hasWholeEvent = false;
   private isEventOutstanding = false;
 
   private constructor(lastEventId: string | undefined) {
@@ -50,17 +50,17 @@
 
   /** Begins the part of a further server. */
   beginPart(): void {
-    this.partEventCount = 0;
+    this.hasWholeEvent = false;
   }
 
   /** True if a part that begins with an event goes on where the stream stopped. */
   isNext(firstId: string | undefined): boolean {
-    return this.partEventCount > 0 || followsEvent(this.eventId, firstId);
+    return this.hasWholeEvent || followsEvent(this.eventId, firstId);
   }
 
   /** Records that events arrived whole. */
   recordEvents(lastId: string | undefined): void {
-    this.partEventCount += 1;
+    this.hasWholeEvent = true;
     this.isEventOutstanding = false;
     this.eventId = lastId ?? this.eventId;
   }
@@ -76,8 +76,8 @@
       framing,
       hasFailed,
       events: {
-        count: this.partEventCount,
-        isOneOutstanding: this.isEventOutstanding,
+        hasWhole: this.hasWholeEvent,
+        hasOutstanding: this.isEventOutstanding,
       },
     });
   }
--- a/packages/core/test/forwarding/response_end.test.ts
+++ b/packages/core/test/forwarding/response_end.test.ts
@@ -11,9 +11,9 @@
 } from '../../src/index.js';
 
 const FRAMINGS: readonly BodyFraming[] = ['length', 'chunks', 'connection'];
-const NO_EVENT: EventEvidence = {count: 0, isOneOutstanding: false};
-const WHOLE_EVENTS: EventEvidence = {count: 2, isOneOutstanding: false};
-const HALF_EVENT: EventEvidence = {count: 2, isOneOutstanding: true};
+const NO_EVENT: EventEvidence = {hasWhole: false, hasOutstanding: false};
+const WHOLE_EVENTS: EventEvidence = {hasWhole: true, hasOutstanding: false};
+const HALF_EVENT: EventEvidence = {hasWhole: true, hasOutstanding: true};
 
 interface Judgement {
   readonly title: string;
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -1,9 +1,4 @@
-import {
-  canContinueStream,
-  decideNextStep,
-  isNeverSent,
-  type AttemptEnd,
-} from '@anvilrudder/core';
+import {decideNextStep, isNeverSent, type AttemptEnd} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {beginTrial} from './begin_trial.js';
 import {
@@ -18,40 +13,22 @@
 } from './choose_target.js';
 import {planEscalation} from './escalate.js';
 import {createExchangeError} from './exchange_error.js';
-import {
-  compareStreamSpeed,
-  observeBufferedResponse,
-  observeDecodeSpeed,
-} from './observe_response.js';
+import {observeBufferedResponse} from './observe_response.js';
 import type {OpenExchange} from './open_exchange.js';
 import {readResponse} from './read_response.js';
 import {logAttempt, recordCut} from './record_send.js';
 import {relayThroughHost} from './relay_through_host.js';
 import {planRetry, refundRetry, consumeRetry} from './retry.js';
-import {relayEvents, type RelayEnd, type RelayResult} from './relay_stream.js';
+import {relayStreamedResponse} from './relay_streamed_response.js';
 import {
+  discardResponse,
   endSend,
   endUnfinished,
   sendAttempt,
   type AttemptResult,
   type BackendResponse,
 } from './send_attempt.js';
-import {
-  canFinishStream,
-  endResponse,
-  isRelayedAsStream,
-  respondWithBody,
-  writeStreamHead,
-} from './write_response.js';
-
-const ATTEMPT_END_BY_RELAY_END: Readonly<
-  Record<RelayEnd, AttemptEnd | undefined>
-> = {
-  complete: 'answered',
-  unknown: 'answered',
-  broken: 'lost',
-  stopped: undefined,
-};
+import {isRelayedAsStream, respondWithBody} from './write_response.js';
 
 /** Timers may fire early by up to this time. */
 const TIMER_SLACK_MS = 1;
@@ -131,9 +108,16 @@
     exchange.escalations += 1;
     return escalationTarget;
   }
-  return isRelayedAsStream(exchange, backendResponse.stream)
-    ? relayStreamedResponse(context, exchange, backendResponse)
-    : relayBufferedResponse(context, exchange, backendResponse);
+  if (!isRelayedAsStream(exchange, backendResponse.stream))
+    return relayBufferedResponse(context, exchange, backendResponse);
+  const streamEnd = await relayStreamedResponse(
+    context,
+    exchange,
+    backendResponse,
+  );
+  return streamEnd === 'lost'
+    ? handleFailure(context, exchange, target, 'lost', undefined)
+    : undefined;
 }
 
 async function handleFailure(
@@ -169,17 +153,6 @@
   throw createExchangeError(context, exchange);
 }
 
-/** Aborts a response of which nothing has been sent to the caller. */
-function discardResponse(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  {stream, send}: BackendResponse,
-  end: AttemptEnd | undefined,
-): void {
-  void stream.chunks.return?.();
-  endSend(context, exchange, send, end);
-}
-
 async function relayBufferedResponse(
   context: GatewayContext,
   exchange: OpenExchange,
@@ -212,102 +185,3 @@
   respondWithBody(exchange, stream, body, verdict);
   return undefined;
 }
-
-/** Relays a stream, and resumes it at other servers if it is interrupted. */
-async function relayStreamedResponse(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  initialResponse: BackendResponse,
-): Promise<SendTarget | undefined> {
-  const {response} = exchange.admitted;
-  let backendResponse = initialResponse;
-  for (;;) {
-    const {end} = await relayStreamPart(context, exchange, backendResponse);
-    if (end === 'stopped') {
-      if (!response.headersSent) throw createExchangeError(context, exchange);
-      endResponse(exchange, 'broken');
-      return undefined;
-    }
-    if (canFinishStream(exchange, end)) {
-      if (!response.headersSent)
-        writeStreamHead(exchange, backendResponse.stream);
-      endResponse(exchange, end);
-      return undefined;
-    }
-    if (!response.headersSent) {
-      const {target} = backendResponse;
-      return handleFailure(context, exchange, target, 'lost', undefined);
-    }
-    const next = await resumeStream(context, exchange, initialResponse);
-    if (next === undefined) {
-      endResponse(exchange, 'broken');
-      return undefined;
-    }
-    backendResponse = next;
-  }
-}
-
-/** Relays the part of a stream that one server sends, and records its end. */
-async function relayStreamPart(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  backendResponse: BackendResponse,
-): Promise<RelayResult> {
-  const {crashGuard} = context;
-  const {stream, send, sentMs, target} = backendResponse;
-  const [, ...partIds] = exchange.suspectIds;
-  const result = await relayEvents(context, exchange, {
-    stream,
-    sender: send.server.id,
-    onBegin: () => crashGuard.recordAnswer(partIds),
-  });
-  const {end, isCutOff, hasBegun, durationMs} = result;
-  if (isCutOff) recordCut(context, exchange, send, sentMs, hasBegun);
-  const attemptEnd = ATTEMPT_END_BY_RELAY_END[end];
-  const isAnswered = attemptEnd === 'answered';
-  const speed = isAnswered
-    ? compareStreamSpeed(context, backendResponse)
-    : undefined;
-  endSend(context, exchange, send, attemptEnd, speed);
-  if (isAnswered) {
-    crashGuard.recordAnswer(exchange.suspectIds);
-    observeDecodeSpeed(context, exchange, target.modelName, durationMs);
-  }
-  return result;
-}
-
-function isContinuation(
-  {stream: first}: BackendResponse,
-  {stream: next}: BackendResponse,
-): boolean {
-  return canContinueStream(
-    {status: first.status, contentType: first.headers['content-type']},
-    {status: next.status, contentType: next.headers['content-type']},
-  );
-}
-
-async function resumeStream(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  initialResponse: BackendResponse,
-): Promise<BackendResponse | undefined> {
-  if (!exchange.isRetryable) return undefined;
-  for (;;) {
-    const target = planRetry(context, exchange, initialResponse.target.model);
-    if (target === undefined) return undefined;
-    consumeRetry(context, exchange, target);
-    exchange.resumptions += 1;
-    const {end, backendResponse} = await sendAttempt(context, exchange, target);
-    logAttempt(context, exchange, target, end, backendResponse?.stream.status);
-    if (isNeverSent(end)) refundRetry(context, exchange, target);
-    if (exchange.stopped !== undefined) {
-      if (backendResponse)
-        discardResponse(context, exchange, backendResponse, undefined);
-      return undefined;
-    }
-    if (backendResponse === undefined) continue;
-    if (end === 'answered' && isContinuation(initialResponse, backendResponse))
-      return backendResponse;
-    discardResponse(context, exchange, backendResponse, end);
-  }
-}
--- a/packages/gateway/src/stages/read_response.ts
+++ b/packages/gateway/src/stages/read_response.ts
@@ -67,8 +67,8 @@
   const splitter = EventSplitter.create();
   const {bytes} = splitter.push(body);
   return {
-    count: bytes.length > 0 ? 1 : 0,
-    isOneOutstanding: splitter.incompleteEventBytes > 0,
+    hasWhole: bytes.length > 0,
+    hasOutstanding: splitter.incompleteEventBytes > 0,
   };
 }
 
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -237,6 +237,17 @@
   });
 }
 
+/** Aborts a response of which nothing has been sent to the caller. */
+export function discardResponse(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  {stream, send}: BackendResponse,
+  end: AttemptEnd | undefined,
+): void {
+  void stream.chunks.return?.();
+  endSend(context, exchange, send, end);
+}
+
 // Nothing in an answer to a request without an id shows that it is its answer,
 // so no other request may have used the connection.
 function chooseMaxIdleMs({admitted, isRetryable}: OpenExchange): number {
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -1,5 +1,3 @@
-import {once} from 'node:events';
-import type {Server} from 'node:http';
 import {
   ByteBudget,
   PrefillTimeEstimator,
@@ -11,7 +9,7 @@
   type Random,
 } from '@anvilrudder/core';
 import type {Logger, MetricRegistry} from '@anvilrudder/observability';
-import type {GatewaySettings, ListenAddress} from './config/settings.js';
+import type {GatewaySettings} from './config/settings.js';
 import {followStore, type FollowedKinds} from './control/store/follow_store.js';
 import {BrittleServers} from './control/servers/brittle_servers.js';
 import {CrashGuard} from './control/servers/crash_guard.js';
@@ -40,6 +38,7 @@
   createCallerServer,
   createRelayServer,
 } from './server/caller_server.js';
+import {formatAddress, hasSameAddresses, listen} from './server/listen.js';
 import {
   createMetricsServer,
   createReadinessServer,
@@ -289,23 +288,3 @@
   };
   return {context, reload, stop};
 }
-
-async function listen(
-  server: Server,
-  listenAddress: ListenAddress,
-): Promise<void> {
-  server.listen(listenAddress.port, listenAddress.address);
-  await once(server, 'listening');
-}
-
-function formatAddress({address, port}: ListenAddress): string {
-  return `${address}:${port}`;
-}
-
-/** Changes to the listen addresses or the store address need a restart. */
-function hasSameAddresses(a: GatewaySettings, b: GatewaySettings): boolean {
-  return (
-    a.storeAddress === b.storeAddress &&
-    JSON.stringify(a.listen) === JSON.stringify(b.listen)
-  );
-}
