Ask at most three hosts that cannot be reached for a request

Each costs a connect that hangs for 250 ms; with the limit of six alone a request could wait for 1.5 s before it is refused (read, not seen). Comments of the choice of a host say what they hold. The added assertion of relay_hosts fails before.

--- a/packages/core/src/forwarding/relay_hosts.ts
+++ b/packages/core/src/forwarding/relay_hosts.ts
@@ -9,6 +9,7 @@
 
 /** What the choice of a host for a request depends on. */
 export interface RelayDemand {
+  /** Name of the service, or of a version of it, that is needed. */
   readonly service: string;
   /** Failure domain of the host that asks. */
   readonly failureDomain: string;
@@ -28,7 +29,7 @@
 
 /** Time for which a host that could not be reached is left out. */
 const LEFT_OUT_MS = 2000;
-/** Share of the usable hosts in other failure domains that is enough for all requests. */
+/** Smallest share of the hosts that takes all requests of the other ones. */
 const MIN_ELSEWHERE_SHARE = 1 / 3;
 /** Time between two requests that ask a host in spite of what it has said. */
 const TRIAL_PERIOD_MS = 500;
@@ -77,8 +78,8 @@
 
   /**
    * Chooses a host at random among those that may reach the service, in another
-   * failure domain unless few of them are. If none is left, one request in a while asks
-   * any host, as what hosts say on their return may be lost.
+   * failure domain unless few of them are. If none is left, one request in a
+   * while asks any host, as what hosts say on their return may be lost.
    */
   choose(
     candidates: readonly RelayCandidate[],
--- a/packages/core/src/forwarding/relay_search.ts
+++ b/packages/core/src/forwarding/relay_search.ts
@@ -9,14 +9,30 @@
 
 /** Most hosts that a request asks, so that it is refused soon if none sends it. */
 const MAX_ASKED_HOSTS = 6;
-/** Most of them that reach the service, as another one hardly finds more room. */
-const MAX_UNAVAILABLE_HOSTS = 2;
+/**
+ * Most of them by how they failed: a host that can't be reached costs a connect
+ * that hangs, and beside two without room another one hardly finds more.
+ */
+const MAX_FAILURES: Readonly<Record<RelayFailure, number>> = {
+  notAsked: 3,
+  unreached: MAX_ASKED_HOSTS,
+  unavailable: 2,
+};
+
+const RELAY_FAILURES: readonly RelayFailure[] = [
+  'notAsked',
+  'unreached',
+  'unavailable',
+];
 
 /** The hosts that one request has asked, and whether it may ask another one. */
 export class RelaySearch {
   private readonly askedAddresses = new Set<string>();
-  private unavailableCount = 0;
-  private refusalCount = 0;
+  private readonly failureCounts: Record<RelayFailure, number> = {
+    notAsked: 0,
+    unreached: 0,
+    unavailable: 0,
+  };
 
   private constructor() {}
 
@@ -40,18 +56,20 @@
   get mayAsk(): boolean {
     return (
       this.askedAddresses.size < MAX_ASKED_HOSTS &&
-      this.unavailableCount < MAX_UNAVAILABLE_HOSTS
+      RELAY_FAILURES.every(
+        failure => this.failureCounts[failure] < MAX_FAILURES[failure],
+      )
     );
   }
 
   /** True if a host has got the request and has not sent it. */
   get wasRefused(): boolean {
-    return this.refusalCount > 0;
+    const {unreached, unavailable} = this.failureCounts;
+    return unreached + unavailable > 0;
   }
 
   recordFailure(address: string, failure: RelayFailure): void {
     this.askedAddresses.add(address);
-    if (failure !== 'notAsked') this.refusalCount += 1;
-    if (failure === 'unavailable') this.unavailableCount += 1;
+    this.failureCounts[failure] += 1;
   }
 }
--- a/packages/core/test/forwarding/relay_hosts.test.ts
+++ b/packages/core/test/forwarding/relay_hosts.test.ts
@@ -107,6 +107,10 @@
   for (; unreached.mayAsk; count += 1)
     unreached.recordFailure(`h${count}`, 'unreached');
   assert.equal(count, MAX_ASKED);
+  const dark = RelaySearch.create();
+  for (const address of ['h1', 'h2', 'h3'])
+    dark.recordFailure(address, 'notAsked');
+  assert.equal(dark.mayAsk, false, 'each costs a connect that hangs');
   const unavailable = RelaySearch.create();
   unavailable.recordFailure('h1', 'notAsked');
   assert.equal(unavailable.wasRefused, false);
