--- a/packages/core/test/forwarding/relay_hosts.test.ts
+++ b/packages/core/test/forwarding/relay_hosts.test.ts
@@ -136,7 +136,7 @@
 
 // Guards against a service closed by the word of a few hosts, at any number of them.
 for (const hostCount of [2, 4, 28, 77, 300]) {
-  for (const cutShare of [0.1, 0.3, 0.5, 0.8, 0.97]) {
+  for (const cutShare of [0.1, 0.3, 0.5, 0.8, 0.9, 0.97]) {
     for (const lossShare of [0.02, 0.5]) {
       const cutCount = Math.min(
         hostCount - 1,
@@ -160,6 +160,29 @@
   }
 }
 
+// Guards against a refusal by which hosts learn too little where none is told by message.
+for (const hostCount of [4, 28, 77, 300]) {
+  for (const cutShare of [0.1, 0.5, 0.9]) {
+    const cutCount = Math.min(
+      hostCount - 1,
+      Math.max(1, Math.round(hostCount * cutShare)),
+    );
+    test(`most requests are sent where hosts hear of lost links by refusals alone: ${cutCount} of ${hostCount}`, () => {
+      const play = ReachPlay.run({
+        ...PLAY,
+        hostCount,
+        lossShare: 1,
+        durationMs: hostCount > 100 ? 8000 : PLAY.durationMs,
+        isLinked: host => host >= cutCount,
+      });
+      assert.ok(
+        play.served >= 0.9 * play.cutOffRequests,
+        `${play.served} of ${play.cutOffRequests}`,
+      );
+    });
+  }
+}
+
 test('the requests of cut-off hosts are spread over all that reach the service', () => {
   const {relayedByHost} = ReachPlay.run({
     ...PLAY,
