Say that a version is lost apart from lost links to its service

What callers saw (own test): a host without links to a service had none of 80 requests sent by another host that lists one of two versions; that host refused the first as 'unreached', and was left out for five seconds for the service, also for requests of the version that it lists.

A host that lists no server of the version that is needed now says versionLost, which leaves it out for requests of that version alone.

--- a/packages/gateway/src/stages/choose_relay.ts
+++ b/packages/gateway/src/stages/choose_relay.ts
@@ -65,13 +65,12 @@
   return attempts === 0 && (!hasTarget || unsentCount === UNSENT_BEFORE_RELAY);
 }
 
-/** True if this host has lost what the request needs: links, or a version. */
-export function hasLostServers(
+/** True if this host could not send the request as it has lost its links. */
+export function hasLostLinks(
   context: GatewayContext,
   exchange: OpenExchange,
 ): boolean {
-  const {attempts, unsentCount, lostBeforeVersion} = exchange;
-  if (lostBeforeVersion !== undefined) return true;
+  const {attempts, unsentCount} = exchange;
   if (attempts === 0 && unsentCount > 0) return true;
   const service = findService(context, exchange)?.name;
   return service !== undefined && context.hostRelay.isCutOff(service);
--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -12,7 +12,7 @@
 import {readRequestBody} from '../server/read_request_body.js';
 import {admitInDrain} from './admit_in_drain.js';
 import {admitRequest, type AdmittedRoute} from './admit.js';
-import {hasLostServers} from './choose_relay.js';
+import {hasLostLinks} from './choose_relay.js';
 import {dispatchRequest} from './dispatch.js';
 import {hashSession} from './hash_session.js';
 import {OpenExchange} from './open_exchange.js';
@@ -146,9 +146,11 @@
   if (code !== 'no_backend' && code !== 'not_ready') return undefined;
   if (context.drain.isDraining) return 'stopping';
   if (code === 'not_ready') return 'behind';
-  return exchange !== undefined && hasLostServers(context, exchange)
-    ? 'unreached'
-    : 'unavailable';
+  if (exchange === undefined) return 'unavailable';
+  if (hasLostLinks(context, exchange)) return 'unreached';
+  return exchange.lostBeforeVersion === undefined
+    ? 'unavailable'
+    : 'versionLost';
 }
 
 function respondWithError(
--- a/packages/gateway/src/stages/relay_through_host.ts
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -1,5 +1,5 @@
 import {isTransportError, type HttpStream} from '@anvilrudder/clients';
-import {RelaySearch} from '@anvilrudder/core';
+import {RelaySearch, type RelayFailure} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {createExchangeError} from './exchange_error.js';
 import type {OpenExchange} from './open_exchange.js';
@@ -23,18 +23,28 @@
 
 /**
  * Why a host has not sent a relayed request. `unreached`: it has lost its links to
- * the service; `unavailable`: it reaches the service, but no server took the
- * request; `behind`: it has not applied the configuration with which the request
- * was admitted.
+ * the service; `versionLost`: it lists no server of the version that the request
+ * needs; `unavailable`: it reaches the service, but no server took the request;
+ * `behind`: it has not applied the configuration with which the request was
+ * admitted.
  */
-export type RelayRefusal = 'unreached' | 'unavailable' | 'stopping' | 'behind';
+export type RelayRefusal =
+  'unreached' | 'versionLost' | 'unavailable' | 'stopping' | 'behind';
 
 /** Header with the version of the configuration that a request was admitted by. */
 export const RELAY_ROUTING_HEADER = 'relay-routing-version';
 
+/** How a refusal counts in the search of a host; `unavailable` if not listed. */
+const FAILURE_BY_REFUSAL: ReadonlyMap<string, RelayFailure> = new Map<
+  RelayRefusal,
+  RelayFailure
+>([
+  ['unreached', 'unreached'],
+  ['versionLost', 'unreached'],
+]);
+
 /** A host has not sent a request, with its reason. */
 interface HostRefusal {
-  /** The service, or the version of it, that the request needs. */
   readonly needed: string;
   readonly host: string;
   readonly refusal: string;
@@ -81,9 +91,10 @@
     }
     stream.discard();
     exchange.mayHaveRun = false;
-    const isUnreached = refusal === ('unreached' satisfies RelayRefusal);
-    search.recordFailure(host, isUnreached ? 'unreached' : 'unavailable');
-    recordRefusal(context, exchange, {needed, host, refusal: String(refusal)});
+    const hostRefusal = {needed, host, refusal: String(refusal)};
+    const failure = FAILURE_BY_REFUSAL.get(hostRefusal.refusal);
+    search.recordFailure(host, failure ?? 'unavailable');
+    recordRefusal(context, exchange, hostRefusal);
   }
   return search.wasRefused ? 'refused' : 'noHost';
 }
@@ -98,7 +109,10 @@
   const {hostRelay} = context;
   logRefusal(context, exchange, hostRefusal);
   if (refusal === ('stopping' satisfies RelayRefusal)) hostRelay.leaveOut(host);
-  if (refusal === ('unreached' satisfies RelayRefusal))
+  const isUnreached = refusal === ('unreached' satisfies RelayRefusal);
+  const isVersionLost = refusal === ('versionLost' satisfies RelayRefusal);
+  // A host that has lost one version reaches the service for other requests.
+  if (isUnreached || (isVersionLost && exchange.lostBeforeVersion))
     hostRelay.recordHostUnreached(needed, host);
 }
 
