Ask a host that has sent requests lately once another one has refused

Now a refused request goes to a host that has sent others of its service; the first choice stays random, so that the load is spread over those that each host has found.

--- a/packages/core/src/forwarding/relay_hosts.ts
+++ b/packages/core/src/forwarding/relay_hosts.ts
@@ -34,14 +34,50 @@
 /** Time between two requests that ask a host in spite of what it has said. */
 const TRIAL_PERIOD_MS = 500;
 
+/** Ends of times by service and host. */
+class HostTimes {
+  private readonly endMsByService = new Map<string, Map<string, number>>();
+
+  private constructor() {}
+
+  static create(): HostTimes {
+    return new HostTimes();
+  }
+
+  set(service: string, address: string, endMs: number): void {
+    const known = this.endMsByService.get(service);
+    if (known !== undefined) known.set(address, endMs);
+    else this.endMsByService.set(service, new Map([[address, endMs]]));
+  }
+
+  delete(service: string, address: string): void {
+    this.endMsByService.get(service)?.delete(address);
+  }
+
+  /** True until the time of the host has ended. */
+  has(service: string, address: string, nowMs: number): boolean {
+    const endMs = this.endMsByService.get(service)?.get(address);
+    return endMs !== undefined && nowMs < endMs;
+  }
+
+  forgetExpired(nowMs: number): void {
+    for (const [service, endMsByAddress] of this.endMsByService) {
+      deleteExpired(endMsByAddress, nowMs);
+      if (endMsByAddress.size === 0) this.endMsByService.delete(service);
+    }
+  }
+}
+
 /**
  * Knows which of the other hosts can relay requests for a service: what each of
  * them has said of its own links lately, and which could not be reached. What one
  * host says concerns that host alone.
  */
 export class RelayHosts {
-  /** End of the time for which a host counts as unreached, by service. */
-  private readonly untilMsByService = new Map<string, Map<string, number>>();
+  /** Ends of the times for which hosts count as ones that do not reach a service. */
+  private readonly unreached = HostTimes.create();
+  /** Ends of the times for which hosts count as ones that send its requests. */
+  private readonly sending = HostTimes.create();
   private readonly leftOutUntilMs = new Map<string, number>();
   private readonly nextTrialMs = new Map<string, number>();
 
@@ -61,14 +97,19 @@
 
   /** Records that a host has said that it does not reach a service. */
   recordUnreached(service: string, address: string, untilMs: number): void {
-    const known = this.untilMsByService.get(service);
-    if (known !== undefined) known.set(address, untilMs);
-    else this.untilMsByService.set(service, new Map([[address, untilMs]]));
+    this.unreached.set(service, address, untilMs);
+    this.sending.delete(service, address);
   }
 
   /** Records that a host reaches a service. */
   recordReached(service: string, address: string): void {
-    this.untilMsByService.get(service)?.delete(address);
+    this.unreached.delete(service, address);
+  }
+
+  /** Records that a host has sent a request for a service. */
+  recordSent(service: string, address: string, untilMs: number): void {
+    this.recordReached(service, address);
+    this.sending.set(service, address, untilMs);
   }
 
   /** Leaves out a host for a while that could not be reached, or is stopping. */
@@ -78,8 +119,9 @@
 
   /**
    * Chooses a host at random among those that may reach the service, in another
-   * failure domain unless few of them are. If none is left, one request in a
-   * while asks any host, as what hosts say on their return may be lost.
+   * failure domain unless few of them are. A request that a host has refused goes
+   * to one that has sent others lately. If none is left, one request in a while
+   * asks any host, as what hosts say on their return may be lost.
    */
   choose(
     candidates: readonly RelayCandidate[],
@@ -91,8 +133,13 @@
         nowMs >= (this.leftOutUntilMs.get(address) ?? -Infinity),
     );
     const open = usable.filter(
-      ({address}) => !this.isUnreached(service, address, nowMs),
+      ({address}) => !this.unreached.has(service, address, nowMs),
     );
+    const proven = open.filter(
+      ({address}) =>
+        asked.size > 0 && this.sending.has(service, address, nowMs),
+    );
+    if (proven.length > 0) return this.ask(proven, failureDomain);
     if (open.length > 0) return this.ask(open, failureDomain);
     if (usable.length === 0) return {kind: 'none'};
     const trialMs = this.nextTrialMs.get(service) ?? -Infinity;
@@ -105,19 +152,8 @@
   forgetExpired(nowMs: number): void {
     deleteExpired(this.leftOutUntilMs, nowMs);
     deleteExpired(this.nextTrialMs, nowMs);
-    for (const [service, untilMs] of this.untilMsByService) {
-      deleteExpired(untilMs, nowMs);
-      if (untilMs.size === 0) this.untilMsByService.delete(service);
-    }
-  }
-
-  private isUnreached(
-    service: string,
-    address: string,
-    nowMs: number,
-  ): boolean {
-    const untilMs = this.untilMsByService.get(service)?.get(address);
-    return untilMs !== undefined && nowMs < untilMs;
+    this.unreached.forgetExpired(nowMs);
+    this.sending.forgetExpired(nowMs);
   }
 
   private ask(
--- a/packages/core/test/support/reach_play.ts
+++ b/packages/core/test/support/reach_play.ts
@@ -191,6 +191,7 @@
       if (this.sendDirectly(asked)) {
         if (isCounted) this.served += 1;
         this.relayedByHost[asked] += 1;
+        relays.recordSent(SERVICE, choice.address, this.wordEndMs);
         return search.asked.size + 1;
       }
       relays.recordUnreached(SERVICE, choice.address, this.wordEndMs);
--- a/packages/gateway/src/control/hosts/host_relay.ts
+++ b/packages/gateway/src/control/hosts/host_relay.ts
@@ -102,6 +102,13 @@
     this.relays.recordUnreached(service, address, untilMs);
   }
 
+  /** Records that another host has sent a request for a service. */
+  recordHostSent(service: string, address: string): void {
+    const validityMs = computeNoticeValidityMs(this.options.hosts.count);
+    const untilMs = performance.now() + validityMs;
+    this.relays.recordSent(service, address, untilMs);
+  }
+
   /** True if this host has lost its links to the servers of a service. */
   isCutOff(service: string): boolean {
     return this.options.reach.isCutOff(service, this.countServers(service));
--- a/packages/gateway/src/stages/relay_through_host.ts
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -85,6 +85,7 @@
     const refusal = stream.headers[RELAY_REFUSED_HEADER];
     if (refusal === undefined) {
       exchange.relayedTo = host;
+      hostRelay.recordHostSent(needed, host);
       context.metrics.count('relayed_requests_total');
       await relayResponse(context, exchange, stream, host);
       return 'answered';
