--- a/packages/core/src/forwarding/version_evidence.ts
+++ b/packages/core/src/forwarding/version_evidence.ts
@@ -9,7 +9,14 @@
   type AnswerRow,
   type RolloutSide,
 } from './pooled_answers.js';
-import type {DurationCounts} from './answer_counters.js';
+import {
+  exceeds,
+  FAILURES,
+  listStrata,
+  SLOW_ANSWERS,
+  type EvidenceLimits,
+  type RateComparison,
+} from './answer_strata.js';
 import type {VersionAssessment} from './rollout_plan.js';
 import {SlownessBaseline} from './slowness_baseline.js';
 
@@ -28,12 +35,6 @@
   readonly isSlow?: boolean;
 }
 
-/** Requests of one version and how many of them failed. */
-interface FailureCounts {
-  readonly requests: number;
-  readonly failures: number;
-}
-
 /** Difference in mean slowness between the new and the old version. */
 interface SlownessDifference {
   readonly meanDifference: number;
@@ -43,12 +44,6 @@
 /** Kind of regression found in the new version. */
 export type RegressionKind = 'failures' | 'slowness';
 
-/** Log-likelihood ratios above which failures count as a finding. */
-interface EvidenceLimits {
-  readonly onAllRoutes: number;
-  readonly onOneRoute: number;
-}
-
 const REGRESSION_EVIDENCE: EvidenceLimits = {
   onAllRoutes: Math.log(2000),
   onOneRoute: Math.log(2000),
@@ -61,21 +56,12 @@
   onAllRoutes: Math.log(5),
   onOneRoute: Math.log(50),
 };
-const FAILURE_RATE_TOLERANCE = 0.04;
 /** Failure rates of the new version that the answers must be able to show. */
 const DETECTABLE_FAILURE_RATE = {beforeShift: 0.5, beforeSuccess: 0.4} as const;
 /** Evidence expected of such a version, so that chance rarely hides it. */
 const DETECTION_MARGIN = 1.5;
 /** Answers with a slowness before all work moves, if the old version has some. */
 const SLOWNESS_COUNT_BEFORE_SHIFT = 12;
-/** Failure rate of an old version without answers. */
-const USUAL_FAILURE_RATE = 0.02;
-/** Answers that an assumed failure rate weighs as much as. */
-const ASSUMED_RATE_COUNT = {ofService: 4, ofRoute: 20} as const;
-/** Tolerated increase of the share of slow answers. */
-const SLOW_SHARE_TOLERANCE = 0.1;
-/** Share of slow answers of an old version without timed answers. */
-const USUAL_SLOW_SHARE = 0.05;
 /** Tolerated difference in slowness (logarithm of a time ratio). */
 const SLOWNESS_TOLERANCE = Math.log(1.3);
 /** Standard errors beyond the tolerance at which a version counts as slow. */
@@ -190,7 +176,7 @@
 
   /** True if a version that fails at this rate would have been found by now. */
   private canShowFailures(failureRate: number): boolean {
-    const strata = this.listFailureStrata().map(stratum => ({
+    const strata = this.listStrata(FAILURES).map(stratum => ({
       ...stratum,
       errors: stratum.requests * Math.max(failureRate, stratum.acceptedRate),
     }));
@@ -207,8 +193,12 @@
     );
   }
 
+  private listStrata(comparison: RateComparison): readonly ErrorStratum[] {
+    return listStrata(this.answers, comparison);
+  }
+
   private hasFailures(limits: EvidenceLimits): boolean {
-    return exceeds(this.listFailureStrata(), limits);
+    return exceeds(this.listStrata(FAILURES), limits);
   }
 
   /**
@@ -216,45 +206,7 @@
    * that is slow for some requests, whose mean hardly differs.
    */
   private hasSlowShare(limits: EvidenceLimits): boolean {
-    return exceeds(this.listSlowStrata(), limits);
-  }
-
-  /** Lists the timed answers of the new version by route. */
-  private listSlowStrata(): readonly ErrorStratum[] {
-    const serviceShare = estimateSlowShare(
-      this.answers.readAll('old').durations,
-      USUAL_SLOW_SHARE,
-      ASSUMED_RATE_COUNT.ofService,
-    );
-    return this.answers.listRoutes('new').map(route => {
-      const {count, slowCount} = this.answers.read(route, 'new').durations;
-      const baselineShare = estimateSlowShare(
-        this.answers.read(route, 'old').durations,
-        serviceShare,
-        ASSUMED_RATE_COUNT.ofRoute,
-      );
-      const acceptedRate = baselineShare + SLOW_SHARE_TOLERANCE;
-      return {requests: count, errors: slowCount, acceptedRate};
-    });
-  }
-
-  /** Lists the answers of the new version by route. */
-  private listFailureStrata(): readonly ErrorStratum[] {
-    const serviceRate = estimateFailureRate(
-      this.answers.readAll('old'),
-      USUAL_FAILURE_RATE,
-      ASSUMED_RATE_COUNT.ofService,
-    );
-    return this.answers.listRoutes('new').map(route => {
-      const {requests, failures} = this.answers.read(route, 'new');
-      const baselineRate = estimateFailureRate(
-        this.answers.read(route, 'old'),
-        serviceRate,
-        ASSUMED_RATE_COUNT.ofRoute,
-      );
-      const acceptedRate = baselineRate + FAILURE_RATE_TOLERANCE;
-      return {requests, errors: failures, acceptedRate};
-    });
+    return exceeds(this.listStrata(SLOW_ANSWERS), limits);
   }
 
   /**
@@ -302,37 +254,6 @@
   }
 }
 
-/** Estimates a failure rate; few answers move it little from the assumed one. */
-function estimateFailureRate(
-  {requests, failures}: FailureCounts,
-  assumedRate: number,
-  assumedCount: number,
-): number {
-  return (failures + assumedCount * assumedRate) / (requests + assumedCount);
-}
-
-function estimateSlowShare(
-  {count, slowCount}: DurationCounts,
-  assumedShare: number,
-  assumedCount: number,
-): number {
-  const counts = {requests: count, failures: slowCount};
-  return estimateFailureRate(counts, assumedShare, assumedCount);
-}
-
-/** A version may be bad on one route only, or on all of them a little. */
-function exceeds(
-  strata: readonly ErrorStratum[],
-  {onAllRoutes, onOneRoute}: EvidenceLimits,
-): boolean {
-  return (
-    computeStratifiedErrorEvidence(strata) > onAllRoutes ||
-    strata.some(
-      stratum => computeStratifiedErrorEvidence([stratum]) > onOneRoute,
-    )
-  );
-}
-
 function meanOf({count, sum}: Moments): number {
   return sum / count;
 }
--- a/packages/entry/test/faults/process_sessions.test.ts
+++ b/packages/entry/test/faults/process_sessions.test.ts
@@ -45,9 +45,13 @@
 
 // The cases run in this order: the effect of each one lasts into the next.
 const SESSION_CASES = [
-  {moment: 'at every entry', prepare: () => Promise.resolve()},
   {
-    moment: 'while a rollout sends all new requests to another version',
+    title: '[session] a session keeps its version at every entry',
+    prepare: () => Promise.resolve(),
+  },
+  {
+    title:
+      '[session] a session keeps its version while a rollout sends all new requests to another version',
     prepare: async () => {
       const outcome = await applyRules(entries[0].peerAddress, {
         content: ALL_V2,
@@ -62,7 +66,8 @@
     },
   },
   {
-    moment: 'after every entry was killed and restarted',
+    title:
+      '[session] a session keeps its version after every entry was killed and restarted',
     prepare: async () => {
       await Promise.all(entries.map(entry => entry.kill()));
       entries = await Promise.all(
@@ -75,8 +80,8 @@
   },
 ] as const;
 
-for (const {moment, prepare} of SESSION_CASES) {
-  test(`[session] a session keeps its version ${moment}`, async () => {
+for (const {title, prepare} of SESSION_CASES) {
+  test(title, async () => {
     await prepare();
     for (const answer of await generateInAllSessions()) {
       assert.equal(answer.version, 'quick@v1', answer.code);
@@ -99,22 +104,29 @@
 
 const INVALID_TOKENS = [
   {
-    defect: 'signed with another key',
+    title:
+      '[session] a session token signed with another key is refused at every entry and nothing runs',
     create: () => sign(Buffer.alloc(32, 8).toString('base64'), SESSION),
   },
   {
-    defect: 'of another organisation',
+    title:
+      '[session] a session token of another organisation is refused at every entry and nothing runs',
     create: () => sign(SESSION_SECRET, {...SESSION, organisation: 'agency-b'}),
   },
   {
-    defect: 'whose end is cut off',
+    title:
+      '[session] a session token whose end is cut off is refused at every entry and nothing runs',
     create: () => sign(SESSION_SECRET, SESSION).slice(0, -2),
   },
-  {defect: 'that is arbitrary text', create: () => 'nonsense'},
+  {
+    title:
+      '[session] a session token that is arbitrary text is refused at every entry and nothing runs',
+    create: () => 'nonsense',
+  },
 ] as const;
 
-for (const {defect, create} of INVALID_TOKENS) {
-  test(`[session] a session token ${defect} is refused at every entry and nothing runs`, async () => {
+for (const {title, create} of INVALID_TOKENS) {
+  test(title, async () => {
     const executionsBefore = deployment.countExecutions('quick@v1');
     for (const {callerAddress} of entries) {
       const answer = await generate(callerAddress, {session: create()});
--- a/packages/entry/test/faults/rules_acceptance.test.ts
+++ b/packages/entry/test/faults/rules_acceptance.test.ts
@@ -121,8 +121,21 @@
   await waitUntil(() => revisionsInForce(entries).every(r => r === 2));
 });
 
-for (const lostResponseCount of [1, 2, 4]) {
-  test(`[rules] a change takes effect once when the store loses ${lostResponseCount} write responses`, async () => {
+for (const [title, lostResponseCount] of [
+  [
+    '[rules] a change takes effect once when the store loses 1 write responses',
+    1,
+  ],
+  [
+    '[rules] a change takes effect once when the store loses 2 write responses',
+    2,
+  ],
+  [
+    '[rules] a change takes effect once when the store loses 4 write responses',
+    4,
+  ],
+] as const) {
+  test(title, async () => {
     const entries = await cluster.startMembers(3);
     cluster.store.loseWriteAnswers = lostResponseCount;
     const outcome = await applyText(entries[0], 'second', {changeId: 'c-1'});
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -12,6 +12,7 @@
   type SendTarget,
 } from './choose_target.js';
 import {planEscalation} from './escalate.js';
+import {discardResponse, endSend, endUnfinished} from './end_send.js';
 import {createExchangeError} from './exchange_error.js';
 import {observeBufferedResponse} from './observe_response.js';
 import type {OpenExchange} from './open_exchange.js';
@@ -21,9 +22,6 @@
 import {planRetry, refundRetry, consumeRetry} from './retry.js';
 import {relayStreamedResponse} from './relay_streamed_response.js';
 import {
-  discardResponse,
-  endSend,
-  endUnfinished,
   sendAttempt,
   type AttemptResult,
   type BackendResponse,
--- a/packages/gateway/src/stages/open_exchange.ts
+++ b/packages/gateway/src/stages/open_exchange.ts
@@ -60,7 +60,7 @@
    * the request needs.
    */
   lostBeforeVersion: string | undefined;
-  /** Why that version was chosen; undefined if only one runs. */
+  /** Why the request goes to that version; undefined if only one runs. */
   versionBasis: VersionBasis | undefined;
   confidence: number | undefined;
   escalations = 0;
--- a/packages/gateway/src/stages/relay_streamed_response.ts
+++ b/packages/gateway/src/stages/relay_streamed_response.ts
@@ -4,18 +4,14 @@
   type AttemptEnd,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
+import {discardResponse, endSend} from './end_send.js';
 import {createExchangeError} from './exchange_error.js';
 import {compareStreamSpeed, observeDecodeSpeed} from './observe_response.js';
 import type {OpenExchange} from './open_exchange.js';
 import {logAttempt, recordCut} from './record_send.js';
 import {relayEvents, type RelayEnd, type RelayResult} from './relay_stream.js';
 import {consumeRetry, planRetry, refundRetry} from './retry.js';
-import {
-  discardResponse,
-  endSend,
-  sendAttempt,
-  type BackendResponse,
-} from './send_attempt.js';
+import {sendAttempt, type BackendResponse} from './send_attempt.js';
 import {
   canFinishStream,
   endResponse,
