Count the wait for a limited server when a draining host admits a request

Cause: admitInDrain compared the time that is left with the work alone; a request may wait up to a quarter of its time for a server's limit before it is sent.

--- a/packages/gateway/src/stages/admit_in_drain.ts
+++ b/packages/gateway/src/stages/admit_in_drain.ts
@@ -4,7 +4,11 @@
   type DurationEstimate,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
-import {chooseInitialModel, chooseTarget} from './choose_target.js';
+import {
+  chooseInitialModel,
+  chooseTarget,
+  type SendTarget,
+} from './choose_target.js';
 import type {OpenExchange} from './open_exchange.js';
 
 /** Another host accepts the request at once; the range spreads the callers. */
@@ -26,10 +30,11 @@
 ): void {
   const {drain, metrics, random} = context;
   if (!drain.isDraining) return;
+  const target = chooseTarget(context, exchange, chooseInitialModel(exchange));
   const isServed = canServeInDrain({
-    leftMs: drain.leftMs,
+    leftMs: drain.leftMs - (target?.limitDelayMs ?? 0),
     limitMs: exchange.remainingMs,
-    expected: estimateDuration(context, exchange),
+    expected: estimateDuration(context, exchange, target),
   });
   if (isServed) return;
   metrics.count('requests_rejected_in_drain_total');
@@ -40,10 +45,11 @@
   });
 }
 
-/** Estimates the duration of a request; undefined if nothing is known of it. */
+/** Estimates the duration of a request at a server; undefined if it is not known. */
 function estimateDuration(
   context: GatewayContext,
   exchange: OpenExchange,
+  target: SendTarget | undefined,
 ): DurationEstimate | undefined {
   const {route, request} = exchange.admitted;
   const {generation} = request;
@@ -51,7 +57,7 @@
     return context.routeDurations.estimate(route.name);
   const {decodeEstimator, prefillEstimator} = context;
   const model = chooseInitialModel(exchange);
-  const forecastMs = chooseTarget(context, exchange, model)?.forecastMs;
+  const forecastMs = target?.forecastMs;
   const models = generation.model === undefined ? route.models : [model ?? ''];
   const decodeTimesMs = models.map(name =>
     decodeEstimator.estimateMs(name, generation.maxOutputTokens),
