--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -31,6 +31,8 @@
    * normal end of a response that ends with the connection.
    */
   readonly confirmEnd?: (framing: BodyFraming) => boolean;
+  /** Returns how many bytes of the request have not been sent yet. */
+  readonly countUnsentBytes?: () => number;
   /** Closes the connection, during the exchange or after it. */
   readonly closeConnection?: () => void;
 }
@@ -42,6 +44,8 @@
   /** What marks the end of {@link chunks}. */
   readonly framing: BodyFraming;
   readonly chunks: AsyncIterableIterator<Buffer>;
+  /** Bytes of the request that had not been sent when the response ended. */
+  readonly unsentBytes: number;
   /**
    * Discards the rest of the response so that the connection can be reused. The
    * request is aborted if the response does not end within a second.
@@ -70,6 +74,7 @@
   private isDiscarding = false;
   private remainingBytes: number | undefined;
   private framing: BodyFraming = 'connection';
+  private unsentBytes = 0;
   private controller: Dispatcher.DispatchController | undefined;
   private timer: NodeJS.Timeout | undefined;
   private readonly chunks: ChunkQueue;
@@ -128,14 +133,7 @@
     this.remainingBytes = parseContentLength(headers['content-length']);
     this.framing = readBodyFraming(headers);
     this.startTimer(this.options.idleTimeoutMs);
-    this.resolveOpened({
-      status,
-      headers,
-      framing: this.framing,
-      chunks: this.chunks,
-      discard: () => this.discard(),
-      closeConnection: () => this.closeConnection(),
-    });
+    this.resolveOpened(this.createStream(status, headers));
   }
 
   onResponseData(
@@ -181,6 +179,24 @@
     this.controller?.abort(error);
   }
 
+  private createStream(
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): HttpStream {
+    const readUnsentBytes = () => this.unsentBytes;
+    return {
+      status,
+      headers,
+      framing: this.framing,
+      chunks: this.chunks,
+      get unsentBytes() {
+        return readUnsentBytes();
+      },
+      discard: () => this.discard(),
+      closeConnection: () => this.closeConnection(),
+    };
+  }
+
   private discard(): void {
     if (this.isFinished) return;
     this.isDiscarding = true;
@@ -196,6 +212,7 @@
 
   private close(): void {
     this.isFinished = true;
+    this.unsentBytes = this.options.countUnsentBytes?.() ?? 0;
     clearTimeout(this.timer);
     this.options.signal?.removeEventListener('abort', this.onAbort);
   }
--- a/packages/clients/src/http/pooled_connection.ts
+++ b/packages/clients/src/http/pooled_connection.ts
@@ -89,6 +89,11 @@
     return new PooledConnection(options);
   }
 
+  /** Bytes that have not been handed to the operating system. */
+  get unsentBytes(): number {
+    return this.socket?.writableLength ?? 0;
+  }
+
   /**
    * Returns false if a reset may have truncated the response that was being read.
    */
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -14,6 +14,7 @@
 import {planEscalation} from './escalate.js';
 import {discardResponse, endSend, endUnfinished} from './end_send.js';
 import {createExchangeError} from './exchange_error.js';
+import {logDocumentEnd} from './log_response_end.js';
 import {observeBufferedResponse} from './observe_response.js';
 import type {OpenExchange} from './open_exchange.js';
 import {readResponse} from './read_response.js';
@@ -158,9 +159,13 @@
   end: AttemptEnd = 'answered',
 ): Promise<SendTarget | undefined> {
   const {stream, send, sentMs, target} = backendResponse;
-  const {body, verdict, isCutOff} = await readResponse(
-    stream,
-    context.largeBodies,
+  const read = await readResponse(stream, context.largeBodies);
+  const {body, verdict, isCutOff} = read;
+  logDocumentEnd(
+    context,
+    exchange,
+    {stream, sender: send.server.id},
+    {...read, end: verdict},
   );
   if (verdict === 'broken') {
     if (exchange.stopped !== undefined) {
--- a/packages/gateway/src/stages/read_response.ts
+++ b/packages/gateway/src/stages/read_response.ts
@@ -7,6 +7,7 @@
   type ResponseVerdict,
 } from '@anvilrudder/core';
 import {EventSplitter} from './event_splitter.js';
+import type {ResponseFailure} from './log_response_end.js';
 
 const MIB = 1024 * 1024;
 /** Maximum size of a response that is buffered before it is relayed. */
@@ -21,6 +22,8 @@
   /** Empty if the response is broken. */
   readonly body: Buffer;
   readonly verdict: ResponseVerdict;
+  /** Undefined if its sender ended the response. */
+  readonly failure: ResponseFailure | undefined;
   /** The connection ended before the body did, as if the sender had crashed. */
   readonly isCutOff: boolean;
 }
@@ -45,13 +48,19 @@
     const body = await readBody(stream, budget);
     const events = findEvents(stream, body);
     const verdict = judgeResponseEnd({framing, hasFailed: false, events});
-    return {body, verdict, isCutOff: verdict === 'broken'};
+    return {
+      body,
+      verdict,
+      failure: undefined,
+      isCutOff: verdict === 'broken',
+    };
   } catch (error) {
     const isFailure = isTransportError(error);
     if (!isFailure && !(error instanceof RangeError)) throw error;
     return {
       body: EMPTY,
       verdict: judgeResponseEnd({framing, hasFailed: true}),
+      failure: isFailure ? error.failure : 'bodyTooLarge',
       isCutOff: isFailure && error.failure === 'cut',
     };
   }
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -1,24 +1,20 @@
-import {
-  isTransportError,
-  type HttpStream,
-  type TransportFailure,
-} from '@anvilrudder/clients';
+import {isTransportError} from '@anvilrudder/clients';
 import type {ResponseVerdict} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {EventSplitter} from './event_splitter.js';
+import {
+  logStreamEnd,
+  type ResponseFailure,
+  type ResponseSource,
+} from './log_response_end.js';
 import type {OpenExchange} from './open_exchange.js';
 import {waitForDrain, writeStreamHead} from './write_response.js';
 
 /** How relaying the stream of one sender ended. */
 export type RelayEnd = ResponseVerdict | 'stopped';
 
-/** Why no more of a stream is relayed. */
-type StreamFailure = TransportFailure | 'eventTooLarge' | 'misplaced';
-
 /** A stream, and the server or host that sends it. */
-export interface StreamSource {
-  readonly stream: HttpStream;
-  readonly sender: string;
+export interface StreamSource extends ResponseSource {
   /** Called before the first events are relayed. */
   readonly onBegin?: () => void;
 }
@@ -78,7 +74,7 @@
   }
 
   /** Returns why the stream broke off; undefined if its sender ended it. */
-  private async relayChunks(): Promise<StreamFailure | undefined> {
+  private async relayChunks(): Promise<ResponseFailure | undefined> {
     try {
       for await (const chunk of this.source.stream.chunks) {
         const failure = await this.relayChunk(chunk);
@@ -91,7 +87,9 @@
     return undefined;
   }
 
-  private async relayChunk(chunk: Buffer): Promise<StreamFailure | undefined> {
+  private async relayChunk(
+    chunk: Buffer,
+  ): Promise<ResponseFailure | undefined> {
     const {exchange, splitter, source} = this;
     const {bytes, firstId, lastId} = splitter.push(chunk);
     if (splitter.isEventTooLarge) return 'eventTooLarge';
@@ -123,7 +121,7 @@
     this.source.onBegin?.();
   }
 
-  private conclude(failure: StreamFailure | undefined): RelayResult {
+  private conclude(failure: ResponseFailure | undefined): RelayResult {
     const {exchange, source, splitter} = this;
     const {framing} = source.stream;
     const {incompleteEventBytes: incompleteBytes} = splitter;
@@ -132,7 +130,13 @@
       exchange.stopped === undefined
         ? exchange.progress.judgeEnd({framing, hasFailed, incompleteBytes})
         : 'stopped';
-    this.logEnd(end, failure, incompleteBytes);
+    logStreamEnd(this.context, exchange, source, {
+      end,
+      failure,
+      chunks: this.chunkCount,
+      lastEvent: exchange.progress.lastEventId,
+      incompleteBytes,
+    });
     const isOpenEnd = framing === 'connection' || incompleteBytes > 0;
     const isCutOff = failure === 'cut' || (!hasFailed && isOpenEnd);
     return {
@@ -142,26 +146,4 @@
       durationMs: this.lastMs - this.firstMs,
     };
   }
-
-  /** Logs who ended a stream and where; a framed end in order needs no line. */
-  private logEnd(
-    end: RelayEnd,
-    failure: StreamFailure | undefined,
-    incompleteBytes: number,
-  ): void {
-    const {context, exchange, source, chunkCount} = this;
-    const {framing} = source.stream;
-    context.metrics.count('stream_ends_total', {framing, end});
-    if (end === 'complete' && chunkCount > 0) return;
-    context.logger.info('stream_ended', {
-      request: exchange.admitted.request.id,
-      server: source.sender,
-      end,
-      framing,
-      failure: failure ?? 'none',
-      chunks: chunkCount,
-      lastEvent: exchange.progress.lastEventId,
-      incompleteBytes,
-    });
-  }
 }
--- a/packages/gateway/src/stages/relay_through_host.ts
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -2,6 +2,7 @@
 import {RelaySearch, type RelayFailure} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import {createExchangeError} from './exchange_error.js';
+import {logDocumentEnd} from './log_response_end.js';
 import type {OpenExchange} from './open_exchange.js';
 import {readResponse} from './read_response.js';
 import {relayEvents} from './relay_stream.js';
@@ -177,7 +178,7 @@
 ): Promise<void> {
   if (isRelayedAsStream(exchange, stream))
     await relayStream(context, exchange, stream, host);
-  else await relayBody(context, exchange, stream);
+  else await relayBody(context, exchange, stream, host);
 }
 
 // The other host has resumed the stream wherever it could.
@@ -201,8 +202,11 @@
   context: GatewayContext,
   exchange: OpenExchange,
   stream: HttpStream,
+  sender: string,
 ): Promise<void> {
-  const {body, verdict} = await readResponse(stream, context.largeBodies);
+  const read = await readResponse(stream, context.largeBodies);
+  const {body, verdict} = read;
+  logDocumentEnd(context, exchange, {stream, sender}, {...read, end: verdict});
   if (exchange.stopped !== undefined || verdict === 'broken')
     throw createExchangeError(context, exchange);
   respondWithBody(exchange, stream, body, verdict);
