End no process when a connection ends while its reading is paused

Callers of a host lost all answers in progress at once: its process ended. A caller that reads slowly makes the host pause a server's answer; if the connection then ends, by a reset or in order, and the answer has no length or its connection is not kept, undici asserts in an event handler that its parser is not paused. The uncaught exception ends the process, and each answer without a length looks complete to its caller.

Cause: the pause of undici's parser is not safe beside the end of a connection. A connection is now paused at its reads (WatchedSocket): undici reads nothing, learns of no end in order before all bytes, and its parser is never paused. Resets reach it under another code, since it takes ECONNRESET for the end of such an answer.

--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -99,6 +99,7 @@
     const exchange = HttpExchange.create({
       ...request,
       confirmEnd: framing => connection?.hasEndedInOrder(framing) ?? false,
+      findFlow: () => connection?.flow,
       countUnsentBytes: () => connection?.unsentBytes ?? 0,
       closeConnection: () => connection?.close(),
     });
--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -10,6 +10,12 @@
 import {ChunkQueue} from './chunk_queue.js';
 import {isMergedHead} from './merged_head.js';
 
+/** Flow control of a connection while a response arrives on it. */
+export interface ResponseFlow {
+  pause(): void;
+  resume(): void;
+}
+
 /** Options of {@link HttpExchange}. */
 export interface ExchangeOptions {
   /** Timeout in milliseconds for the response headers. */
@@ -31,6 +37,8 @@
    * normal end of a response that ends with the connection.
    */
   readonly confirmEnd?: (framing: BodyFraming) => boolean;
+  /** Called when a response arrives; finds the connection that it arrives on. */
+  readonly findFlow?: () => ResponseFlow | undefined;
   /** Returns how many bytes of the request have not been sent yet. */
   readonly countUnsentBytes?: () => number;
   /** Closes the connection, during the exchange or after it. */
@@ -75,6 +83,7 @@
   private remainingBytes: number | undefined;
   private framing: BodyFraming = 'connection';
   private unsentBytes = 0;
+  private flow: ResponseFlow | undefined;
   private controller: Dispatcher.DispatchController | undefined;
   private timer: NodeJS.Timeout | undefined;
   private readonly chunks: ChunkQueue;
@@ -130,6 +139,7 @@
       return;
     }
     this.phase = 'streaming';
+    this.flow = this.options.findFlow?.();
     this.remainingBytes = parseContentLength(headers['content-length']);
     this.framing = readBodyFraming(headers);
     this.startTimer(this.options.idleTimeoutMs);
@@ -202,7 +212,7 @@
     this.isDiscarding = true;
     this.chunks.finish();
     this.startTimer(DISCARD_TIMEOUT_MS);
-    this.controller?.resume();
+    this.flow?.resume();
   }
 
   private closeConnection(): void {
@@ -213,6 +223,8 @@
   private close(): void {
     this.isFinished = true;
     this.unsentBytes = this.options.countUnsentBytes?.() ?? 0;
+    // A further response may arrive on the connection.
+    this.flow?.resume();
     clearTimeout(this.timer);
     this.options.signal?.removeEventListener('abort', this.onAbort);
   }
@@ -225,12 +237,12 @@
 
   private pause(): void {
     clearTimeout(this.timer);
-    this.controller?.pause();
+    this.flow?.pause();
   }
 
   private resume(): void {
     if (this.isFinished) return;
     this.startTimer(this.options.idleTimeoutMs);
-    this.controller?.resume();
+    this.flow?.resume();
   }
 }
--- a/packages/clients/src/http/http_transport.ts
+++ b/packages/clients/src/http/http_transport.ts
@@ -8,6 +8,7 @@
   type HttpStream,
 } from './http_exchange.js';
 import {ResponseByteLimit} from './response_byte_limit.js';
+import {WatchedSocket} from './watched_socket.js';
 
 /** Options of {@link HttpTransport}. */
 export interface HttpTransportOptions {
@@ -54,7 +55,10 @@
 const MAX_TOTAL_BYTES = 16 * MIB;
 
 /** Creates a connector whose connections bear no response without end. */
-function createLimitedConnector(timeoutMs: number): buildConnector.connector {
+function createLimitedConnector(
+  timeoutMs: number,
+  onActive: (watched: WatchedSocket) => void,
+): buildConnector.connector {
   const connect = buildConnector({timeout: timeoutMs});
   return (target, callback) => {
     connect(target, (error, socket) => {
@@ -63,12 +67,16 @@
         return;
       }
       ResponseByteLimit.watch(socket as Socket, MAX_TOTAL_BYTES);
+      WatchedSocket.watch(socket as Socket, onActive);
       callback(null, socket as Socket);
     });
   };
 }
 
-function resolveAgentOptions(options: HttpTransportOptions): Agent.Options {
+function resolveAgentOptions(
+  options: HttpTransportOptions,
+  onActive: (watched: WatchedSocket) => void,
+): Agent.Options {
   const keepAliveTimeout = options.keepAliveTimeoutMs ?? 2000;
   return {
     connections: options.connectionsPerAddress ?? 128,
@@ -76,7 +84,7 @@
     pipelining: options.reusesConnections === false ? 0 : 1,
     keepAliveTimeout,
     keepAliveMaxTimeout: keepAliveTimeout,
-    connect: createLimitedConnector(options.connectTimeoutMs ?? 1000),
+    connect: createLimitedConnector(options.connectTimeoutMs ?? 1000, onActive),
     headersTimeout: 0,
     bodyTimeout: 0,
   };
@@ -87,10 +95,19 @@
  * far it progressed.
  */
 export class HttpTransport {
-  private constructor(private readonly agent: Agent) {}
+  private readonly agent: Agent;
+  /** The connection from which a response is being read. */
+  private activeSocket: WatchedSocket | undefined;
+
+  private constructor(options: HttpTransportOptions) {
+    const onActive = (watched: WatchedSocket): void => {
+      this.activeSocket = watched;
+    };
+    this.agent = new Agent(resolveAgentOptions(options, onActive));
+  }
 
   static create(options: HttpTransportOptions = {}): HttpTransport {
-    return new HttpTransport(new Agent(resolveAgentOptions(options)));
+    return new HttpTransport(options);
   }
 
   /**
@@ -105,7 +122,7 @@
    * ```
    */
   open(request: HttpRequest): Promise<HttpStream> {
-    const exchange = HttpExchange.create(request);
+    const exchange = this.createExchange(request);
     this.dispatch(request, exchange);
     return exchange.opened;
   }
@@ -122,7 +139,7 @@
    * ```
    */
   async send(request: HttpRequest): Promise<HttpResponse> {
-    const exchange = HttpExchange.create(request);
+    const exchange = this.createExchange(request);
     const timer = setTimeout(() => exchange.fail('timeout'), request.timeoutMs);
     this.dispatch(request, exchange);
     try {
@@ -140,6 +157,13 @@
     return this.agent.destroy();
   }
 
+  private createExchange(request: HttpRequest): HttpExchange {
+    return HttpExchange.create({
+      ...request,
+      findFlow: () => this.activeSocket,
+    });
+  }
+
   private dispatch(request: HttpRequest, exchange: HttpExchange): void {
     const {address, method, path, headers, body} = request;
     try {
--- a/packages/clients/src/http/pooled_connection.ts
+++ b/packages/clients/src/http/pooled_connection.ts
@@ -4,6 +4,7 @@
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import {wasReset} from './reset_detection.js';
 import {ResponseByteLimit} from './response_byte_limit.js';
+import {WatchedSocket} from './watched_socket.js';
 
 /** Options of {@link PooledConnection}. */
 export interface PooledConnectionOptions {
@@ -59,6 +60,7 @@
   private readonly client: Client;
   private hasSocketFailed = false;
   private socket: Socket | undefined;
+  private watchedSocket: WatchedSocket | undefined;
   private byteLimit: ResponseByteLimit | undefined;
   isClosed = false;
   idleSinceMs = 0;
@@ -89,6 +91,11 @@
     return new PooledConnection(options);
   }
 
+  /** Undefined until the connection is open. */
+  get flow(): WatchedSocket | undefined {
+    return this.watchedSocket;
+  }
+
   /** Bytes that have not been handed to the operating system. */
   get unsentBytes(): number {
     return this.socket?.writableLength ?? 0;
@@ -122,11 +129,10 @@
     this.client.destroy().catch(() => undefined);
   }
 
-  // This listener must run before that of undici, which treats a connection
-  // reset as the normal end of a response that ends with the connection.
   private watchSocket(socket: Socket): void {
     this.socket = socket;
     this.byteLimit = ResponseByteLimit.watch(socket, MAX_OVERHEAD_BYTES);
+    this.watchedSocket = WatchedSocket.watch(socket, () => undefined);
     socket.once('error', () => {
       this.hasSocketFailed = true;
     });
--- /dev/null
+++ b/packages/clients/src/http/watched_socket.ts
@@ -0,0 +1,71 @@
+import type {Socket} from 'node:net';
+
+const RESET_CODE = 'ECONNRESET';
+const REPORTED_RESET_CODE = 'ERR_CONNECTION_RESET';
+
+/**
+ * A connection of undici whose reading can be paused. The pause of undici itself is
+ * not used, because undici throws in an event handler if a connection ends while
+ * its parser is paused.
+ */
+export class WatchedSocket {
+  private isPaused = false;
+
+  private constructor(
+    private readonly socket: Socket,
+    private readonly onActive: (watched: WatchedSocket) => void,
+  ) {}
+
+  /**
+   * Must be called before undici gets the socket.
+   *
+   * @param onActive called right before undici reads from the socket, or learns
+   *     of its end.
+   * @example
+   * ```ts
+   * const watched = WatchedSocket.watch(socket, () => undefined);
+   * watched.pause();
+   * ```
+   */
+  static watch(
+    socket: Socket,
+    onActive: (watched: WatchedSocket) => void,
+  ): WatchedSocket {
+    const watched = new WatchedSocket(socket, onActive);
+    watched.interceptReads();
+    watched.interceptErrors();
+    return watched;
+  }
+
+  /** Lets undici read no more; a buffer fills up, then the peer waits. */
+  pause(): void {
+    this.isPaused = true;
+  }
+
+  /** Lets undici read again what has arrived meanwhile. */
+  resume(): void {
+    if (!this.isPaused) return;
+    this.isPaused = false;
+    // undici may be in the middle of a read.
+    process.nextTick(() => this.socket.emit('readable'));
+  }
+
+  // undici takes all bytes with read(), until it returns null.
+  private interceptReads(): void {
+    const read = this.socket.read.bind(this.socket);
+    this.socket.read = (sizeBytes?: number): unknown => {
+      if (this.isPaused) return null;
+      this.onActive(this);
+      return read(sizeBytes);
+    };
+  }
+
+  // undici takes an error with the code of a reset for the end of a response if
+  // the connection is not kept.
+  private interceptErrors(): void {
+    this.socket.once('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === RESET_CODE) error.code = REPORTED_RESET_CODE;
+      this.onActive(this);
+    });
+  }
+}
