Take an answer without a length for whole only behind a proven end

Callers got an answer that its server had reset as a whole one. Only the end of the connection marks the end of such an answer, and the host asks by a write of no bytes whether it was a reset. While the request is unsent that write waits behind it: nothing fails, and no failure counted as an end in order.

The end of a connection is now in order, a reset, or unproven, and only the first one ends an answer (connection_end, WatchedSocket). Unproven is the default: before the end was received, while bytes of the request are unsent, or where no connection is known. The same holds for the client of the store, engines and services, which asked nothing. Responses that can have no body end with their head.

--- a/packages/clients/src/errors/transport_error.ts
+++ b/packages/clients/src/errors/transport_error.ts
@@ -7,13 +7,17 @@
  */
 export type RequestPhase = 'beforeFirstByte' | 'sent' | 'streaming';
 
-/** Why a request ended without a complete response. */
+/**
+ * Why a request ended without a complete response. `unproven`: only the end of the
+ * connection marks that of the response, and nothing shows that it wasn't a reset.
+ */
 export type TransportFailure =
   | 'connect'
   | 'timeout'
   | 'aborted'
   | 'withheld'
   | 'cut'
+  | 'unproven'
   | 'tooLarge'
   | 'malformed';
 
--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -98,9 +98,7 @@
     const connection = this.takeIdle(request.maxIdleMs) ?? this.connect();
     const exchange = HttpExchange.create({
       ...request,
-      confirmEnd: framing => connection?.hasEndedInOrder(framing) ?? false,
-      findFlow: () => connection?.flow,
-      countUnsentBytes: () => connection?.unsentBytes ?? 0,
+      findConnection: () => connection?.socket,
       closeConnection: () => connection?.close(),
     });
     if (connection === undefined) {
--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -8,16 +8,22 @@
 } from '../errors/transport_error.js';
 import {readBodyFraming} from './body_framing.js';
 import {ChunkQueue} from './chunk_queue.js';
+import type {ConnectionEnd} from './connection_end.js';
 import {isMergedHead} from './merged_head.js';
 
-/** Flow control of a connection while a response arrives on it. */
-export interface ResponseFlow {
+/** A connection on which a response arrives. */
+export interface ResponseConnection {
+  /** How its peer has ended it. */
+  readonly end: ConnectionEnd;
+  /** Bytes of the request that have not been sent yet. */
+  readonly unsentBytes: number;
   pause(): void;
   resume(): void;
 }
 
 /** Options of {@link HttpExchange}. */
 export interface ExchangeOptions {
+  readonly method: string;
   /** Timeout in milliseconds for the response headers. */
   readonly timeoutMs: number;
   /**
@@ -31,16 +37,8 @@
    * false, nothing is written.
    */
   readonly confirmSend?: () => boolean;
-  /**
-   * Called at the end of a response; if it returns false, the exchange fails
-   * with `cut`. This is needed because undici treats a connection reset as the
-   * normal end of a response that ends with the connection.
-   */
-  readonly confirmEnd?: (framing: BodyFraming) => boolean;
   /** Called when a response arrives; finds the connection that it arrives on. */
-  readonly findFlow?: () => ResponseFlow | undefined;
-  /** Returns how many bytes of the request have not been sent yet. */
-  readonly countUnsentBytes?: () => number;
+  readonly findConnection?: () => ResponseConnection | undefined;
   /** Closes the connection, during the exchange or after it. */
   readonly closeConnection?: () => void;
 }
@@ -69,6 +67,14 @@
 const FIRST_FINAL_STATUS = 200;
 const DISCARD_TIMEOUT_MS = 1000;
 
+const FAILURE_BY_END: Readonly<
+  Record<ConnectionEnd, TransportFailure | undefined>
+> = {
+  inOrder: undefined,
+  reset: 'cut',
+  unproven: 'unproven',
+};
+
 function parseContentLength(header: string | undefined): number | undefined {
   return header === undefined ? undefined : Number(header);
 }
@@ -83,7 +89,7 @@
   private remainingBytes: number | undefined;
   private framing: BodyFraming = 'connection';
   private unsentBytes = 0;
-  private flow: ResponseFlow | undefined;
+  private connection: ResponseConnection | undefined;
   private controller: Dispatcher.DispatchController | undefined;
   private timer: NodeJS.Timeout | undefined;
   private readonly chunks: ChunkQueue;
@@ -139,9 +145,9 @@
       return;
     }
     this.phase = 'streaming';
-    this.flow = this.options.findFlow?.();
+    this.connection = this.options.findConnection?.();
     this.remainingBytes = parseContentLength(headers['content-length']);
-    this.framing = readBodyFraming(headers);
+    this.framing = readBodyFraming(this.options.method, status, headers);
     this.startTimer(this.options.idleTimeoutMs);
     this.resolveOpened(this.createStream(status, headers));
   }
@@ -158,8 +164,9 @@
 
   onResponseEnd(): void {
     if (this.isFinished) return;
-    if (this.options.confirmEnd?.(this.framing) === false) {
-      this.fail('cut');
+    const failure = this.findEndFailure();
+    if (failure !== undefined) {
+      this.fail(failure);
       return;
     }
     this.close();
@@ -189,6 +196,12 @@
     this.controller?.abort(error);
   }
 
+  /** A response that its connection ends is whole only if that is proven. */
+  private findEndFailure(): TransportFailure | undefined {
+    if (this.framing !== 'connection') return undefined;
+    return FAILURE_BY_END[this.connection?.end ?? 'unproven'];
+  }
+
   private createStream(
     status: number,
     headers: IncomingHttpHeaders,
@@ -212,7 +225,7 @@
     this.isDiscarding = true;
     this.chunks.finish();
     this.startTimer(DISCARD_TIMEOUT_MS);
-    this.flow?.resume();
+    this.connection?.resume();
   }
 
   private closeConnection(): void {
@@ -222,9 +235,9 @@
 
   private close(): void {
     this.isFinished = true;
-    this.unsentBytes = this.options.countUnsentBytes?.() ?? 0;
+    this.unsentBytes = this.connection?.unsentBytes ?? 0;
     // A further response may arrive on the connection.
-    this.flow?.resume();
+    this.connection?.resume();
     clearTimeout(this.timer);
     this.options.signal?.removeEventListener('abort', this.onAbort);
   }
@@ -237,12 +250,12 @@
 
   private pause(): void {
     clearTimeout(this.timer);
-    this.flow?.pause();
+    this.connection?.pause();
   }
 
   private resume(): void {
     if (this.isFinished) return;
     this.startTimer(this.options.idleTimeoutMs);
-    this.flow?.resume();
+    this.connection?.resume();
   }
 }
--- a/packages/clients/src/http/http_transport.ts
+++ b/packages/clients/src/http/http_transport.ts
@@ -59,7 +59,8 @@
   timeoutMs: number,
   onActive: (watched: WatchedSocket) => void,
 ): buildConnector.connector {
-  const connect = buildConnector({timeout: timeoutMs});
+  // Half-open behind the peer's end, as `inspectEnd` writes to it.
+  const connect = buildConnector({timeout: timeoutMs, allowHalfOpen: true});
   return (target, callback) => {
     connect(target, (error, socket) => {
       if (error) {
@@ -160,7 +161,7 @@
   private createExchange(request: HttpRequest): HttpExchange {
     return HttpExchange.create({
       ...request,
-      findFlow: () => this.activeSocket,
+      findConnection: () => this.activeSocket,
     });
   }
 
--- a/packages/clients/src/http/pooled_connection.ts
+++ b/packages/clients/src/http/pooled_connection.ts
@@ -1,8 +1,6 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Socket} from 'node:net';
-import type {BodyFraming} from '@anvilrudder/core';
 import {buildConnector, Client, type Dispatcher} from 'undici';
-import {wasReset} from './reset_detection.js';
 import {ResponseByteLimit} from './response_byte_limit.js';
 import {WatchedSocket} from './watched_socket.js';
 
@@ -40,7 +38,7 @@
  * timeout fire up to a second late.
  */
 function createPunctualConnector(timeoutMs: number): buildConnector.connector {
-  // Half-open behind the peer's end, as `wasReset` writes to it.
+  // Half-open behind the peer's end, as `inspectEnd` writes to it.
   const connect = buildConnector({timeout: 0, allowHalfOpen: true});
   return (target, callback) => {
     const timer = setTimeout(
@@ -58,8 +56,6 @@
 /** A connection that carries one request at a time. */
 export class PooledConnection {
   private readonly client: Client;
-  private hasSocketFailed = false;
-  private socket: Socket | undefined;
   private watchedSocket: WatchedSocket | undefined;
   private byteLimit: ResponseByteLimit | undefined;
   isClosed = false;
@@ -92,24 +88,10 @@
   }
 
   /** Undefined until the connection is open. */
-  get flow(): WatchedSocket | undefined {
+  get socket(): WatchedSocket | undefined {
     return this.watchedSocket;
   }
 
-  /** Bytes that have not been handed to the operating system. */
-  get unsentBytes(): number {
-    return this.socket?.writableLength ?? 0;
-  }
-
-  /**
-   * Returns false if a reset may have truncated the response that was being read.
-   */
-  hasEndedInOrder(framing: BodyFraming): boolean {
-    if (this.hasSocketFailed) return false;
-    if (framing !== 'connection') return true;
-    return this.socket !== undefined && !wasReset(this.socket);
-  }
-
   dispatch(
     request: ConnectionRequest,
     handler: Dispatcher.DispatchHandler,
@@ -130,11 +112,7 @@
   }
 
   private watchSocket(socket: Socket): void {
-    this.socket = socket;
     this.byteLimit = ResponseByteLimit.watch(socket, MAX_OVERHEAD_BYTES);
     this.watchedSocket = WatchedSocket.watch(socket, () => undefined);
-    socket.once('error', () => {
-      this.hasSocketFailed = true;
-    });
   }
 }
--- a/packages/clients/src/http/watched_socket.ts
+++ b/packages/clients/src/http/watched_socket.ts
@@ -1,15 +1,19 @@
 import type {Socket} from 'node:net';
+import {inspectEnd, type ConnectionEnd} from './connection_end.js';
 
 const RESET_CODE = 'ECONNRESET';
 const REPORTED_RESET_CODE = 'ERR_CONNECTION_RESET';
 
 /**
- * A connection of undici whose reading can be paused. The pause of undici itself is
+ * A connection of undici whose reading can be paused, and that tells how its peer
+ * has ended it. The pause of undici itself is
  * not used, because undici throws in an event handler if a connection ends while
  * its parser is paused.
  */
 export class WatchedSocket {
   private isPaused = false;
+  private hasEnded = false;
+  private hasFailed = false;
 
   private constructor(
     private readonly socket: Socket,
@@ -34,9 +38,24 @@
     const watched = new WatchedSocket(socket, onActive);
     watched.interceptReads();
     watched.interceptErrors();
+    socket.once('end', () => {
+      watched.hasEnded = true;
+      onActive(watched);
+    });
     return watched;
   }
 
+  /** How the peer has ended the connection; `unproven` before its end. */
+  get end(): ConnectionEnd {
+    if (this.hasFailed) return 'reset';
+    return this.hasEnded ? inspectEnd(this.socket) : 'unproven';
+  }
+
+  /** Bytes that have not been handed to the operating system. */
+  get unsentBytes(): number {
+    return this.socket.writableLength;
+  }
+
   /** Lets undici read no more; a buffer fills up, then the peer waits. */
   pause(): void {
     this.isPaused = true;
@@ -65,6 +84,7 @@
   private interceptErrors(): void {
     this.socket.once('error', (error: NodeJS.ErrnoException) => {
       if (error.code === RESET_CODE) error.code = REPORTED_RESET_CODE;
+      this.hasFailed = true;
       this.onActive(this);
     });
   }
--- a/packages/clients/src/objects/transport_failures.ts
+++ b/packages/clients/src/objects/transport_failures.ts
@@ -10,6 +10,7 @@
   aborted: 'aborted',
   withheld: 'aborted',
   cut: 'cut',
+  unproven: 'cut',
   tooLarge: 'badAnswer',
   malformed: 'badAnswer',
 };
--- a/packages/clients/test/http/http_transport.test.ts
+++ b/packages/clients/test/http/http_transport.test.ts
@@ -159,6 +159,24 @@
   assert.equal(receivedBytes, sizeBytes);
 });
 
+const UNFRAMED_RESPONSE = 'HTTP/1.1 200 OK\r\n\r\nabc';
+
+// Guards against a reset that is taken for the end of a response.
+test('a response without a length that is reset together with its bytes is cut', async t => {
+  const server = await startServer(t, socket => {
+    socket.write(UNFRAMED_RESPONSE);
+    socket.resetAndDestroy();
+  });
+  const request = createRequest(server.address);
+  await assertFails(transport.send(request), 'streaming', 'cut');
+});
+
+test('a response without a length ends with its connection', async t => {
+  const server = await startServer(t, socket => socket.end(UNFRAMED_RESPONSE));
+  const {body} = await transport.send(createRequest(server.address));
+  assert.equal(body, 'abc');
+});
+
 test('a response is complete even if the peer closes before it is read', async t => {
   // The queue pauses the connection at this size, right after the last byte.
   const sizeBytes = 64 * 1024;
