Use no connection again whose request is still unsent

A request waited behind the rest of another one's body until its deadline: a server that answers before it has read a long request, and reads no more, left a connection that counted as free. Such a connection is closed behind its answer, as nothing tells when it is read on. The last test of early_responses failed before, with a timeout of 3 s.

--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -179,7 +179,9 @@
   }
 
   private release(connection: PooledConnection, isReusable: boolean): void {
-    if (!isReusable || this.isClosed || connection.isClosed) {
+    // A server that has answered early may not read the rest of its request.
+    const isSent = connection.socket?.unsentBytes === 0;
+    if (!isReusable || !isSent || this.isClosed || connection.isClosed) {
       this.drop(connection);
       return;
     }
