Give callers a length or chunks for every answer, and end it only behind a proven end

Callers took short answers for whole ones: a host that was killed, or one in between, closes the caller's connection in order, and an answer whose server gave no length reached the caller without one, so that this close was its end.

Every document now has a length and every stream chunks, but for callers of HTTP/1.0. With the proof of ends the verdict unknown is gone: an answer is complete or broken, and only a complete one gets its last chunk.

--- a/packages/clients/src/http/body_framing.ts
+++ b/packages/clients/src/http/body_framing.ts
@@ -4,6 +4,19 @@
 /** Statuses whose responses have no body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
+/**
+ * True if a response to a request with this method and of this status can have a
+ * body, whatever its headers say.
+ *
+ * @example
+ * ```ts
+ * canHaveBody('HEAD', 200); // false
+ * ```
+ */
+export function canHaveBody(method: string, status: number): boolean {
+  return method !== 'HEAD' && !BODILESS_STATUSES.has(status);
+}
+
 /**
  * Reads the framing of a response body from its head. A response that can have no
  * body ends with its head, as one with a length does.
@@ -19,7 +32,7 @@
   status: number,
   headers: IncomingHttpHeaders,
 ): BodyFraming {
-  if (method === 'HEAD' || BODILESS_STATUSES.has(status)) return 'length';
+  if (!canHaveBody(method, status)) return 'length';
   if (headers['transfer-encoding'] !== undefined) return 'chunks';
   return headers['content-length'] === undefined ? 'connection' : 'length';
 }
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -5,6 +5,7 @@
 export * from './errors/transport_error.js';
 export * from './hosts/host_list_client.js';
 export type {ExchangeOptions, HttpStream} from './http/http_exchange.js';
+export {canHaveBody} from './http/body_framing.js';
 export * from './http/connection_pool.js';
 export * from './http/http_transport.js';
 export * from './http/json.js';
--- a/packages/core/src/forwarding/response_end.ts
+++ b/packages/core/src/forwarding/response_end.ts
@@ -5,11 +5,10 @@
 export type BodyFraming = 'length' | 'chunks' | 'connection';
 
 /**
- * Whether a response is whole. `complete`: its framing shows that it is;
- * `unknown`: the connection was closed in order where the response may end, and
- * nothing else marks its end; `broken`: it is not whole.
+ * Whether a response is whole. `complete`: its framing shows that it is, or its
+ * connection was closed in order where the response may end; `broken`: any other.
  */
-export type ResponseVerdict = 'complete' | 'unknown' | 'broken';
+export type ResponseVerdict = 'complete' | 'broken';
 
 /**
  * How the response to a caller ends. `finish`: in order; `cut`: the connection is
@@ -29,7 +28,10 @@
 /** What is known of a response when it ends. */
 export interface ResponseEvidence {
   readonly framing: BodyFraming;
-  /** It ended by a reset, a timeout or before the end that its framing marks. */
+  /**
+   * It ended by a reset, a timeout, before the end that its framing marks, or
+   * without proof that its connection ended in order.
+   */
   readonly hasFailed: boolean;
   /** Undefined if the response is no stream of events. */
   readonly events?: EventEvidence;
@@ -41,7 +43,7 @@
  *
  * @example
  * ```ts
- * judgeResponseEnd({framing: 'connection', hasFailed: false}); // 'unknown'
+ * judgeResponseEnd({framing: 'connection', hasFailed: false}); // 'complete'
  * ```
  */
 export function judgeResponseEnd({
@@ -50,25 +52,14 @@
   events,
 }: ResponseEvidence): ResponseVerdict {
   if (hasFailed || events?.hasOutstanding) return 'broken';
-  if (framing !== 'connection') return 'complete';
   // A server that stops behind its head closes a stream in the same way.
-  return events?.hasWhole === false ? 'broken' : 'unknown';
+  const isEmpty = events?.hasWhole === false;
+  return framing === 'connection' && isEmpty ? 'broken' : 'complete';
 }
 
-const CALLER_END_BY_VERDICT: Readonly<
-  Record<
-    ResponseVerdict,
-    {readonly framed: CallerEnd; readonly open: CallerEnd}
-  >
-> = {
-  complete: {framed: 'finish', open: 'finish'},
-  unknown: {framed: 'cut', open: 'finish'},
-  broken: {framed: 'cut', open: 'reset'},
-};
-
 /**
- * Chooses how the response to a caller ends, so that the caller learns no more
- * and no less than the verdict.
+ * Chooses how the response to a caller ends, so that a broken one can't be taken
+ * for a whole one.
  *
  * @param framing of the response to the caller.
  * @example
@@ -80,6 +71,6 @@
   verdict: ResponseVerdict,
   framing: BodyFraming,
 ): CallerEnd {
-  const ends = CALLER_END_BY_VERDICT[verdict];
-  return framing === 'connection' ? ends.open : ends.framed;
+  if (verdict === 'complete') return 'finish';
+  return framing === 'connection' ? 'reset' : 'cut';
 }
--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -185,6 +185,6 @@
   endSend(context, exchange, send, end, speed);
   if (exchange.stopped !== undefined)
     throw createExchangeError(context, exchange);
-  respondWithBody(exchange, stream, body, verdict);
+  respondWithBody(exchange, stream, body);
   return undefined;
 }
--- a/packages/gateway/src/stages/relay_streamed_response.ts
+++ b/packages/gateway/src/stages/relay_streamed_response.ts
@@ -12,17 +12,12 @@
 import {relayEvents, type RelayEnd, type RelayResult} from './relay_stream.js';
 import {consumeRetry, planRetry, refundRetry} from './retry.js';
 import {sendAttempt, type BackendResponse} from './send_attempt.js';
-import {
-  canFinishStream,
-  endResponse,
-  writeStreamHead,
-} from './write_response.js';
+import {endResponse, writeStreamHead} from './write_response.js';
 
 const ATTEMPT_END_BY_RELAY_END: Readonly<
   Record<RelayEnd, AttemptEnd | undefined>
 > = {
   complete: 'answered',
-  unknown: 'answered',
   broken: 'lost',
   stopped: undefined,
 };
@@ -56,7 +51,7 @@
       endResponse(exchange, 'broken');
       return 'ended';
     }
-    if (canFinishStream(exchange, end)) {
+    if (end === 'complete') {
       if (!response.headersSent)
         writeStreamHead(exchange, backendResponse.stream);
       endResponse(exchange, end);
--- a/packages/gateway/src/stages/relay_through_host.ts
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -209,5 +209,5 @@
   logDocumentEnd(context, exchange, {stream, sender}, {...read, end: verdict});
   if (exchange.stopped !== undefined || verdict === 'broken')
     throw createExchangeError(context, exchange);
-  respondWithBody(exchange, stream, body, verdict);
+  respondWithBody(exchange, stream, body);
 }
--- a/packages/gateway/src/stages/write_response.ts
+++ b/packages/gateway/src/stages/write_response.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {HttpStream} from '@anvilrudder/clients';
+import {canHaveBody, type HttpStream} from '@anvilrudder/clients';
 import {
   chooseCallerEnd,
   isEventStream,
@@ -9,26 +9,25 @@
   type ResponseVerdict,
 } from '@anvilrudder/core';
 import type {OpenExchange} from './open_exchange.js';
-import {copyEndToEndHeaders, delimitByClose} from './response_headers.js';
+import {copyEndToEndHeaders} from './response_headers.js';
 
 /** A caller that reads nothing for this time loses what it has not read. */
 const FLUSH_TIMEOUT_MS = 300;
 /** A reset that arrives together with bytes looks like a close to many callers. */
 const RESET_DELAY_MS = 50;
 
-/** Responds to the caller with the response of a server, read to its end. */
+/** Responds to the caller with a whole response of a server. */
 export function respondWithBody(
   exchange: OpenExchange,
   stream: HttpStream,
   body: Buffer,
-  verdict: ResponseVerdict,
 ): void {
   const {response, arrivedMs, request} = exchange.admitted;
   const headers = copyEndToEndHeaders(stream.headers);
-  if (verdict === 'unknown') delimitByClose(response);
-  else if (request.method !== 'HEAD') headers['content-length'] = body.length;
+  if (canHaveBody(request.method, stream.status))
+    headers['content-length'] = body.length;
   exchange.firstMs = performance.now() - arrivedMs;
-  exchange.responseVerdict = verdict;
+  exchange.responseVerdict = 'complete';
   response.writeHead(stream.status, headers);
   response.end(body);
 }
@@ -43,8 +42,8 @@
 }
 
 /**
- * Writes the head of a stream. The caller gets chunks, unless only the end of the
- * connection marks the end of the stream.
+ * Writes the head of a stream. The caller gets chunks, however the server marks its
+ * end, so that the end of this host or of a connection doesn't look like it.
  */
 export function writeStreamHead(
   exchange: OpenExchange,
@@ -53,22 +52,13 @@
   const {response, arrivedMs} = exchange.admitted;
   const headers = copyEndToEndHeaders(stream.headers);
   delete headers['content-length'];
-  if (stream.framing === 'connection') delimitByClose(response);
-  // Callers of HTTP/1.0 get no chunks either.
+  // Callers of HTTP/1.0 get no chunks.
   if (!response.useChunkedEncodingByDefault)
     exchange.callerFraming = 'connection';
   response.writeHead(stream.status, headers);
   exchange.firstMs = performance.now() - arrivedMs;
 }
 
-/** True if a stream with this verdict ends in order for its caller. */
-export function canFinishStream(
-  {callerFraming}: OpenExchange,
-  verdict: ResponseVerdict,
-): boolean {
-  return chooseCallerEnd(verdict, callerFraming) === 'finish';
-}
-
 const WRITE_END: Readonly<
   Record<CallerEnd, (response: ServerResponse) => void>
 > = {
