--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -6,6 +6,7 @@
 export * from './hosts/host_list_client.js';
 export type {ExchangeOptions, HttpStream} from './http/http_exchange.js';
 export {canHaveBody} from './http/body_framing.js';
+export {inspectEnd, type ConnectionEnd} from './http/connection_end.js';
 export * from './http/connection_pool.js';
 export * from './http/http_transport.js';
 export * from './http/json.js';
