--- a/packages/gateway/src/stages/dispatch.ts
+++ b/packages/gateway/src/stages/dispatch.ts
@@ -1,5 +1,6 @@
 import {decideNextStep, isNeverSent, type AttemptEnd} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
+import type {BackendResponse} from './backend_response.js';
 import {beginTrial} from './begin_trial.js';
 import {
   relayIfNoServer,
@@ -22,11 +23,7 @@
 import {relayThroughHost} from './relay_through_host.js';
 import {planRetry, refundRetry, consumeRetry} from './retry.js';
 import {relayStreamedResponse} from './relay_streamed_response.js';
-import {
-  sendAttempt,
-  type AttemptResult,
-  type BackendResponse,
-} from './send_attempt.js';
+import {sendAttempt, type AttemptResult} from './send_attempt.js';
 import {isRelayedAsStream, respondWithBody} from './write_response.js';
 
 /** Timers may fire early by up to this time. */
--- a/packages/gateway/src/stages/end_send.ts
+++ b/packages/gateway/src/stages/end_send.ts
@@ -1,11 +1,11 @@
 import type {AttemptEnd, InFlightSend} from '@anvilrudder/core';
 import type {VersionOutcome} from '../control/rollouts/version_selector.js';
 import type {GatewayContext} from '../gateway_context.js';
+import type {BackendResponse} from './backend_response.js';
 import type {SendTarget} from './choose_target.js';
 import {wasSlowWhenTimeWasOver, type AnswerSpeed} from './observe_response.js';
 import type {OpenExchange} from './open_exchange.js';
 import {logVersionAnswer, recordSession} from './record_send.js';
-import type {BackendResponse} from './send_attempt.js';
 
 /** A send without a whole answer. */
 interface UnfinishedSend {
--- a/packages/gateway/src/stages/escalate.ts
+++ b/packages/gateway/src/stages/escalate.ts
@@ -4,10 +4,10 @@
   type LargerModel,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
+import type {BackendResponse} from './backend_response.js';
 import type {SendTarget} from './choose_target.js';
 import type {OpenExchange} from './open_exchange.js';
 import {planRetry, consumeRetry} from './retry.js';
-import type {BackendResponse} from './send_attempt.js';
 
 /**
  * Decides whether to replace a response that has begun with that of a larger
--- a/packages/gateway/src/stages/observe_response.ts
+++ b/packages/gateway/src/stages/observe_response.ts
@@ -1,8 +1,8 @@
 import {isSlowAnswer, type AttemptEnd} from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
+import type {BackendResponse} from './backend_response.js';
 import type {SendTarget} from './choose_target.js';
 import type {OpenExchange} from './open_exchange.js';
-import type {BackendResponse} from './send_attempt.js';
 
 /** Shorter forecasts are too imprecise for a comparison. */
 const MIN_EXPECTED_MS = 5;
--- a/packages/gateway/src/stages/relay_streamed_response.ts
+++ b/packages/gateway/src/stages/relay_streamed_response.ts
@@ -4,6 +4,7 @@
   type AttemptEnd,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
+import type {BackendResponse} from './backend_response.js';
 import {discardResponse, endSend} from './end_send.js';
 import {createExchangeError} from './exchange_error.js';
 import {compareStreamSpeed, observeDecodeSpeed} from './observe_response.js';
@@ -11,7 +12,7 @@
 import {logAttempt, recordCut} from './record_send.js';
 import {relayEvents, type RelayEnd, type RelayResult} from './relay_stream.js';
 import {consumeRetry, planRetry, refundRetry} from './retry.js';
-import {sendAttempt, type BackendResponse} from './send_attempt.js';
+import {sendAttempt} from './send_attempt.js';
 import {endResponse, writeStreamHead} from './write_response.js';
 
 const ATTEMPT_END_BY_RELAY_END: Readonly<
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -1,7 +1,6 @@
 import {
   delay,
   isTransportError,
-  type HttpStream,
   type TransportError,
 } from '@anvilrudder/clients';
 import {
@@ -12,6 +11,7 @@
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import type {ResponseHead} from '../ports.js';
+import type {BackendResponse} from './backend_response.js';
 import type {SendTarget} from './choose_target.js';
 import {endSend, endUnfinished} from './end_send.js';
 import {isUnproven} from './observe_response.js';
@@ -25,18 +25,6 @@
   recordSession,
 } from './record_send.js';
 
-/** The response of a backend server to one send. */
-export interface BackendResponse {
-  readonly stream: HttpStream;
-  readonly head: ResponseHead;
-  readonly send: InFlightSend;
-  readonly target: SendTarget;
-  /** Time of the send, on the monotonic clock. */
-  readonly sentMs: number;
-  /** Time at which the response head arrived. */
-  readonly headMs: number;
-}
-
 /** Result of one send. */
 export interface AttemptResult {
   readonly end: AttemptEnd;
--- a/packages/gateway/test/stages/observe_response.test.ts
+++ b/packages/gateway/test/stages/observe_response.test.ts
@@ -7,7 +7,7 @@
   wasSlowWhenTimeWasOver,
 } from '../../src/stages/observe_response.js';
 import type {OpenExchange} from '../../src/stages/open_exchange.js';
-import type {BackendResponse} from '../../src/stages/send_attempt.js';
+import type {BackendResponse} from '../../src/stages/backend_response.js';
 
 const ROUTE = 'read';
 const USUAL_MS = 40;
