Split sending to a server into its steps

sendAttempt had 110 lines: registering the send, opening the stream, and recording a head or a failure are functions of their own.

--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -1,6 +1,7 @@
 import {
   delay,
   isTransportError,
+  type HttpStream,
   type TransportError,
 } from '@anvilrudder/clients';
 import {
@@ -64,23 +65,54 @@
   exchange: OpenExchange,
   target: SendTarget,
 ): Promise<AttemptResult> {
-  const {request, body} = exchange.admitted;
-  const {record, workMs, service, model, modelName} = target;
+  const send = beginSend(context, exchange, target);
+  if (send === undefined) return {end: 'unsent', backendResponse: undefined};
+  const mayHaveRunBefore = exchange.mayHaveRun;
+  const attempt = {send, target, mayHaveRunBefore, sentMs: performance.now()};
+  try {
+    await waitForTurn(exchange, send);
+    attempt.sentMs = performance.now();
+    const stream = await openStream(context, exchange, target);
+    return recordHead(context, exchange, attempt, stream);
+  } catch (error) {
+    if (!isTransportError(error)) throw error;
+    const end = recordFailure(context, exchange, attempt, error);
+    return {end, backendResponse: undefined};
+  }
+}
+
+/** A send that has begun. */
+interface Attempt {
+  readonly send: InFlightSend;
+  readonly target: SendTarget;
+  /** Whether a server may have run the request before this send. */
+  readonly mayHaveRunBefore: boolean;
+  /** Time of the send, on the monotonic clock. */
+  readonly sentMs: number;
+}
+
+/** Registers a send; undefined if its server takes no more requests. */
+function beginSend(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  target: SendTarget,
+): InFlightSend | undefined {
+  const {generation} = exchange.admitted.request;
+  const {record, workMs, model, modelName} = target;
   const {server} = record;
-  const nowMs = performance.now();
   const send = context.servers.begin(
     server.id,
     workMs,
     modelName,
-    request.generation,
-    nowMs,
+    generation,
+    performance.now(),
   );
-  if (send === undefined) return {end: 'unsent', backendResponse: undefined};
+  if (send === undefined) return undefined;
   context.hostMessenger.announceWork({
     serverId: server.id,
     workMs,
     model: modelName,
-    parts: request.generation?.parts ?? [],
+    parts: generation?.parts ?? [],
   });
   exchange.attempts += 1;
   exchange.triedServerIds.add(server.id);
@@ -89,72 +121,81 @@
   exchange.versionBasis = target.versionBasis;
   exchange.model = model;
   logVersion(context, exchange, target);
-  const pool = context.pools.get(server, service.maxConnections);
-  const mayHaveRunBefore = exchange.mayHaveRun;
   recordSession(context, exchange, server);
-  let sentMs = nowMs;
-  try {
-    await waitForTurn(exchange, send);
-    sentMs = performance.now();
-    const stream = await pool.open({
-      method: request.method,
-      path: request.path,
-      headers: context.codec.encodeOutboundRequest(
-        createOutboundRequest(exchange, target),
-      ),
-      body,
-      maxIdleMs: chooseMaxIdleMs(exchange),
-      timeoutMs: Math.max(1, exchange.remainingMs),
-      signal: exchange.signal,
-      confirmSend: () => {
-        // While connecting, another response may have asked for no requests.
-        if (!context.servers.mayReceive(server, performance.now()))
-          return false;
-        exchange.mayHaveRun = true;
-        return true;
-      },
-    });
-    context.hostRelay.recordReached(service.name);
-    const head = context.codec.decodeResponseHead(stream.headers);
-    const end = classifyHead(request.id, stream.status, head);
-    // The answer to this request may follow on the connection.
-    if (end === 'garbled') stream.closeConnection();
-    recordAvailability(context, send, stream.status, head, sentMs);
-    if (isProvenNotRun(end)) exchange.mayHaveRun = mayHaveRunBefore;
-    context.servers.markAnswering(send);
-    if (end === 'answered')
-      observePrefillTime(context, exchange, target, sentMs);
-    return {
-      end,
-      backendResponse: {
-        stream,
-        head,
-        send,
-        target,
-        sentMs,
-        headMs: performance.now(),
-      },
-    };
-  } catch (error) {
-    if (!isTransportError(error)) throw error;
-    const end = classifyFailure(error);
-    if (isNeverSent(end)) {
-      exchange.mayHaveRun = mayHaveRunBefore;
-      // Nothing reached the server, so this is not counted as an attempt.
-      exchange.attempts -= 1;
-    }
-    const isExchangeStopped = exchange.stopped !== undefined;
-    if (end === 'unsent' && exchange.stopped !== 'callerLeft') {
-      exchange.unsentCount += 1;
-      context.hostRelay.recordUnreached(service.name, server.id);
-    }
-    if (error.failure === 'cut' && !isExchangeStopped)
-      recordCut(context, exchange, send, sentMs, false);
-    if (isExchangeStopped)
-      endUnfinished(context, exchange, target, {send, sentMs});
-    else endSend(context, exchange, send, end);
-    return {end, backendResponse: undefined};
+  return send;
+}
+
+function openStream(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  target: SendTarget,
+): Promise<HttpStream> {
+  const {request, body} = exchange.admitted;
+  const {record, service} = target;
+  const {server} = record;
+  return context.pools.get(server, service.maxConnections).open({
+    method: request.method,
+    path: request.path,
+    headers: context.codec.encodeOutboundRequest(
+      createOutboundRequest(exchange, target),
+    ),
+    body,
+    maxIdleMs: chooseMaxIdleMs(exchange),
+    timeoutMs: Math.max(1, exchange.remainingMs),
+    signal: exchange.signal,
+    confirmSend: () => {
+      // While connecting, another response may have asked for no requests.
+      if (!context.servers.mayReceive(server, performance.now())) return false;
+      exchange.mayHaveRun = true;
+      return true;
+    },
+  });
+}
+
+/** Records what the head of a response says of the send and its server. */
+function recordHead(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  {send, target, mayHaveRunBefore, sentMs}: Attempt,
+  stream: HttpStream,
+): AttemptResult {
+  context.hostRelay.recordReached(target.service.name);
+  const head = context.codec.decodeResponseHead(stream.headers);
+  const end = classifyHead(exchange.admitted.request.id, stream.status, head);
+  // The answer to this request may follow on the connection.
+  if (end === 'garbled') stream.closeConnection();
+  recordAvailability(context, send, stream.status, head, sentMs);
+  if (isProvenNotRun(end)) exchange.mayHaveRun = mayHaveRunBefore;
+  context.servers.markAnswering(send);
+  if (end === 'answered') observePrefillTime(context, exchange, target, sentMs);
+  const headMs = performance.now();
+  return {end, backendResponse: {stream, head, send, target, sentMs, headMs}};
+}
+
+/** Records that a send got no response, and returns how it ended. */
+function recordFailure(
+  context: GatewayContext,
+  exchange: OpenExchange,
+  {send, target, mayHaveRunBefore, sentMs}: Attempt,
+  error: TransportError,
+): AttemptEnd {
+  const end = classifyFailure(error);
+  if (isNeverSent(end)) {
+    exchange.mayHaveRun = mayHaveRunBefore;
+    // Nothing reached the server, so this is not counted as an attempt.
+    exchange.attempts -= 1;
+  }
+  const isExchangeStopped = exchange.stopped !== undefined;
+  if (end === 'unsent' && exchange.stopped !== 'callerLeft') {
+    exchange.unsentCount += 1;
+    context.hostRelay.recordUnreached(target.service.name, send.server.id);
   }
+  if (error.failure === 'cut' && !isExchangeStopped)
+    recordCut(context, exchange, send, sentMs, false);
+  if (isExchangeStopped)
+    endUnfinished(context, exchange, target, {send, sentMs});
+  else endSend(context, exchange, send, end);
+  return end;
 }
 
 // Nothing in an answer to a request without an id shows that it is its answer,
