--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -17,12 +17,15 @@
   readonly end: ConnectionEnd;
   /** Bytes of the request that have not been sent yet. */
   readonly unsentBytes: number;
+  /** Stops reading, so that the peer waits once the buffers are full. */
   pause(): void;
+  /** Goes on reading. */
   resume(): void;
 }
 
 /** Options of {@link HttpExchange}. */
 export interface ExchangeOptions {
+  /** Method of the request; it decides whether the response can have a body. */
   readonly method: string;
   /** Timeout in milliseconds for the response headers. */
   readonly timeoutMs: number;
@@ -37,7 +40,10 @@
    * false, nothing is written.
    */
   readonly confirmSend?: () => boolean;
-  /** Called when a response arrives; finds the connection that it arrives on. */
+  /**
+   * Called when a response arrives; finds the connection that it arrives on. Without
+   * it the end of a response that only its connection ends is never proven.
+   */
   readonly findConnection?: () => ResponseConnection | undefined;
   /** Closes the connection, during the exchange or after it. */
   readonly closeConnection?: () => void;
--- a/packages/clients/src/http/watched_socket.ts
+++ b/packages/clients/src/http/watched_socket.ts
@@ -6,9 +6,8 @@
 
 /**
  * A connection of undici whose reading can be paused, and that tells how its peer
- * has ended it. The pause of undici itself is
- * not used, because undici throws in an event handler if a connection ends while
- * its parser is paused.
+ * has ended it. The pause of undici itself is not used, because undici throws in an
+ * event handler if a connection ends while its parser is paused.
  */
 export class WatchedSocket {
   private isPaused = false;
--- a/packages/gateway/src/stages/log_response_end.ts
+++ b/packages/gateway/src/stages/log_response_end.ts
@@ -30,7 +30,15 @@
   readonly incompleteBytes: number;
 }
 
-/** Logs who ended a stream, how and where; a framed end in order needs no line. */
+/**
+ * Logs who ended a stream, how and where; a framed end in order needs no line.
+ *
+ * @example
+ * ```ts
+ * const ended = {end: 'complete', failure: undefined, chunks: 3, lastEvent: '9', incompleteBytes: 0};
+ * logStreamEnd(context, exchange, {stream, sender: 'i-1'}, ended);
+ * ```
+ */
 export function logStreamEnd(
   context: GatewayContext,
   exchange: OpenExchange,
@@ -49,7 +57,15 @@
   });
 }
 
-/** Logs who ended a document and how; a framed end in order needs no line. */
+/**
+ * Logs who ended a document and how; a framed end in order needs no line.
+ *
+ * @example
+ * ```ts
+ * const ended = {end: 'broken', failure: 'cut', body: Buffer.alloc(0)};
+ * logDocumentEnd(context, exchange, {stream, sender: 'i-1'}, ended);
+ * ```
+ */
 export function logDocumentEnd(
   context: GatewayContext,
   exchange: OpenExchange,
