--- a/packages/entry/test/faults/process_withdrawal.test.ts
+++ b/packages/entry/test/faults/process_withdrawal.test.ts
@@ -131,6 +131,7 @@
     assert.equal(
       answer.version,
       outcome.state === 'accepted' ? 'quick@v1' : 'quick@v2',
+      JSON.stringify(answer),
     );
   } finally {
     await deployment.stop();
