Log whether a server outlives its answer, and that a host has started anew

Behind an answer that only its connection ends, nothing told a server that closed it from one that was killed, as the system of a killed process closes in order; and no host told that another one had died. A host now tries one connection right behind such an end, watches it for 20 ms, and logs what that and the other connections to the server show (survival=alive, left, crashed, unknown). The verdict stays as it was. Entries of hosts carry the time of their start, and a change of it is logged (host_restarted).

--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -1,10 +1,17 @@
+import {
+  judgeSurvival,
+  ServerEnds,
+  type ServerSurvival,
+} from '@anvilrudder/core';
 import type {Dispatcher} from 'undici';
+import {delay} from '../utils/delay.js';
 import {
   HttpExchange,
   type ExchangeOptions,
   type HttpStream,
 } from './http_exchange.js';
 import {PooledConnection, type ConnectionRequest} from './pooled_connection.js';
+import {probeConnection} from './probe_connection.js';
 
 /** Options of {@link ConnectionPool}. */
 export interface ConnectionPoolOptions {
@@ -27,8 +34,13 @@
 export interface PooledRequest extends ExchangeOptions, ConnectionRequest {
   /** Maximum idle time in milliseconds of a connection that is reused. */
   readonly maxIdleMs: number;
+  /** Tells whether the server has said that it leaves. Default: it has not. */
+  readonly isServerLeaving?: () => boolean;
 }
 
+/** A process that ends closes its listening socket within this time. */
+const PROBE_HOLD_MS = 20;
+
 const DEFAULTS = {
   connectTimeoutMs: 700,
   keepAliveTimeoutMs: 4000,
@@ -69,7 +81,8 @@
  */
 export class ConnectionPool {
   private readonly idle: PooledConnection[] = [];
-  private openCount = 0;
+  private readonly connections = new Set<PooledConnection>();
+  private readonly ends = ServerEnds.create();
   private isClosed = false;
 
   private constructor(
@@ -100,6 +113,8 @@
       ...request,
       findConnection: () => connection?.socket,
       closeConnection: () => connection?.close(),
+      onConnectionEnd: end => this.ends.record(end, performance.now()),
+      findSurvival: () => this.findSurvival(request.isServerLeaving),
     });
     if (connection === undefined) {
       exchange.fail('connect', new Error('all connections are busy'));
@@ -167,10 +182,12 @@
 
   private connect(): PooledConnection | undefined {
     if (this.isClosed) return undefined;
-    if (this.openCount >= this.options.maxConnections) this.closeOneIdle();
-    if (this.openCount >= this.options.maxConnections) return undefined;
-    this.openCount += 1;
-    return PooledConnection.create(this.options);
+    const {maxConnections} = this.options;
+    if (this.connections.size >= maxConnections) this.closeOneIdle();
+    if (this.connections.size >= maxConnections) return undefined;
+    const connection = PooledConnection.create(this.options);
+    this.connections.add(connection);
+    return connection;
   }
 
   private closeOneIdle(): void {
@@ -190,7 +207,29 @@
   }
 
   private drop(connection: PooledConnection): void {
-    this.openCount -= 1;
+    this.connections.delete(connection);
     connection.close();
   }
+
+  /** Finds out whether the server outlives the end of a response, right behind it. */
+  private async findSurvival(
+    isServerLeaving: () => boolean = () => false,
+  ): Promise<ServerSurvival> {
+    const {address, connectTimeoutMs} = this.options;
+    const endedMs = performance.now();
+    const [probe] = await Promise.all([
+      probeConnection(address, {
+        timeoutMs: connectTimeoutMs,
+        holdMs: PROBE_HOLD_MS,
+      }),
+      delay(PROBE_HOLD_MS),
+    ]);
+    return judgeSurvival({
+      probe,
+      hasOpenConnection: [...this.connections].some(({isOpen}) => isOpen),
+      cutCount: this.ends.count('cut', endedMs),
+      closedCount: this.ends.count('closed', endedMs) - 1,
+      isLeaving: isServerLeaving(),
+    });
+  }
 }
--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -1,5 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import type {BodyFraming} from '@anvilrudder/core';
+import type {BodyFraming, ObservedEnd, ServerSurvival} from '@anvilrudder/core';
 import type {Dispatcher} from 'undici';
 import {
   createTransportError,
@@ -47,6 +47,13 @@
   readonly findConnection?: () => ResponseConnection | undefined;
   /** Closes the connection, during the exchange or after it. */
   readonly closeConnection?: () => void;
+  /** Called when the connection ends the response, in order or not. */
+  readonly onConnectionEnd?: (end: ObservedEnd) => void;
+  /**
+   * Finds out whether the server outlives the end of a response that only its
+   * connection ends. Without it the end of the connection counts as proof.
+   */
+  readonly findSurvival?: () => Promise<ServerSurvival>;
 }
 
 /** Status and headers of a response, and its body as a stream. */
@@ -58,6 +65,11 @@
   readonly chunks: AsyncIterableIterator<Buffer>;
   /** Bytes of the request that had not been sent when the response ended. */
   readonly unsentBytes: number;
+  /**
+   * Whether the server outlived the end of a response that only its connection
+   * ends; undefined before that end, and for other responses.
+   */
+  readonly survival: ServerSurvival | undefined;
   /**
    * Discards the rest of the response so that the connection can be reused. The
    * request is aborted if the response does not end within a second.
@@ -95,6 +107,7 @@
   private remainingBytes: number | undefined;
   private framing: BodyFraming = 'connection';
   private unsentBytes = 0;
+  private survival: ServerSurvival | undefined;
   private connection: ResponseConnection | undefined;
   private controller: Dispatcher.DispatchController | undefined;
   private timer: NodeJS.Timeout | undefined;
@@ -170,13 +183,8 @@
 
   onResponseEnd(): void {
     if (this.isFinished) return;
-    const failure = this.findEndFailure();
-    if (failure !== undefined) {
-      this.fail(failure);
-      return;
-    }
-    this.close();
-    this.chunks.finish();
+    if (this.framing === 'connection') void this.endWithConnection();
+    else this.finish();
   }
 
   onResponseError(
@@ -195,6 +203,7 @@
   /** Ends the exchange with an error; later failures are ignored. */
   fail(failure: TransportFailure, cause?: unknown): void {
     if (this.isFinished) return;
+    if (failure === 'cut') this.options.onConnectionEnd?.('cut');
     this.close();
     const error = createTransportError(this.phase, failure, cause);
     if (this.phase === 'streaming') this.chunks.finish(error);
@@ -203,9 +212,21 @@
   }
 
   /** A response that its connection ends is whole only if that is proven. */
-  private findEndFailure(): TransportFailure | undefined {
-    if (this.framing !== 'connection') return undefined;
-    return FAILURE_BY_END[this.connection?.end ?? 'unproven'];
+  private async endWithConnection(): Promise<void> {
+    const failure = FAILURE_BY_END[this.connection?.end ?? 'unproven'];
+    if (failure !== undefined) {
+      this.fail(failure);
+      return;
+    }
+    this.options.onConnectionEnd?.('closed');
+    clearTimeout(this.timer);
+    this.survival = await this.options.findSurvival?.();
+    if (!this.isFinished) this.finish();
+  }
+
+  private finish(): void {
+    this.close();
+    this.chunks.finish();
   }
 
   private createStream(
@@ -213,6 +234,7 @@
     headers: IncomingHttpHeaders,
   ): HttpStream {
     const readUnsentBytes = () => this.unsentBytes;
+    const readSurvival = () => this.survival;
     return {
       status,
       headers,
@@ -221,6 +243,9 @@
       get unsentBytes() {
         return readUnsentBytes();
       },
+      get survival() {
+        return readSurvival();
+      },
       discard: () => this.discard(),
       closeConnection: () => this.closeConnection(),
     };
--- a/packages/clients/src/http/pooled_connection.ts
+++ b/packages/clients/src/http/pooled_connection.ts
@@ -92,6 +92,11 @@
     return this.watchedSocket;
   }
 
+  /** See {@link WatchedSocket.isOpen}; false until the connection is made. */
+  get isOpen(): boolean {
+    return !this.isClosed && (this.watchedSocket?.isOpen ?? false);
+  }
+
   dispatch(
     request: ConnectionRequest,
     handler: Dispatcher.DispatchHandler,
--- a/packages/clients/src/http/watched_socket.ts
+++ b/packages/clients/src/http/watched_socket.ts
@@ -50,6 +50,12 @@
     return this.hasEnded ? inspectEnd(this.socket) : 'unproven';
   }
 
+  /** True while an end of the connection would be seen, and there was none. */
+  get isOpen(): boolean {
+    const isEnded = this.hasEnded || this.hasFailed || this.socket.destroyed;
+    return !isEnded && !this.isPaused;
+  }
+
   /** Bytes that have not been handed to the operating system. */
   get unsentBytes(): number {
     return this.socket.writableLength;
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -20,6 +20,7 @@
 export * from './server_health.js';
 export * from './server_limit.js';
 export * from './server_reach.js';
+export * from './server_survival.js';
 export * from './server_load.js';
 export * from './server_table.js';
 export * from './session_versions.js';
--- a/packages/gateway/src/control/hosts/host_registry.ts
+++ b/packages/gateway/src/control/hosts/host_registry.ts
@@ -2,6 +2,7 @@
   delay,
   isObjectStoreError,
   parseJsonObject,
+  readNumber,
   readString,
   type JsonObject,
 } from '@anvilrudder/clients';
@@ -15,6 +16,11 @@
   readonly address: string;
   /** Undefined in entries of earlier builds. */
   readonly failureDomain?: string;
+  /**
+   * Unix time in milliseconds of the host's start, by its own clock. Undefined in
+   * entries of earlier builds.
+   */
+  readonly startedAtMs?: number;
 }
 
 /** Intervals of the host registry. */
@@ -55,7 +61,8 @@
   const address = readString(entry, 'address');
   const failureDomain = readString(entry, 'failureDomain');
   if (address === undefined || !isSocketAddress(address)) return undefined;
-  return {address, failureDomain};
+  const startedAtMs = readNumber(entry, 'startedAtMs');
+  return {address, failureDomain, startedAtMs};
 }
 
 /**
@@ -68,6 +75,7 @@
   private otherHosts: readonly HostEntry[] = [];
   private otherAddresses: readonly string[] = [];
   private hasListed = false;
+  private readonly startedAtMs = Date.now();
   /** False if this host's entry may be missing in the store. */
   private isRegistered = false;
   private wake: () => void = () => undefined;
@@ -154,7 +162,11 @@
   private async register(): Promise<void> {
     const {store, kind, host, address, failureDomain} = this.options;
     const key = `${kind.prefix}${host}`;
-    const value = JSON.stringify({address, failureDomain});
+    const value = JSON.stringify({
+      address,
+      failureDomain,
+      startedAtMs: this.startedAtMs,
+    });
     const result = await store.put(key, value, {kind: 'absent'});
     if (result.status === 'written') return;
     // The entry is left from an earlier run of this host.
@@ -180,6 +192,7 @@
     } while (after !== undefined);
     const foundAddresses = found.map(entry => entry.address);
     const isChanged = foundAddresses.join() !== this.otherAddresses.join();
+    this.logRestarts(found);
     this.otherHosts = found;
     this.otherAddresses = foundAddresses;
     if (!isListed) {
@@ -188,4 +201,17 @@
     }
     if (isChanged) logger.info('hosts_listed', {others: found.length});
   }
+
+  /** A host that has started anew has lost the requests of its run before. */
+  private logRestarts(found: readonly HostEntry[]): void {
+    for (const {address, startedAtMs} of found) {
+      const known = this.otherHosts.find(host => host.address === address);
+      if (known === undefined || known.startedAtMs === startedAtMs) continue;
+      this.options.logger.warn('host_restarted', {
+        byHost: address,
+        startedAtMs,
+        startedBeforeAtMs: known.startedAtMs,
+      });
+    }
+  }
 }
--- a/packages/gateway/src/control/hosts/host_relay.ts
+++ b/packages/gateway/src/control/hosts/host_relay.ts
@@ -169,8 +169,10 @@
     const index = Math.floor(this.options.random() * staying.length);
     const address = staying[index]?.server.address;
     if (address === undefined) return;
-    const isReached = await probeConnection(address, PROBE_TIMEOUT_MS);
-    if (isReached) this.recordReached(service);
+    const result = await probeConnection(address, {
+      timeoutMs: PROBE_TIMEOUT_MS,
+    });
+    if (result === 'kept') this.recordReached(service);
   }
 
   private listStaying(service: string) {
--- a/packages/gateway/src/stages/log_response_end.ts
+++ b/packages/gateway/src/stages/log_response_end.ts
@@ -97,6 +97,7 @@
     end,
     framing: stream.framing,
     failure: failure ?? 'none',
+    survival: stream.survival,
     unsentBytes: stream.unsentBytes || undefined,
   };
 }
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -7,8 +7,10 @@
 import {
   isNeverSent,
   isProvenNotRun,
+  isSameRun,
   type AttemptEnd,
   type InFlightSend,
+  type RegisteredServer,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import type {ResponseHead} from '../ports.js';
@@ -143,6 +145,7 @@
     maxIdleMs: chooseMaxIdleMs(exchange),
     timeoutMs: Math.max(1, exchange.remainingMs),
     signal: exchange.signal,
+    isServerLeaving: () => isLeaving(context, server),
     confirmSend: () => {
       // While connecting, another response may have asked for no requests.
       if (!context.servers.mayReceive(server, performance.now())) return false;
@@ -152,6 +155,16 @@
   });
 }
 
+/** True if a server leaves, is gone, or another run has replaced it. */
+function isLeaving(
+  {servers}: GatewayContext,
+  server: RegisteredServer,
+): boolean {
+  const record = servers.find(server.id);
+  if (record === undefined || !isSameRun(record.server, server)) return true;
+  return record.availability.isLeaving;
+}
+
 /** Records what the head of a response says of the send and its server. */
 function recordHead(
   context: GatewayContext,
