--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -113,7 +113,7 @@
       ...request,
       findConnection: () => connection?.socket,
       closeConnection: () => connection?.close(),
-      onConnectionEnd: end => this.ends.record(end, performance.now()),
+      onConnectionEnd: () => this.ends.record(performance.now()),
       findSurvival: () => this.findSurvival(request.isServerLeaving),
     });
     if (connection === undefined) {
@@ -215,20 +215,18 @@
   private async findSurvival(
     isServerLeaving: () => boolean = () => false,
   ): Promise<ServerSurvival> {
-    const {address, connectTimeoutMs} = this.options;
+    const {address, connectTimeoutMs: timeoutMs} = this.options;
     const endedMs = performance.now();
-    const [probe] = await Promise.all([
-      probeConnection(address, {
-        timeoutMs: connectTimeoutMs,
-        holdMs: PROBE_HOLD_MS,
-      }),
-      delay(PROBE_HOLD_MS),
-    ]);
+    const probing = probeConnection(address, {
+      timeoutMs,
+      holdMs: PROBE_HOLD_MS,
+    });
+    await delay(PROBE_HOLD_MS);
+    const otherEndCount = this.ends.countAt(endedMs) - 1;
     return judgeSurvival({
-      probe,
+      probe: await probing,
       hasOpenConnection: [...this.connections].some(({isOpen}) => isOpen),
-      cutCount: this.ends.count('cut', endedMs),
-      closedCount: this.ends.count('closed', endedMs) - 1,
+      otherEndCount,
       isLeaving: isServerLeaving(),
     });
   }
--- a/packages/core/src/forwarding/server_survival.ts
+++ b/packages/core/src/forwarding/server_survival.ts
@@ -5,14 +5,11 @@
  */
 export type ProbeResult = 'kept' | 'closed' | 'refused' | 'unanswered';
 
-/** How a request that was sent to a server ended there. */
-export type ObservedEnd = 'closed' | 'cut';
-
 /**
  * What is known of a server behind a response whose end only its connection marks.
- * `alive`: it serves on, so the end is its own; `left`: it was leaving and is gone;
- * `crashed`: it is gone without having said so, or other requests ended with it;
- * `unknown`: nothing shows.
+ * `alive`: it serves on, so the end is its own; `left`: it was leaving, and is gone
+ * with its last response; `crashed`: it is gone in any other way; `unknown`: nothing
+ * shows.
  */
 export type ServerSurvival = 'alive' | 'left' | 'crashed' | 'unknown';
 
@@ -22,10 +19,8 @@
   readonly probe: ProbeResult;
   /** Another connection to the server is still open. */
   readonly hasOpenConnection: boolean;
-  /** Other requests at the server that broke off at the same moment. */
-  readonly cutCount: number;
-  /** Other responses of the server that a connection ended at the same moment. */
-  readonly closedCount: number;
+  /** Other requests at the server that its connections ended at the same moment. */
+  readonly otherEndCount: number;
   /** The server has said that it leaves, or is no longer registered. */
   readonly isLeaving: boolean;
 }
@@ -39,33 +34,26 @@
  *
  * @example
  * ```ts
- * judgeSurvival({probe: 'refused', hasOpenConnection: false, cutCount: 0,
- *   closedCount: 0, isLeaving: false}); // 'crashed'
+ * judgeSurvival({probe: 'refused', hasOpenConnection: false, otherEndCount: 0,
+ *   isLeaving: false}); // 'crashed'
  * ```
  */
 export function judgeSurvival({
   probe,
   hasOpenConnection,
-  cutCount,
-  closedCount,
+  otherEndCount,
   isLeaving,
 }: ServerSigns): ServerSurvival {
-  if (cutCount > 0) return 'crashed';
   if (probe === 'kept') return 'alive';
   if (probe === 'unanswered') return 'unknown';
   // A leaving server listens no more, and a full one closes new connections.
   if (hasOpenConnection) return 'alive';
-  return isLeaving && closedCount === 0 ? 'left' : 'crashed';
-}
-
-interface TimedEnd {
-  readonly end: ObservedEnd;
-  readonly atMs: number;
+  return isLeaving && otherEndCount === 0 ? 'left' : 'crashed';
 }
 
-/** The ends of requests at one server that may be of one moment. */
+/** When connections to one server have lately ended requests. */
 export class ServerEnds {
-  private ends: readonly TimedEnd[] = [];
+  private endsMs: readonly number[] = [];
 
   private constructor() {}
 
@@ -73,8 +61,8 @@
    * @example
    * ```ts
    * const ends = ServerEnds.create();
-   * ends.record('cut', 1000);
-   * ends.count('cut', 1010); // 1
+   * ends.record(1000);
+   * ends.countAt(1010); // 1
    * ```
    */
   static create(): ServerEnds {
@@ -82,19 +70,17 @@
   }
 
   /** @param nowMs on the monotonic clock. */
-  record(end: ObservedEnd, nowMs: number): void {
-    const recent = this.ends.filter(
-      ({atMs}) => nowMs - atMs <= 2 * SAME_MOMENT_MS,
+  record(nowMs: number): void {
+    const recent = this.endsMs.filter(
+      endedMs => nowMs - endedMs <= 2 * SAME_MOMENT_MS,
     );
-    this.ends = [...recent, {end, atMs: nowMs}];
+    this.endsMs = [...recent, nowMs];
   }
 
-  /** Number of ends of one kind at the same moment as `atMs`. */
-  count(end: ObservedEnd, atMs: number): number {
-    return this.ends.filter(
-      observed =>
-        observed.end === end &&
-        Math.abs(observed.atMs - atMs) <= SAME_MOMENT_MS,
+  /** Number of ends at the same moment as `atMs`. */
+  countAt(atMs: number): number {
+    return this.endsMs.filter(
+      endedMs => Math.abs(endedMs - atMs) <= SAME_MOMENT_MS,
     ).length;
   }
 }
