Keep no connection that has ended with its response

Cause: the pool kept such a connection until its client had noticed the end, and gave it to the next request, which then could not be sent. With several servers it cost an attempt. Now a connection is kept only while it is open.

--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -198,7 +198,8 @@
   private release(connection: PooledConnection, isReusable: boolean): void {
     // A server that has answered early may not read the rest of its request.
     const isSent = connection.socket?.unsentBytes === 0;
-    if (!isReusable || !isSent || this.isClosed || connection.isClosed) {
+    const isUsable = isReusable && isSent && connection.isOpen;
+    if (!isUsable || this.isClosed) {
       this.drop(connection);
       return;
     }
