Read responses in turns of the event loop

Callers of other services waited 0.6 to 6.5 s while a server sent bytes without end in small parts (flooded_hosts on, 100 calls at once). Cause: the parser took all that had arrived on every connection before anything else ran; no limit counted its time. All connections of the process now share 5 ms of parse time in each turn, in reads of 4 KiB; what is over that is read in later turns, the connections of the least recent cost first, so that one that costs little does not wait behind floods.

--- a/packages/clients/src/http/watched_socket.ts
+++ b/packages/clients/src/http/watched_socket.ts
@@ -1,15 +1,18 @@
 import type {Socket} from 'node:net';
 import {inspectEnd, type ConnectionEnd} from './connection_end.js';
+import {PROCESS_TURNS, type TurnReader} from './read_turns.js';
 
 const RESET_CODE = 'ECONNRESET';
 const REPORTED_RESET_CODE = 'ERR_CONNECTION_RESET';
+/** Bytes that are parsed without a check of the time that they take. */
+const MAX_READ_BYTES = 4096;
 
 /**
- * A connection of undici whose reading can be paused, and that tells how its peer
- * has ended it. The pause of undici itself is not used, because undici throws in an
+ * A connection of undici that is read in turns with the others, whose reading can be
+ * paused, and that tells how its peer has ended it. The pause of undici itself is not used, because undici throws in an
  * event handler if a connection ends while its parser is paused.
  */
-export class WatchedSocket {
+export class WatchedSocket implements TurnReader {
   private isPaused = false;
   private hasEnded = false;
   private hasFailed = false;
@@ -71,16 +74,26 @@
     if (!this.isPaused) return;
     this.isPaused = false;
     // undici may be in the middle of a read.
-    process.nextTick(() => this.socket.emit('readable'));
+    process.nextTick(() => this.readOn());
+  }
+
+  /** Lets undici read what has arrived. */
+  readOn(): void {
+    this.socket.emit('readable');
   }
 
   // undici takes all bytes with read(), until it returns null.
   private interceptReads(): void {
     const read = this.socket.read.bind(this.socket);
-    this.socket.read = (sizeBytes?: number): unknown => {
+    this.socket.read = (): unknown => {
+      PROCESS_TURNS.finish();
       if (this.isPaused) return null;
+      const {readableLength} = this.socket;
+      // Asks to be told of the next bytes.
+      if (readableLength === 0) return read();
+      if (!PROCESS_TURNS.tryBegin(this)) return null;
       this.onActive(this);
-      return read(sizeBytes);
+      return read(Math.min(readableLength, MAX_READ_BYTES));
     };
   }
 
