--- a/packages/gateway/src/stages/event_splitter.ts
+++ b/packages/gateway/src/stages/event_splitter.ts
@@ -12,8 +12,10 @@
   readonly lastId: string | undefined;
 }
 
-const ID_LINE = /^id: ?(.*)$/;
-const LINE_BREAK = /\r?\n/;
+const ID_FIELD = 'id:';
+const ID_LINE = '\nid:';
+const ID_VALUE = /^ ?([^\r]*)\r?$/;
+const BLANK_LINES = ['\n\n', '\n\r\n'];
 const NO_EVENTS: CompleteEvents = {
   bytes: EMPTY,
   firstId: undefined,
@@ -101,19 +103,45 @@
 }
 
 function describeEvents(bytes: Buffer): CompleteEvents {
-  const lines = bytes.toString('latin1').split(LINE_BREAK);
-  const firstEnd = lines.indexOf('');
   return {
     bytes,
-    firstId: findId(lines.slice(0, firstEnd)),
-    lastId: findId(lines.reverse()),
+    firstId: findId(bytes.subarray(0, findFirstEventEnd(bytes)), 'first'),
+    lastId: findId(bytes, 'last'),
   };
 }
 
-function findId(lines: readonly string[]): string | undefined {
-  for (const line of lines) {
-    const match = ID_LINE.exec(line);
-    if (match !== null) return match[1];
-  }
-  return undefined;
+/** Returns the offset of the first blank line. */
+function findFirstEventEnd(bytes: Buffer): number {
+  const begin = bytes[0] === CARRIAGE_RETURN ? 1 : 0;
+  if (bytes[begin] === LINE_FEED) return 0;
+  const ends = BLANK_LINES.map(text => bytes.indexOf(text));
+  return Math.min(...ends.map(end => (end < 0 ? bytes.length : end + 1)));
+}
+
+function findId(bytes: Buffer, which: 'first' | 'last'): string | undefined {
+  const begin = which === 'first' ? findFirstId(bytes) : findLastId(bytes);
+  if (begin === undefined) return undefined;
+  const lineEnd = bytes.indexOf(LINE_FEED, begin);
+  const line = bytes.toString(
+    'latin1',
+    begin,
+    lineEnd < 0 ? undefined : lineEnd,
+  );
+  return ID_VALUE.exec(line)?.[1];
+}
+
+function findFirstId(bytes: Buffer): number | undefined {
+  if (startsWithId(bytes)) return ID_FIELD.length;
+  const index = bytes.indexOf(ID_LINE);
+  return index < 0 ? undefined : index + ID_LINE.length;
+}
+
+function findLastId(bytes: Buffer): number | undefined {
+  const index = bytes.lastIndexOf(ID_LINE);
+  if (index >= 0) return index + ID_LINE.length;
+  return startsWithId(bytes) ? ID_FIELD.length : undefined;
+}
+
+function startsWithId(bytes: Buffer): boolean {
+  return bytes.toString('latin1', 0, ID_FIELD.length) === ID_FIELD;
 }
