Limit the lines of a response's head

Cause: the parser counts the letters of a head, 16 KiB, and keeps two buffers for each header: 8,192 headers of two letters. A head may now have 512 lines; one beyond is broken off before the parser sees the rest, as is any response beyond its bytes.

--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -7,6 +7,7 @@
 import {delay} from '../utils/delay.js';
 import {
   HttpExchange,
+  FIRST_FINAL_STATUS,
   type ExchangeOptions,
   type HttpStream,
 } from './http_exchange.js';
@@ -53,15 +54,17 @@
  */
 function createDispatchHandler(
   exchange: HttpExchange,
-  onBodyBytes: (bytes: number) => void,
+  connection: PooledConnection,
   onConnectionFree: (isReusable: boolean) => void,
 ): Dispatcher.DispatchHandler {
   return {
     onRequestStart: controller => exchange.onRequestStart(controller),
-    onResponseStart: (controller, status, headers, reason) =>
-      exchange.onResponseStart(controller, status, headers, reason),
+    onResponseStart: (controller, status, headers, reason) => {
+      if (status >= FIRST_FINAL_STATUS) connection.markHead();
+      exchange.onResponseStart(controller, status, headers, reason);
+    },
     onResponseData: (controller, chunk) => {
-      onBodyBytes(chunk.length);
+      connection.countBody(chunk.length);
       exchange.onResponseData(controller, chunk);
     },
     onResponseEnd: () => {
@@ -150,11 +153,7 @@
       this.release(connection, isReusable);
     };
     try {
-      const handler = createDispatchHandler(
-        exchange,
-        bytes => connection.countBody(bytes),
-        release,
-      );
+      const handler = createDispatchHandler(exchange, connection, release);
       connection.dispatch(request, handler);
     } catch (error) {
       exchange.fail('connect', error);
--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -82,7 +82,8 @@
   closeConnection(): void;
 }
 
-const FIRST_FINAL_STATUS = 200;
+/** Lower ones come before the response to a request. */
+export const FIRST_FINAL_STATUS = 200;
 const DISCARD_TIMEOUT_MS = 1000;
 
 const FAILURE_BY_END: Readonly<
--- a/packages/clients/src/http/http_transport.ts
+++ b/packages/clients/src/http/http_transport.ts
@@ -67,7 +67,7 @@
         callback(error, null);
         return;
       }
-      ResponseByteLimit.watch(socket as Socket, MAX_TOTAL_BYTES);
+      ResponseByteLimit.watch(socket as Socket, {maxBytes: MAX_TOTAL_BYTES});
       WatchedSocket.watch(socket as Socket, onActive);
       callback(null, socket as Socket);
     });
--- a/packages/clients/src/http/pooled_connection.ts
+++ b/packages/clients/src/http/pooled_connection.ts
@@ -1,7 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
-import {ResponseByteLimit} from './response_byte_limit.js';
+import {ResponseByteLimit, type ResponseLimits} from './response_byte_limit.js';
 import {WatchedSocket} from './watched_socket.js';
 
 /** Options of {@link PooledConnection}. */
@@ -30,8 +30,10 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 
-/** Maximum size of a response without its body. */
-const MAX_OVERHEAD_BYTES = 256 * 1024;
+const RESPONSE_LIMITS: ResponseLimits = {
+  maxBytes: 256 * 1024,
+  maxHeadLines: 512,
+};
 
 /**
  * Creates a connector that gives up in time. The timers of undici's own connect
@@ -105,6 +107,11 @@
     this.client.dispatch({method, path, headers, body}, handler);
   }
 
+  /** Records that the head of a response is complete. */
+  markHead(): void {
+    this.byteLimit?.markHead();
+  }
+
   /** Records bytes of the body of a response. */
   countBody(bytes: number): void {
     this.byteLimit?.countBody(bytes);
@@ -117,7 +124,7 @@
   }
 
   private watchSocket(socket: Socket): void {
-    this.byteLimit = ResponseByteLimit.watch(socket, MAX_OVERHEAD_BYTES);
+    this.byteLimit = ResponseByteLimit.watch(socket, RESPONSE_LIMITS);
     this.watchedSocket = WatchedSocket.watch(socket, () => undefined);
   }
 }
