Count bodies until their callers have them, and incomplete events

The budget of 48 MiB for the large bodies of a host was given back as soon as a body had been read, and incomplete events of up to 1 MiB, in buffers of up to 2 MiB, were not in it: callers that read nothing, or events without end, by the hundred, had no bound but their number. A body now counts until its response has closed, and an event from 64 KiB on.

--- a/packages/gateway/src/stages/read_response.ts
+++ b/packages/gateway/src/stages/read_response.ts
@@ -1,3 +1,4 @@
+import type {ServerResponse} from 'node:http';
 import {isTransportError, type HttpStream} from '@anvilrudder/clients';
 import {
   isEventStream,
@@ -33,19 +34,24 @@
 /**
  * Reads a response to its end. One that is too large to keep counts as broken.
  *
- * @param budget limits what all large bodies take together.
+ * @param budget limits what all large bodies take together. A whole body is
+ *     released once its caller has it, or has left.
  * @example
  * ```ts
- * const {body, verdict} = await readResponse(stream, budget);
+ * const {body, verdict} = await readResponse(stream, budget, response);
  * ```
  */
 export async function readResponse(
   stream: HttpStream,
   budget: ByteBudget,
+  response: ServerResponse,
 ): Promise<ReadResponse> {
   const {framing} = stream;
   try {
     const body = await readBody(stream, budget);
+    releaseOnClose(response, () =>
+      budget.release(countLargeBytes(body.length)),
+    );
     const events = findEvents(stream, body);
     const verdict = judgeResponseEnd({framing, hasFailed: false, events});
     return {
@@ -81,6 +87,17 @@
   };
 }
 
+function releaseOnClose(response: ServerResponse, release: () => void): void {
+  if (response.closed) release();
+  else response.once('close', release);
+}
+
+/** Bytes of a body that count as those of a large one. */
+function countLargeBytes(sizeBytes: number): number {
+  return Math.max(0, sizeBytes - SMALL_BODY_BYTES);
+}
+
+/** Takes what a large body needs from the budget, and keeps it if it succeeds. */
 async function readBody(
   stream: HttpStream,
   budget: ByteBudget,
@@ -91,7 +108,7 @@
   try {
     for await (const chunk of stream.chunks) {
       totalBytes += chunk.length;
-      const neededBytes = Math.max(0, totalBytes - SMALL_BODY_BYTES);
+      const neededBytes = countLargeBytes(totalBytes);
       const isTooLarge =
         totalBytes > MAX_BUFFERED_BODY_BYTES ||
         !budget.tryTake(neededBytes - takenBytes);
@@ -99,8 +116,9 @@
       takenBytes = neededBytes;
       chunks.push(chunk);
     }
-  } finally {
+  } catch (error) {
     budget.release(takenBytes);
+    throw error;
   }
   return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
 }
--- a/packages/gateway/src/stages/relay_stream.ts
+++ b/packages/gateway/src/stages/relay_stream.ts
@@ -47,10 +47,14 @@
   return EventRelay.create(context, exchange, source).run();
 }
 
+/** Incomplete events up to this size are always kept. */
+const SMALL_EVENT_BYTES = 64 * 1024;
+
 /** Relays the stream of one sender. */
 class EventRelay {
   private readonly splitter = EventSplitter.create();
   private chunkCount = 0;
+  private takenBytes = 0;
   private firstMs = 0;
   private lastMs = 0;
 
@@ -70,7 +74,11 @@
 
   async run(): Promise<RelayResult> {
     this.exchange.progress.beginPart();
-    return this.conclude(await this.relayChunks());
+    try {
+      return this.conclude(await this.relayChunks());
+    } finally {
+      this.context.largeBodies.release(this.takenBytes);
+    }
   }
 
   /** Returns why the stream broke off; undefined if its sender ended it. */
@@ -87,12 +95,24 @@
     return undefined;
   }
 
+  /** Counts an incomplete event among the large bodies; false if none is left. */
+  private keepEvent(): boolean {
+    const {largeBodies} = this.context;
+    const neededBytes = Math.max(
+      0,
+      this.splitter.incompleteEventBytes - SMALL_EVENT_BYTES,
+    );
+    if (!largeBodies.tryTake(neededBytes - this.takenBytes)) return false;
+    this.takenBytes = neededBytes;
+    return true;
+  }
+
   private async relayChunk(
     chunk: Buffer,
   ): Promise<ResponseFailure | undefined> {
     const {exchange, splitter, source} = this;
     const {bytes, firstId, lastId} = splitter.push(chunk);
-    if (splitter.isEventTooLarge) return 'eventTooLarge';
+    if (splitter.isEventTooLarge || !this.keepEvent()) return 'eventTooLarge';
     if (bytes.length === 0) return undefined;
     if (exchange.stopped !== undefined) return 'aborted';
     if (!this.isInPlace(firstId)) {
