Count a connection as open only where its end would be seen; split the types of a stream

Found in reading: the end of a connection is reported behind all bytes that wait, so that one that is read in turns seemed open behind the death of its server.

--- a/packages/clients/src/engine/http_engine_client.ts
+++ b/packages/clients/src/engine/http_engine_client.ts
@@ -3,7 +3,7 @@
   toBackendError,
   type BackendErrorOptions,
 } from '../errors/backend_error.js';
-import type {HttpStream} from '../http/http_exchange.js';
+import type {HttpStream} from '../http/http_stream.js';
 import {
   HttpTransport,
   type HttpResponse,
--- a/packages/clients/src/http/connection_pool.ts
+++ b/packages/clients/src/http/connection_pool.ts
@@ -5,12 +5,8 @@
 } from '@anvilrudder/core';
 import type {Dispatcher} from 'undici';
 import {delay} from '../utils/delay.js';
-import {
-  HttpExchange,
-  FIRST_FINAL_STATUS,
-  type ExchangeOptions,
-  type HttpStream,
-} from './http_exchange.js';
+import {FIRST_FINAL_STATUS, HttpExchange} from './http_exchange.js';
+import type {ExchangeOptions, HttpStream} from './http_stream.js';
 import {PooledConnection, type ConnectionRequest} from './pooled_connection.js';
 import {probeConnection} from './probe_connection.js';
 
--- a/packages/clients/src/http/http_transport.ts
+++ b/packages/clients/src/http/http_transport.ts
@@ -2,11 +2,8 @@
 import type {Socket} from 'node:net';
 import {Agent, buildConnector} from 'undici';
 import {createTransportError} from '../errors/transport_error.js';
-import {
-  HttpExchange,
-  type ExchangeOptions,
-  type HttpStream,
-} from './http_exchange.js';
+import {HttpExchange} from './http_exchange.js';
+import type {ExchangeOptions, HttpStream} from './http_stream.js';
 import {ResponseByteLimit} from './response_byte_limit.js';
 import {WatchedSocket} from './watched_socket.js';
 
--- a/packages/clients/src/http/watched_socket.ts
+++ b/packages/clients/src/http/watched_socket.ts
@@ -9,8 +9,9 @@
 
 /**
  * A connection of undici that is read in turns with the others, whose reading can be
- * paused, and that tells how its peer has ended it. The pause of undici itself is not used, because undici throws in an
- * event handler if a connection ends while its parser is paused.
+ * paused, and that tells how its peer has ended it. The pause of undici itself is not
+ * used, because undici throws in an event handler if a connection ends while its
+ * parser is paused.
  */
 export class WatchedSocket implements TurnReader {
   private isPaused = false;
@@ -56,7 +57,8 @@
   /** True while an end of the connection would be seen, and there was none. */
   get isOpen(): boolean {
     const isEnded = this.hasEnded || this.hasFailed || this.socket.destroyed;
-    return !isEnded && !this.isPaused;
+    // An end is reported behind all bytes that have been read.
+    return !isEnded && !this.isPaused && this.socket.readableLength === 0;
   }
 
   /** Bytes that have not been handed to the operating system. */
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -4,7 +4,7 @@
 export * from './errors/object_store_error.js';
 export * from './errors/transport_error.js';
 export * from './hosts/host_list_client.js';
-export type {ExchangeOptions, HttpStream} from './http/http_exchange.js';
+export type {ExchangeOptions, HttpStream} from './http/http_stream.js';
 export {canHaveBody} from './http/body_framing.js';
 export {inspectEnd, type ConnectionEnd} from './http/connection_end.js';
 export * from './http/connection_pool.js';
--- a/packages/clients/src/services/weight_client.ts
+++ b/packages/clients/src/services/weight_client.ts
@@ -1,6 +1,6 @@
 import type {ModelVersion} from '@anvilrudder/core';
 import {createBackendError, toBackendError} from '../errors/backend_error.js';
-import type {HttpStream} from '../http/http_exchange.js';
+import type {HttpStream} from '../http/http_stream.js';
 import {
   HttpTransport,
   type HttpTransportOptions,
