--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # nothing to compile; the program itself comes from the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
-for file in review/lib-2/*.mjs review/6/case.mjs review/8/case.mjs; do
+for file in review/lib-2/*.mjs review/[0-9]*/case.mjs review/[0-9]*/runner.mjs; do
   [ ! -e "$file" ] || node --check "$file"
 done
 if [ ! -e target/anvilrudder-gateway.mjs ]; then
