Hand on no promise of "not run" that nothing proves

What callers saw: one of three servers failed part of what it ran and answered 503 without stating "not run".

Cause: nothing held the status that goes to a caller to what is proven of its request. Of server responses 503 was `failed`, 408 and 429 were `answered`, and all three were handed on; so was the 503 of another host, whoever had meant it.

Evidence: `attempt_ended end=failed status=503` beside `request_settled outcome=answered status=503`.

Fix: `classifyResponse` (core) names such a response `unprovenRejection`: it proves nothing, only idempotent requests and resumable streams are sent again, and the caller gets 502 at once. Beside it every head of a server or a host and every error of this host is checked against `mayHaveRun` where it is written (`checkPromise`, `resolvePromise`), so that a path that is added later is held to it too. Hosts give their word to each other with the header `relay-not-run`; without it, as from earlier builds, a 503 of another host becomes 502.

Bare 408 and 429 now count as failures of the server and its version, as bare 503s did; idempotent requests are sent again after them.

--- a/packages/core/src/forwarding/responses/attempt_outcome.ts
+++ b/packages/core/src/forwarding/responses/attempt_outcome.ts
@@ -10,6 +10,8 @@
   | 'rejected'
   /** The server refused the request without running it and asked for a pause. */
   | 'paused'
+  /** The status says that the request has not run, without proof of it. */
+  | 'unprovenRejection'
   /** The address now belongs to another server. */
   | 'replaced'
   /** No byte of the request was written. */
@@ -39,6 +41,7 @@
   failed: {isSafeToRetry: false, whenExhausted: 'relay'},
   rejected: {isSafeToRetry: true, whenExhausted: 'fail'},
   paused: {isSafeToRetry: true, whenExhausted: 'fail'},
+  unprovenRejection: {isSafeToRetry: false, whenExhausted: 'fail'},
   replaced: {isSafeToRetry: true, whenExhausted: 'fail'},
   unsent: {isSafeToRetry: true, whenExhausted: 'fail'},
   withheld: {isSafeToRetry: true, whenExhausted: 'fail'},
--- a/packages/core/test/forwarding/attempt_outcome.test.ts
+++ b/packages/core/test/forwarding/attempt_outcome.test.ts
@@ -35,6 +35,12 @@
     again: 'tryAnotherServer',
     spent: 'fail',
   },
+  {
+    end: 'unprovenRejection',
+    once: 'fail',
+    again: 'tryAnotherServer',
+    spent: 'fail',
+  },
   {
     end: 'replaced',
     once: 'tryAnotherServer',
--- a/packages/gateway/src/control/rollouts/rollout_controller.ts
+++ b/packages/gateway/src/control/rollouts/rollout_controller.ts
@@ -52,6 +52,7 @@
 const IS_VERSION_FAILURE: Readonly<Partial<Record<AttemptEnd, boolean>>> = {
   answered: false,
   failed: true,
+  unprovenRejection: true,
   lost: true,
   garbled: true,
 };
--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -3,6 +3,7 @@
   ERROR_DEFINITIONS,
   isRequestId,
   normalizeError,
+  resolvePromise,
   RouterError,
   type CallerLimits,
   type MemoryHold,
@@ -20,10 +21,11 @@
 import {OpenExchange} from './open_exchange.js';
 import {endResponse} from './write_response.js';
 import {
+  RELAY_NOT_RUN_HEADER,
   RELAY_REFUSED_HEADER,
   RELAY_ROUTING_HEADER,
   type RelayRefusal,
-} from './relay_through_host.js';
+} from './relay_headers.js';
 
 /** Time in which hosts usually apply a configuration. */
 const BEHIND_RETRY_MS = 300;
@@ -94,10 +96,13 @@
     admitInDrain(context, exchange);
     await dispatchRequest(context, exchange);
   } catch (error) {
-    failure = normalizeError(error);
+    failure = resolvePromise(
+      normalizeError(error),
+      exchange?.mayHaveRun ?? false,
+    );
     if (failure.code === 'internal') logInternalError(context, request, error);
     if (sender === 'host')
-      markRelayRefusal(context, response, exchange, failure);
+      markRelayFailure(context, response, exchange, failure);
     if (exchange !== undefined && response.headersSent)
       endResponse(exchange, 'broken');
     else respondWithError(context, message, response, request, failure);
@@ -158,16 +163,17 @@
   return version;
 }
 
-/** Tells the host that relays a request that this one has not sent it. */
-function markRelayRefusal(
+/** Tells the host that relays a request what this one knows of its failure. */
+function markRelayFailure(
   context: GatewayContext,
   response: ServerResponse,
   exchange: OpenExchange | undefined,
-  {code}: RouterError,
+  {code, execution}: RouterError,
 ): void {
+  if (response.headersSent) return;
+  if (execution === 'notRun') response.setHeader(RELAY_NOT_RUN_HEADER, '1');
   const refusal = resolveRelayRefusal(context, exchange, code);
-  if (refusal === undefined || response.headersSent) return;
-  response.setHeader(RELAY_REFUSED_HEADER, refusal);
+  if (refusal !== undefined) response.setHeader(RELAY_REFUSED_HEADER, refusal);
 }
 
 function resolveRelayRefusal(
--- a/packages/gateway/src/stages/open_exchange.ts
+++ b/packages/gateway/src/stages/open_exchange.ts
@@ -1,5 +1,6 @@
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 import {
+  createUnknownOutcome,
   digestRequest,
   isRetryableKind,
   RouterError,
@@ -166,11 +167,7 @@
         retryAfterMs: this.quarantine.remainingMs,
       });
     }
-    if (this.mayHaveRun) {
-      return RouterError.create('The outcome of the request is unknown.', {
-        code: 'outcome_unknown',
-      });
-    }
+    if (this.mayHaveRun) return createUnknownOutcome();
     return RouterError.create('No backend server took the request.', {
       code: 'no_backend',
       retryAfterMs,
--- a/packages/gateway/src/stages/record_send.ts
+++ b/packages/gateway/src/stages/record_send.ts
@@ -1,7 +1,8 @@
-import type {
-  AttemptEnd,
-  InFlightSend,
-  RegisteredServer,
+import {
+  MISDIRECTED_STATUS,
+  type AttemptEnd,
+  type InFlightSend,
+  type RegisteredServer,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import type {ResponseHead} from '../ports.js';
@@ -9,7 +10,6 @@
 import {hashSession} from './hash_session.js';
 import type {OpenExchange} from './open_exchange.js';
 
-export const MISDIRECTED_STATUS = 421;
 const UNAVAILABLE_STATUS = 503;
 
 /** How a send ended, and the logarithm of its time over the expected time. */
--- a/packages/gateway/src/stages/relay_through_host.ts
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -7,6 +7,12 @@
 import type {OpenExchange} from './open_exchange.js';
 import {readResponse} from './read_response.js';
 import {relayEvents} from './relay_stream.js';
+import {
+  RELAY_NOT_RUN_HEADER,
+  RELAY_REFUSED_HEADER,
+  RELAY_ROUTING_HEADER,
+  type RelayRefusal,
+} from './relay_headers.js';
 import {
   endResponse,
   isRelayedAsStream,
@@ -20,22 +26,6 @@
  */
 export type RelayThroughHostResult = 'answered' | 'refused' | 'noHost';
 
-/** Header of a host that has not sent a relayed request, with its reason. */
-export const RELAY_REFUSED_HEADER = 'relay-refused';
-
-/**
- * Why a host has not sent a relayed request. `unreached`: it has lost its links to
- * the service; `versionLost`: it lists no server of the version that the request
- * needs; `unavailable`: it reaches the service, but no server took the request;
- * `behind`: it has not applied the configuration with which the request was
- * admitted.
- */
-export type RelayRefusal =
-  'unreached' | 'versionLost' | 'unavailable' | 'stopping' | 'behind';
-
-/** Header with the version of the configuration that a request was admitted by. */
-export const RELAY_ROUTING_HEADER = 'relay-routing-version';
-
 /** How a refusal counts in the search of a host; `unavailable` if not listed. */
 const FAILURE_BY_REFUSAL: ReadonlyMap<string, RelayFailure> = new Map<
   RelayRefusal,
@@ -90,6 +80,8 @@
       exchange.relayedTo = host;
       hostRelay.recordHostSent(needed, host);
       context.metrics.count('relayed_requests_total');
+      if (stream.headers[RELAY_NOT_RUN_HEADER] !== undefined)
+        exchange.mayHaveRun = false;
       await relayResponse(context, exchange, stream, host);
       return 'answered';
     }
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -5,10 +5,12 @@
   type TransportError,
 } from '@anvilrudder/clients';
 import {
+  classifyResponse,
   computeUrgency,
   isNeverSent,
   isProvenNotRun,
   isSameRun,
+  MISDIRECTED_STATUS,
   type AttemptEnd,
   type InFlightSend,
   type RegisteredServer,
@@ -23,7 +25,6 @@
 import {
   asksForPause,
   logVersion,
-  MISDIRECTED_STATUS,
   recordAvailability,
   recordCut,
   recordSession,
@@ -37,8 +38,6 @@
   readonly backendResponse: BackendResponse | undefined;
 }
 
-const FIRST_SERVER_ERROR_STATUS = 500;
-
 /**
  * Maximum idle time of a reused connection; after a longer time the server may
  * be closing it. Lower for requests that must not run twice.
@@ -317,13 +316,12 @@
   status: number,
   head: ResponseHead,
 ): AttemptEnd {
-  if (head.requestId !== requestId) return 'garbled';
-  if (status === MISDIRECTED_STATUS) return 'replaced';
-  if (head.isNotRun) return asksForPause(status, head) ? 'paused' : 'rejected';
-  if (status >= FIRST_SERVER_ERROR_STATUS) return 'failed';
-  const isSuccess = status >= 200 && status < 300;
-  if (isSuccess && (!head.isSigned || head.isEncoded)) return 'garbled';
-  return 'answered';
+  return classifyResponse({
+    ...head,
+    status,
+    isForRequest: head.requestId === requestId,
+    asksForPause: asksForPause(status, head),
+  });
 }
 
 function classifyFailure(error: TransportError): AttemptEnd {
--- a/packages/gateway/src/stages/write_response.ts
+++ b/packages/gateway/src/stages/write_response.ts
@@ -1,8 +1,9 @@
 import {once} from 'node:events';
-import type {ServerResponse} from 'node:http';
+import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {canHaveBody, type HttpStream} from '@anvilrudder/clients';
 import {
+  checkPromise,
   chooseCallerEnd,
   isEventStream,
   type CallerEnd,
@@ -18,7 +19,11 @@
 /** A body up to this size is written at once, however slowly its caller reads. */
 const SMALL_BODY_BYTES = 16 * 1024;
 
-/** Responds to the caller with a whole response of a server. */
+/**
+ * Responds to the caller with a whole response of a server.
+ *
+ * @throws RouterError if the caller must not get its status, see {@link writeHead}.
+ */
 export function respondWithBody(
   exchange: OpenExchange,
   stream: HttpStream,
@@ -28,9 +33,9 @@
   const headers = copyEndToEndHeaders(stream.headers);
   if (canHaveBody(request.method, stream.status))
     headers['content-length'] = body.length;
+  writeHead(exchange, stream.status, headers);
   exchange.firstMs = performance.now() - arrivedMs;
   exchange.responseVerdict = 'complete';
-  response.writeHead(stream.status, headers);
   if (writer === undefined || body.length <= SMALL_BODY_BYTES) {
     response.end(body);
     return;
@@ -39,6 +44,21 @@
   writer.finish(() => response.end());
 }
 
+/**
+ * Writes the head of a response of a server to the caller.
+ *
+ * @throws RouterError if its status says that the request has not run, and that is
+ *     not proven.
+ */
+function writeHead(
+  {admitted, mayHaveRun}: OpenExchange,
+  status: number,
+  headers: OutgoingHttpHeaders,
+): void {
+  checkPromise(status, mayHaveRun);
+  admitted.response.writeHead(status, headers);
+}
+
 /** True if the events of a response are relayed as they arrive. */
 export function isRelayedAsStream(
   {admitted: {route}}: OpenExchange,
@@ -62,7 +82,7 @@
   // Callers of HTTP/1.0 get no chunks.
   if (!response.useChunkedEncodingByDefault)
     exchange.callerFraming = 'connection';
-  response.writeHead(stream.status, headers);
+  writeHead(exchange, stream.status, headers);
   exchange.firstMs = performance.now() - arrivedMs;
 }
 
