Leave a running request its answer when the bytes behind it can't be read

What callers saw: a caller that began its next request before it had the answer to the one before, and did not complete the head in time, got 408 as the answer to the request that had run: a promise of "not run" that is false. Bytes that are no request got 400 and a head that is too large 431 in the same place; streams were cut.

Cause: the handler of parser errors wrote its response, or closed the connection, without asking whether a response to an earlier request was due on it.

Fix: where responses are due the connection ends behind them, and no other bytes are written, so that each request gets its own answer and the caller sees from the close that the later ones were not processed. 39 passed in the tests of caller connections, drains and uncontrolled callers.

--- a/packages/gateway/src/server/caller_connections.ts
+++ b/packages/gateway/src/server/caller_connections.ts
@@ -6,7 +6,7 @@
 /** Requests and responses of a connection. */
 interface ConnectionState {
   pendingCount: number;
-  /** A pending response announces the end of the connection. */
+  /** The connection ends behind the pending responses. */
   isClosing: boolean;
   /** Bytes that had been received when the last response was sent. */
   answeredBytes: number;
@@ -78,11 +78,29 @@
       state.answeredBytes = socket.bytesRead;
       state.idleSinceMs = performance.now();
       state.hold?.become('idle', () => socket.destroy());
-      if (isLast()) socket.end();
+      if (state.isClosing || isLast()) socket.end();
     });
     return true;
   }
 
+  /** True if a connection ends behind the responses that are due on it. */
+  isEnding(socket: Socket): boolean {
+    return this.states.get(socket)?.isClosing ?? false;
+  }
+
+  /**
+   * Ends a connection behind the responses that are due on it, and processes no
+   * more of its requests.
+   *
+   * @returns false if no response is due.
+   */
+  endBehindResponses(socket: Socket): boolean {
+    const state = this.states.get(socket);
+    if (state === undefined || state.pendingCount === 0) return false;
+    state.isClosing = true;
+    return true;
+  }
+
   /**
    * Closes the connections on which no response is due and nothing has been
    * received since the last one. Their callers send the next request elsewhere.
--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -70,8 +70,11 @@
     sender === 'caller' ? context.resources : undefined,
   );
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    if (connections.isEnding(socket)) return;
     context.metrics.count('malformed_requests_total');
     context.logger.info('caller_input_refused', {code: error.code});
+    // An error response would be taken for that to an earlier request.
+    if (connections.endBehindResponses(socket)) return;
     if (!socket.writable || socket.bytesWritten > 0) {
       socket.destroy();
       return;
