Judge an answer that its connection ends once more, for a reset behind the end

Cause: the end was judged in the moment of the end, and the connection was closed in the same turn. Requests of up to 4 MB count as sent, as the systems' buffers take them.

Fix: the connection is kept for the 20 ms in which the server is watched anyway, then its end is judged again.

--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -171,13 +171,26 @@
       return;
     }
     clearTimeout(this.timer);
-    this.survival = await this.options.findSurvival?.();
-    const crash = FAILURE_BY_SURVIVAL[this.survival ?? 'unchecked'];
+    const crash = await this.findCrash();
     if (this.isFinished) return;
     if (crash === undefined) this.finish();
     else this.fail(crash);
   }
 
+  /**
+   * Finds out whether the server outlives the end of its connection, and whether it
+   * resets the connection behind that end, as it does if it leaves bytes unread.
+   */
+  private async findCrash(): Promise<TransportFailure | undefined> {
+    const {findSurvival} = this.options;
+    if (findSurvival === undefined) return FAILURE_BY_SURVIVAL.unchecked;
+    this.connection?.hold();
+    this.survival = await findSurvival();
+    const failure = FAILURE_BY_END[this.connection?.end ?? 'unproven'];
+    this.connection?.release();
+    return failure ?? FAILURE_BY_SURVIVAL[this.survival];
+  }
+
   private finish(): void {
     this.close();
     this.chunks.finish();
--- a/packages/clients/src/http/http_stream.ts
+++ b/packages/clients/src/http/http_stream.ts
@@ -12,6 +12,10 @@
   pause(): void;
   /** Goes on reading. */
   resume(): void;
+  /** Keeps the connection behind its end, so that a reset behind it is seen. */
+  hold(): void;
+  /** Ends {@link hold}. */
+  release(): void;
 }
 
 /** Options of an exchange of a request and its response. */
--- a/packages/clients/src/http/watched_socket.ts
+++ b/packages/clients/src/http/watched_socket.ts
@@ -15,6 +15,9 @@
  */
 export class WatchedSocket implements TurnReader {
   private isPaused = false;
+  private isHeld = false;
+  /** undici has closed the connection while it was held. */
+  private isCloseDue = false;
   private hasEnded = false;
   private hasFailed = false;
 
@@ -41,6 +44,7 @@
     const watched = new WatchedSocket(socket, onActive);
     watched.interceptReads();
     watched.interceptErrors();
+    watched.interceptDestroy();
     socket.once('end', () => {
       watched.hasEnded = true;
       onActive(watched);
@@ -79,6 +83,17 @@
     process.nextTick(() => this.readOn());
   }
 
+  /** Keeps the connection when undici closes it. */
+  hold(): void {
+    this.isHeld = true;
+  }
+
+  /** Closes the connection, if undici has. */
+  release(): void {
+    this.isHeld = false;
+    if (this.isCloseDue) this.socket.destroy();
+  }
+
   /** Lets undici read what has arrived. */
   readOn(): void {
     this.socket.emit('readable');
@@ -108,4 +123,15 @@
       this.onActive(this);
     });
   }
+
+  // undici closes a connection right behind the end of its peer.
+  private interceptDestroy(): void {
+    const destroy = this.socket.destroy.bind(this.socket);
+    this.socket.destroy = (error?: Error): Socket => {
+      const isOfSystem = error !== undefined && 'syscall' in error;
+      if (!this.isHeld || isOfSystem) return destroy(error);
+      this.isCloseDue = true;
+      return this.socket;
+    };
+  }
 }
--- a/packages/clients/test/http/early_responses.test.ts
+++ b/packages/clients/test/http/early_responses.test.ts
@@ -14,6 +14,8 @@
 const HALF_BODY = 'half';
 /** More than the buffers of a connection take. */
 const UNSENT_REQUEST_BYTES = 8_000_000;
+/** The buffers of a connection take it, though its server doesn't read it. */
+const UNREAD_REQUEST_BYTES = 1_000_000;
 const RUNS = 10;
 
 /** Starts a server that answers each connection before its request is in. */
@@ -54,9 +56,12 @@
 }
 
 /** Reads a response; 'whole' if it ended as one that is complete. */
-async function readEnd(pool: ConnectionPool): Promise<string> {
+async function readEnd(
+  pool: ConnectionPool,
+  requestBytes = UNSENT_REQUEST_BYTES,
+): Promise<string> {
   try {
-    const {chunks} = await send(pool, UNSENT_REQUEST_BYTES);
+    const {chunks} = await send(pool, requestBytes);
     for await (const chunk of chunks) void chunk;
     return 'whole';
   } catch (error) {
@@ -82,6 +87,52 @@
   }
 }
 
+for (const delayMs of [0, 1, 5]) {
+  // Guards against an end in order that hides the reset behind it: the server has
+  // left bytes of the request unread.
+  test(`an answer without a length that ends in order and is reset ${delayMs} ms later, as its request is unread, is not whole`, async t => {
+    const pool = await startServer(t, socket => {
+      socket.once('data', () => {
+        socket.pause();
+        socket.end(UNFRAMED_HEAD + HALF_BODY, () => {
+          setTimeout(() => socket.resetAndDestroy(), delayMs);
+        });
+      });
+    });
+    for (let run = 0; run < RUNS; run += 1)
+      assert.equal(await readEnd(pool, UNREAD_REQUEST_BYTES), 'cut');
+  });
+}
+
+test('an answer without a length is whole if its server has read the request and closes in order', async t => {
+  let receivedBytes = 0;
+  const pool = await startServer(t, socket => {
+    socket.on('data', bytes => {
+      receivedBytes += bytes.length;
+      if (receivedBytes >= UNREAD_REQUEST_BYTES) {
+        socket.end(UNFRAMED_HEAD + HALF_BODY);
+        receivedBytes = -Infinity;
+      }
+    });
+    socket.on('end', () => socket.destroy());
+  });
+  assert.equal(await readEnd(pool, UNREAD_REQUEST_BYTES), 'whole');
+});
+
+test('a connection is closed soon after a response that it ends', async t => {
+  let closedAfterMs: number | undefined;
+  const pool = await startServer(t, socket => {
+    socket.once('data', () => {
+      const endedMs = performance.now();
+      socket.end(UNFRAMED_HEAD + HALF_BODY);
+      socket.once('close', () => (closedAfterMs = performance.now() - endedMs));
+    });
+  });
+  assert.equal(await readEnd(pool, 0), 'whole');
+  await sleep(50);
+  assert.ok(closedAfterMs !== undefined, 'still open');
+});
+
 test('an answer without a length whose connection ends while its request is unsent is not whole', async t => {
   const pool = await startServer(t, socket => {
     socket.pause();
