Hand on no status that HTTP does not know

What callers saw: an answer with the status 600 or 999, with the server's stamp and body.

Cause: the parser of the client library takes every number of three digits from 100 on, and nothing behind it asked.

Evidence: odd_statuses, through the bundled program, 600, 601 and 999 fail on; 13 other status lines and the statuses at both bounds hold.

Fix: a status above 599 fails the exchange as malformed, where all responses arrive, so that other hosts, the store, engines and services are held to it too.

--- a/packages/clients/src/http/http_exchange.ts
+++ b/packages/clients/src/http/http_exchange.ts
@@ -18,6 +18,8 @@
 
 /** Lower ones come before the response to a request. */
 export const FIRST_FINAL_STATUS = 200;
+/** HTTP knows none above it. */
+const LAST_STATUS = 599;
 const DISCARD_TIMEOUT_MS = 1000;
 
 const FAILURE_BY_END: Readonly<
@@ -105,7 +107,7 @@
     reason?: string,
   ): void {
     if (status < FIRST_FINAL_STATUS || this.isFinished) return;
-    if (isMergedHead(reason, headers)) {
+    if (status > LAST_STATUS || isMergedHead(reason, headers)) {
       this.fail('malformed');
       return;
     }
