--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -1,7 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-  ERROR_DEFINITIONS,
-  isRequestId,
   normalizeError,
   resolvePromise,
   RouterError,
@@ -15,17 +13,12 @@
 import {admitInDrain} from './admit_in_drain.js';
 import {admitRequest, type AdmittedRoute} from './admit.js';
 import {CallerWriter} from './caller_writer.js';
-import {hasLostLinks} from './choose_relay.js';
 import {dispatchRequest} from './dispatch.js';
-import {hashSession} from './hash_session.js';
+import {markRelayFailure} from './mark_relay_failure.js';
 import {OpenExchange} from './open_exchange.js';
+import {logInternalError, recordFinished} from './record_request.js';
+import {RELAY_ROUTING_HEADER} from './relay_headers.js';
 import {endResponse} from './write_response.js';
-import {
-  RELAY_NOT_RUN_HEADER,
-  RELAY_REFUSED_HEADER,
-  RELAY_ROUTING_HEADER,
-  type RelayRefusal,
-} from './relay_headers.js';
 
 /** Time in which hosts usually apply a configuration. */
 const BEHIND_RETRY_MS = 300;
@@ -163,34 +156,6 @@
   return version;
 }
 
-/** Tells the host that relays a request what this one knows of its failure. */
-function markRelayFailure(
-  context: GatewayContext,
-  response: ServerResponse,
-  exchange: OpenExchange | undefined,
-  {code, execution}: RouterError,
-): void {
-  if (response.headersSent) return;
-  if (execution === 'notRun') response.setHeader(RELAY_NOT_RUN_HEADER, '1');
-  const refusal = resolveRelayRefusal(context, exchange, code);
-  if (refusal !== undefined) response.setHeader(RELAY_REFUSED_HEADER, refusal);
-}
-
-function resolveRelayRefusal(
-  context: GatewayContext,
-  exchange: OpenExchange | undefined,
-  code: RouterError['code'],
-): RelayRefusal | undefined {
-  if (code !== 'no_backend' && code !== 'not_ready') return undefined;
-  if (context.drain.isDraining) return 'stopping';
-  if (code === 'not_ready') return 'behind';
-  if (exchange === undefined) return 'unavailable';
-  if (hasLostLinks(context, exchange)) return 'unreached';
-  return exchange.lostBeforeVersion === undefined
-    ? 'unavailable'
-    : 'versionLost';
-}
-
 function respondWithError(
   context: GatewayContext,
   message: IncomingMessage,
@@ -206,82 +171,3 @@
     closesConnection: !message.complete || !response.shouldKeepAlive,
   });
 }
-
-function logInternalError(
-  context: GatewayContext,
-  request: ForwardedRequest,
-  error: unknown,
-): void {
-  context.logger.error('request_fault', {
-    request: request.id,
-    message: error instanceof Error ? error.stack : String(error),
-  });
-}
-
-interface FinishedRequest {
-  readonly request: ForwardedRequest;
-  readonly admitted: AdmittedRoute | undefined;
-  readonly exchange: OpenExchange | undefined;
-  readonly failure: RouterError | undefined;
-  readonly response: ServerResponse;
-  readonly arrivedMs: number;
-}
-
-function recordFinished(
-  context: GatewayContext,
-  finished: FinishedRequest,
-): void {
-  const {request, admitted, exchange, failure, response, arrivedMs} = finished;
-  const totalMs = performance.now() - arrivedMs;
-  const isBroken = exchange?.responseVerdict === 'broken';
-  const outcome =
-    failure?.code ??
-    exchange?.stopped ??
-    (isBroken ? 'stream_broken' : 'answered');
-  const status =
-    failure === undefined
-      ? response.statusCode
-      : ERROR_DEFINITIONS[failure.code].httpStatus;
-  context.metrics.count('requests_total', {outcome});
-  context.metrics.recordMs('request_seconds', {outcome}, totalMs);
-  context.logger.info('request_settled', {
-    request: request.id,
-    sessionHash: hashSession(request.session),
-    requestDigest: exchange?.digest,
-    organisation: admitted?.organisation?.name,
-    route: admitted?.route.name,
-    kind: admitted?.route.kind,
-    routing: context.routing.current?.version,
-    outcome,
-    execution: failure?.execution,
-    status,
-    attempts: exchange?.attempts,
-    relayed: exchange?.admitted.isRelayed || undefined,
-    relayedTo: exchange?.relayedTo,
-    server: exchange?.server,
-    version: exchange?.softwareVersion,
-    model: exchange?.model,
-    confidence: exchange?.confidence,
-    escalations: exchange?.escalations || undefined,
-    escalatedMs: roundMs(exchange?.escalatedMs),
-    expectedFirstMs: roundMs(exchange?.expectedFirstMs),
-    resumptions: exchange?.resumptions || undefined,
-    responseEnd: exchange?.responseVerdict,
-    part: readQuarantinedPart(exchange),
-    firstMs: roundMs(exchange?.firstMs),
-    totalMs: roundMs(totalMs),
-    limitMs: admitted?.route.timeLimitMs,
-    deadlineMs: request.deadlineMs,
-  });
-}
-
-function readQuarantinedPart(
-  exchange: OpenExchange | undefined,
-): string | undefined {
-  const suspectId = exchange?.quarantine?.suspectId;
-  return suspectId && !isRequestId(suspectId) ? suspectId : undefined;
-}
-
-function roundMs(valueMs: number | undefined): number | undefined {
-  return valueMs === undefined ? undefined : Math.round(valueMs);
-}
--- a/packages/gateway/src/stages/send_attempt.ts
+++ b/packages/gateway/src/stages/send_attempt.ts
@@ -6,14 +6,11 @@
 } from '@anvilrudder/clients';
 import {
   classifyResponse,
-  computeUrgency,
   isNeverSent,
   isProvenNotRun,
-  isSameRun,
   MISDIRECTED_STATUS,
   type AttemptEnd,
   type InFlightSend,
-  type RegisteredServer,
 } from '@anvilrudder/core';
 import type {GatewayContext} from '../gateway_context.js';
 import type {ResponseHead} from '../ports.js';
@@ -29,6 +26,7 @@
   recordCut,
   recordSession,
 } from './record_send.js';
+import {openServerStream} from './open_server_stream.js';
 import {beginFirstEventWait} from './schedule.js';
 
 /** Result of one send. */
@@ -38,14 +36,6 @@
   readonly backendResponse: BackendResponse | undefined;
 }
 
-/**
- * Maximum idle time of a reused connection; after a longer time the server may
- * be closing it. Lower for requests that must not run twice.
- */
-const MAX_IDLE_MS = {retryable: 3000, atMostOnce: 800} as const;
-/** No idle connection is used. */
-const NEW_CONNECTION_MS = -1;
-
 /**
  * Sends the request to a backend server and waits for the response head. The
  * outcome is recorded for the server when the response ends, or here if there
@@ -70,7 +60,7 @@
     await waitForTurn(exchange, send);
     attempt.sentMs = performance.now();
     endWait = beginFirstEventWait(context, exchange, target);
-    const stream = await openStream(context, exchange, target, send);
+    const stream = await openServerStream(context, exchange, target, send);
     const result = recordHead(context, exchange, attempt, stream);
     if (result.end === 'answered') endWait('answered');
     return result;
@@ -127,60 +117,6 @@
   return send;
 }
 
-function openStream(
-  context: GatewayContext,
-  exchange: OpenExchange,
-  target: SendTarget,
-  send: InFlightSend,
-): Promise<HttpStream> {
-  const {request, body} = exchange.admitted;
-  const {record, service} = target;
-  const {server} = record;
-  return context.pools.get(server, service.maxConnections).open({
-    method: request.method,
-    path: request.path,
-    headers: context.codec.encodeOutboundRequest(
-      createOutboundRequest(context, exchange, target),
-    ),
-    body,
-    maxIdleMs: chooseMaxIdleMs(exchange),
-    timeoutMs: Math.max(1, exchange.remainingMs),
-    signal: exchange.signal,
-    isServerLeaving: () => isLeaving(context, server),
-    confirmSend: () => {
-      // While connecting, another response may have asked for no requests.
-      // After a pause of the process, timers are handled behind connections.
-      if (exchange.remainingMs <= 0) return false;
-      if (!mayReceive(context, server)) return false;
-      if (!context.servers.confirmSend(send, performance.now())) return false;
-      exchange.mayHaveRun = true;
-      return true;
-    },
-  });
-}
-
-/** Checks right before the first byte what may have changed since the choice. */
-function mayReceive(
-  {servers, evacuations}: GatewayContext,
-  server: RegisteredServer,
-): boolean {
-  if (evacuations?.maySend() === false || servers.isEvacuated(server)) {
-    evacuations?.recordPrevented('send');
-    return false;
-  }
-  return servers.mayReceive(server, performance.now());
-}
-
-/** True if a server leaves, is gone, or another run has replaced it. */
-function isLeaving(
-  {servers}: GatewayContext,
-  server: RegisteredServer,
-): boolean {
-  const record = servers.find(server.id);
-  if (record === undefined || !isSameRun(record.server, server)) return true;
-  return record.availability.isLeaving;
-}
-
 /** Records what the head of a response says of the send and its server. */
 function recordHead(
   context: GatewayContext,
@@ -250,13 +186,6 @@
   if (isRefused) slowStarts.recordUnreached(server);
 }
 
-// Nothing in an answer to a request without an id shows that it is its answer,
-// so no other request may have used the connection.
-function chooseMaxIdleMs({admitted, isRetryable}: OpenExchange): number {
-  if (!admitted.request.id) return NEW_CONNECTION_MS;
-  return isRetryable ? MAX_IDLE_MS.retryable : MAX_IDLE_MS.atMostOnce;
-}
-
 /** Waits until the limit of the server allows the request. */
 async function waitForTurn(
   {signal}: OpenExchange,
@@ -289,28 +218,6 @@
   context.prefillEstimator.observeForecast(target.forecastMs, elapsedMs);
 }
 
-function createOutboundRequest(
-  {settings}: GatewayContext,
-  exchange: OpenExchange,
-  target: SendTarget,
-) {
-  const {request, organisation, route} = exchange.admitted;
-  const urgency = computeUrgency(settings.scheduling.urgency, {
-    isResumed: exchange.resumptions > 0,
-    priority: organisation?.priority ?? route.priority,
-    workMs: target.workMs,
-  });
-  return {
-    request,
-    serverId: target.record.server.id,
-    remainingMs: Math.max(1, Math.floor(exchange.remainingMs)),
-    organisation: organisation?.name,
-    model: target.model,
-    urgency: request.generation && urgency,
-    lastEventId: exchange.progress.lastEventId,
-  };
-}
-
 function classifyHead(
   requestId: string | undefined,
   status: number,
