Reject a request at once if its own body can't be read

Cause: the handler of parser errors asked only whether a response was due, and it is due to the request that the bytes belong to as well.

Fix: it asks whether the last request is complete; with no other response due the error is written as before. A connection counts as unreadable only once it was ended for that, so that a draining host rejects such a request at once too.

--- a/packages/core/src/forwarding/responses/classify_response.ts
+++ b/packages/core/src/forwarding/responses/classify_response.ts
@@ -6,7 +6,7 @@
   readonly status: number;
   /** It names the request that was sent. */
   readonly isForRequest: boolean;
-  /** It states that the request was not run, which no status does by itself. */
+  /** It states that the request was not run. */
   readonly isNotRun: boolean;
   /** It asks for no more requests for some time. */
   readonly asksForPause: boolean;
--- a/packages/gateway/src/server/caller_connections.ts
+++ b/packages/gateway/src/server/caller_connections.ts
@@ -6,8 +6,12 @@
 /** Requests and responses of a connection. */
 interface ConnectionState {
   pendingCount: number;
+  /** The request that was opened last. */
+  lastMessage: IncomingMessage | undefined;
   /** The connection ends behind the pending responses. */
   isClosing: boolean;
+  /** What arrives on it can't be read as requests any more. */
+  isUnreadable: boolean;
   /** Bytes that had been received when the last response was sent. */
   answeredBytes: number;
   /** Time since which no request has been complete. */
@@ -62,19 +66,22 @@
    *     that the request must not be processed.
    */
   open(
-    {socket}: IncomingMessage,
+    message: IncomingMessage,
     response: ServerResponse,
     isLast: () => boolean,
   ): boolean {
+    const {socket} = message;
     const state = this.states.get(socket);
     if (state === undefined || !socket.writable || state.isClosing)
       return false;
     state.isClosing = isLast();
     state.pendingCount += 1;
+    state.lastMessage = message;
     state.hold?.become('running');
     response.once('finish', () => {
       state.pendingCount -= 1;
       if (state.pendingCount > 0) return;
+      state.lastMessage = undefined;
       state.answeredBytes = socket.bytesRead;
       state.idleSinceMs = performance.now();
       state.hold?.become('idle', () => socket.destroy());
@@ -83,21 +90,25 @@
     return true;
   }
 
-  /** True if a connection ends behind the responses that are due on it. */
-  isEnding(socket: Socket): boolean {
-    return this.states.get(socket)?.isClosing ?? false;
+  /** True once {@link endBehindResponses} has ended a connection. */
+  isUnreadable(socket: Socket): boolean {
+    return this.states.get(socket)?.isUnreadable ?? false;
   }
 
   /**
-   * Ends a connection behind the responses that are due on it, and processes no
-   * more of its requests.
+   * Ends a connection whose bytes can't be read on behind the responses to the
+   * requests before them, and processes no more of its requests.
    *
-   * @returns false if no response is due.
+   * @returns false if no response is due, but to the request that they belong to.
    */
   endBehindResponses(socket: Socket): boolean {
     const state = this.states.get(socket);
-    if (state === undefined || state.pendingCount === 0) return false;
+    if (state === undefined) return false;
+    const {pendingCount, lastMessage} = state;
+    const isInBody = lastMessage?.complete === false;
+    if (pendingCount === (isInBody ? 1 : 0)) return false;
     state.isClosing = true;
+    state.isUnreadable = true;
     return true;
   }
 
@@ -136,7 +147,9 @@
     const hold = resources?.memory.open('idle', () => socket.destroy());
     this.states.set(socket, {
       pendingCount: 0,
+      lastMessage: undefined,
       isClosing: false,
+      isUnreadable: false,
       answeredBytes: 0,
       idleSinceMs: nowMs,
       takenBytes: 0,
--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -70,7 +70,7 @@
     sender === 'caller' ? context.resources : undefined,
   );
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-    if (connections.isEnding(socket)) return;
+    if (connections.isUnreadable(socket)) return;
     context.metrics.count('malformed_requests_total');
     context.logger.info('caller_input_refused', {code: error.code});
     // An error response would be taken for that to an earlier request.
