Leave a running request of the entry its answer too

What callers saw: a caller of the entry that pipelines got 400 for bytes that are no HTTP as the answer to the request that was running, or in the middle of its stream.

Cause: as in the gateway, the handler of parser errors did not ask whether a response to an earlier request was due on the connection.

Evidence: the new test in bad_input fails before (400 in place of 200).

--- a/packages/entry/src/server/caller_server.ts
+++ b/packages/entry/src/server/caller_server.ts
@@ -12,6 +12,7 @@
 import {createServer, resolveCallerTls, type TlsSource} from '../tls/index.js';
 import {createResponseWriter, type ResponseWriter} from './response_writer.js';
 import {findRoute, hasBody} from './caller_routes.js';
+import {OpenResponses} from './open_responses.js';
 import {readBody} from './request_body.js';
 
 const MAX_HEADER_BYTES = 16_384;
@@ -41,6 +42,7 @@
   context: EntryContext,
   tls?: TlsSource,
 ): Server {
+  const openResponses = OpenResponses.create();
   const server = createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -50,11 +52,17 @@
       insecureHTTPParser: false,
     },
     (request, response) => {
-      void serveRequest(context, request, response);
+      if (openResponses.open(request, response))
+        void serveRequest(context, request, response);
     },
     tls && {source: tls, resolve: resolveCallerTls},
   );
-  server.on('clientError', rejectMalformedRequest);
+  server.on('clientError', (_error, socket) => {
+    // An error response would be taken for that to an earlier request.
+    if (openResponses.isUnreadable(socket)) return;
+    if (openResponses.endBehindResponses(socket)) return;
+    rejectMalformedRequest(socket);
+  });
   return server;
 }
 
@@ -150,7 +158,7 @@
   writer.writeError(error);
 }
 
-function rejectMalformedRequest(error: Error, socket: Duplex): void {
+function rejectMalformedRequest(socket: Duplex): void {
   if (!socket.writable) return;
   const body = JSON.stringify(
     createErrorBody(
--- a/packages/entry/test/server/bad_input.test.ts
+++ b/packages/entry/test/server/bad_input.test.ts
@@ -172,3 +172,27 @@
     assert.equal((await generate(entry.callerAddress)).isComplete, true);
   });
 }
+
+// Guards against an error for later bytes of a connection that is taken for the
+// answer to the request that is running on it.
+test('bytes that are not HTTP leave the request before them its answer', async () => {
+  const [entry] = deployment.entries;
+  const request = createPost(VALID_BODY).replace('Connection: close\r\n', '');
+  const answer = await sendRawRequest(
+    entry.callerAddress,
+    `${request}nonsense\r\n\r\n`,
+  );
+  assert.match(answer, /^HTTP\/1\.1 200 /);
+  assert.match(answer, /event: done/);
+  assert.equal(answer.match(/HTTP\/1\.1 /g)?.length, 1, answer);
+});
+
+test('a request whose own body cannot be read is rejected at once', async () => {
+  const [entry] = deployment.entries;
+  const answer = await sendRawRequest(
+    entry.callerAddress,
+    `POST /v1/generate HTTP/1.1\r\nHost: e\r\n${AUTHORIZATION_HEADER}\r\n` +
+      'Transfer-Encoding: chunked\r\n\r\nno size\r\nx\r\n',
+  );
+  assert.match(answer, /^HTTP\/1\.1 400 /);
+});
