--- a/packages/gateway/src/control/rollouts/rollout_controller.ts
+++ b/packages/gateway/src/control/rollouts/rollout_controller.ts
@@ -1,6 +1,5 @@
 import {
   SessionVersions,
-  type AttemptEnd,
   type RolloutBounds,
   type RolloutOrder,
   type RolloutPhase,
@@ -9,21 +8,21 @@
 } from '@anvilrudder/core';
 import type {Logger} from '@anvilrudder/observability';
 import {
-  chooseRolloutSide,
   createActiveRollout,
   findDueState,
   holdSession,
   isFinalState,
-  mustKeepOldVersion,
   resolveFinalState,
   sideOf,
   type ActiveRollout,
 } from './active_rollout.js';
+import {recordAnswer} from './record_answer.js';
 import type {RolloutAnnouncement} from './rollout_announcement.js';
 import {RolloutAnnouncer, type SendAnnouncement} from './rollout_announcer.js';
 import {RolloutReporter} from './rollout_reporter.js';
 import type {RolloutStateWriter} from './rollout_state_writer.js';
 import {RolloutWriteTiming} from './rollout_write_timing.js';
+import {haveSameVersion, selectVersion} from './select_version.js';
 import type {
   SelectionLimits,
   VersionSelector,
@@ -45,18 +44,6 @@
   readonly announce: SendAnnouncement;
 }
 
-/**
- * Whether an attempt end counts as a failure of the version. Ends that are
- * missing here are caused by load or the network.
- */
-const IS_VERSION_FAILURE: Readonly<Partial<Record<AttemptEnd, boolean>>> = {
-  answered: false,
-  failed: true,
-  unprovenRejection: true,
-  lost: true,
-  garbled: true,
-};
-
 const NO_LIMITS: SelectionLimits = {mayReceive: () => true, isPart: false};
 
 /**
@@ -158,40 +145,16 @@
     service: string,
     records: readonly ServerRecord[],
     key: VersionKey,
-    {mayReceive, isPart}: SelectionLimits = NO_LIMITS,
-  ): VersionSelection {
-    const selection = this.selectAmongAll(service, records, key, isPart);
-    const {basis} = selection;
-    const open = selection.records.filter(mayReceive);
-    if (open.length === selection.records.length) return selection;
-    if (open.length > 0) return {...selection, records: open};
-    const others = records.filter(mayReceive);
-    if (others.length === 0) return {records: [], basis};
-    const rollout = this.rollouts.get(service);
-    if (rollout !== undefined && mustKeepEvacuated(rollout, key, others))
-      return {records: [], basis: 'evacuated'};
-    return {records: others, basis: 'noServerLeft'};
-  }
-
-  private selectAmongAll(
-    service: string,
-    records: readonly ServerRecord[],
-    key: VersionKey,
-    isPart: boolean,
+    limits: SelectionLimits = NO_LIMITS,
   ): VersionSelection {
     const rollout = this.rollouts.get(service);
-    if (haveSameVersion(records)) {
-      if (rollout === undefined && !isPart) this.recordStable(service, records);
-      if (rollout === undefined || !isOfNewVersion(rollout, records))
-        return {records, basis: undefined};
-    }
-    const selection = this.selectVersion(service, records, key);
-    if (selection.records.length > 0) return selection;
-    if (rollout !== undefined && mustKeepOldVersion(rollout, key)) {
-      const {target} = rollout.plan.order;
-      return {records: [], basis: 'oldVersionLost', lostBefore: target};
-    }
-    return {records, basis: 'noServerLeft'};
+    if (rollout === undefined && !limits.isPart)
+      this.recordStable(service, records);
+    const versions = {
+      rollout,
+      stableVersion: this.stableVersions.get(service),
+    };
+    return selectVersion(versions, records, key, limits.mayReceive);
   }
 
   recordSession(use: SessionUse): void {
@@ -201,21 +164,8 @@
   }
 
   recordOutcome(outcome: VersionOutcome): void {
-    const {version, route, service, end} = outcome;
-    const rollout = this.rollouts.get(service);
-    if (rollout === undefined) return;
-    const side = sideOf(rollout, version);
-    // After sampling, full load and cold caches slow down the new version.
-    const isSampling = rollout.lastPhase === 'sampling';
-    const slowness = isSampling ? outcome.slowness : undefined;
-    const isSlow = isSampling ? outcome.isSlow : undefined;
-    if (end === undefined) {
-      if (isSlow) rollout.evidence.recordUnfinishedSlow(route, side);
-      return;
-    }
-    const hasFailed = IS_VERSION_FAILURE[end];
-    if (hasFailed === undefined) return;
-    rollout.evidence.record({route, side, hasFailed, slowness, isSlow});
+    const rollout = this.rollouts.get(outcome.service);
+    if (rollout !== undefined) recordAnswer(rollout, outcome);
   }
 
   isUnproven(service: string, version: string): boolean {
@@ -250,7 +200,7 @@
     service: string,
     records: readonly ServerRecord[],
   ): void {
-    if (records.length === 0) return;
+    if (records.length === 0 || !haveSameVersion(records)) return;
     this.stableVersions.set(service, records[0].server.softwareVersion);
   }
 
@@ -315,26 +265,6 @@
       rollout.progressAfterMs = this.timing.computeTakeoverMs(order, nowMs);
   }
 
-  private selectVersion(
-    service: string,
-    records: readonly ServerRecord[],
-    key: VersionKey,
-  ): VersionSelection {
-    const rollout = this.rollouts.get(service);
-    if (rollout === undefined) {
-      const stableVersion = this.stableVersions.get(service);
-      const stable = records.filter(
-        ({server}) => server.softwareVersion === stableVersion,
-      );
-      return {records: stable, basis: 'stable'};
-    }
-    const {side, basis} = chooseRolloutSide(rollout, key, performance.now());
-    const ofSide = records.filter(
-      ({server}) => sideOf(rollout, server.softwareVersion) === side,
-    );
-    return {records: ofSide, basis};
-  }
-
   private logPhase(rollout: ActiveRollout, phase: RolloutPhase): void {
     const {service, target} = rollout.plan.order;
     rollout.lastPhase = phase;
@@ -350,29 +280,3 @@
     });
   }
 }
-
-/**
- * True if a request must not move to the servers of another version because
- * those of its own are evacuated.
- */
-function mustKeepEvacuated(
-  rollout: ActiveRollout,
-  key: VersionKey,
-  others: readonly ServerRecord[],
-): boolean {
-  if (key.session !== undefined && rollout.plan.holdsSessions) return true;
-  return isOfNewVersion(rollout, others) && mustKeepOldVersion(rollout, key);
-}
-
-function haveSameVersion(records: readonly ServerRecord[]): boolean {
-  const first = records[0]?.server.softwareVersion;
-  return records.every(({server}) => server.softwareVersion === first);
-}
-
-function isOfNewVersion(
-  rollout: ActiveRollout,
-  records: readonly ServerRecord[],
-): boolean {
-  const version = records[0]?.server.softwareVersion;
-  return version !== undefined && sideOf(rollout, version) === 'new';
-}
--- a/packages/gateway/src/stages/relay_through_host.ts
+++ b/packages/gateway/src/stages/relay_through_host.ts
@@ -69,6 +69,7 @@
     if (choice.kind === 'unreached') return 'refused';
     if (choice.kind === 'none') break;
     const host = choice.address;
+    const {mayHaveRun} = exchange;
     const stream = await askHost(context, exchange, host);
     if (stream === undefined) {
       hostRelay.leaveOut(host);
@@ -81,12 +82,12 @@
       hostRelay.recordHostSent(needed, host);
       context.metrics.count('relayed_requests_total');
       if (stream.headers[RELAY_NOT_RUN_HEADER] !== undefined)
-        exchange.mayHaveRun = false;
+        exchange.mayHaveRun = mayHaveRun;
       await relayResponse(context, exchange, stream, host);
       return 'answered';
     }
     stream.discard();
-    exchange.mayHaveRun = false;
+    exchange.mayHaveRun = mayHaveRun;
     const hostRefusal = {needed, host, refusal: String(refusal)};
     const failure = FAILURE_BY_REFUSAL.get(hostRefusal.refusal);
     search.recordFailure(host, failure ?? 'unavailable');
--- a/packages/gateway/src/stages/response_headers.ts
+++ b/packages/gateway/src/stages/response_headers.ts
@@ -2,8 +2,8 @@
 import {RELAY_NOT_RUN_HEADER, RELAY_REFUSED_HEADER} from './relay_headers.js';
 
 /**
- * Hop-by-hop headers; they apply to a single connection. Those of hosts are the
- * word of the host that writes the response, not that of a server behind it.
+ * Hop-by-hop headers; they apply to a single connection. Those that hosts use between
+ * them are set by the host that writes the response, never by a server behind it.
  */
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
   'connection',
