Name the checks of "not run" so that they do not read like those of a Promise

`resolvePromise` and `checkPromise` were about what a status tells a caller; in this language they read like work on promises. They are `withholdUnprovenClaim` and `checkStatusClaim` now.

--- a/packages/core/src/forwarding/responses/classify_response.ts
+++ b/packages/core/src/forwarding/responses/classify_response.ts
@@ -1,5 +1,5 @@
 import type {AttemptEnd} from './attempt_outcome.js';
-import {promisesNotRun} from './not_run_promise.js';
+import {claimsNotRun} from './not_run_claim.js';
 
 /** What the head of a response says about the send that it answers. */
 export interface ResponseClaims {
@@ -35,7 +35,7 @@
   if (!claims.isForRequest) return 'garbled';
   if (status === MISDIRECTED_STATUS) return 'replaced';
   if (isNotRun) return asksForPause ? 'paused' : 'rejected';
-  if (promisesNotRun(status)) return 'unprovenRejection';
+  if (claimsNotRun(status)) return 'unprovenRejection';
   if (status >= FIRST_SERVER_ERROR_STATUS) return 'failed';
   const isSuccess =
     status >= FIRST_SUCCESS_STATUS && status < FIRST_REDIRECT_STATUS;
--- a/packages/core/src/forwarding/responses/not_run_promise.ts
+++ b/packages/core/src/forwarding/responses/not_run_claim.ts
@@ -9,10 +9,10 @@
  *
  * @example
  * ```ts
- * promisesNotRun(503); // true
+ * claimsNotRun(503); // true
  * ```
  */
-export function promisesNotRun(status: number): boolean {
+export function claimsNotRun(status: number): boolean {
   return NOT_RUN_STATUSES.has(status);
 }
 
@@ -27,28 +27,28 @@
  * Checks the status of a response before it goes to a caller.
  *
  * @param mayHaveRun a server may have run the request, or may still run it.
- * @throws RouterError `outcome_unknown` if the status promises more than is proven.
+ * @throws RouterError `outcome_unknown` if the status claims more than is proven.
  * @example
  * ```ts
- * checkPromise(503, true); // throws
- * checkPromise(500, true);
+ * checkStatusClaim(503, true); // throws
+ * checkStatusClaim(500, true);
  * ```
  */
-export function checkPromise(status: number, mayHaveRun: boolean): void {
-  if (mayHaveRun && promisesNotRun(status)) throw createUnknownOutcome();
+export function checkStatusClaim(status: number, mayHaveRun: boolean): void {
+  if (mayHaveRun && claimsNotRun(status)) throw createUnknownOutcome();
 }
 
 /**
- * Returns the error that may go to a caller: one that says that its request has not
- * run is replaced if that is not proven.
+ * Returns the error that may go to a caller: one that claims that its request has not
+ * run is replaced by one that claims nothing, if that is not proven.
  *
  * @param mayHaveRun a server may have run the request, or may still run it.
  * @example
  * ```ts
- * resolvePromise(overloaded, true).code; // 'outcome_unknown'
+ * withholdUnprovenClaim(overloaded, true).code; // 'outcome_unknown'
  * ```
  */
-export function resolvePromise(
+export function withholdUnprovenClaim(
   error: RouterError,
   mayHaveRun: boolean,
 ): RouterError {
--- a/packages/core/test/forwarding/not_run_promise.test.ts
+++ b/packages/core/test/forwarding/not_run_claim.test.ts
@@ -2,13 +2,13 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {
-  checkPromise,
+  checkStatusClaim,
   classifyResponse,
   ERROR_DEFINITIONS,
   isProvenNotRun,
   isRouterError,
-  promisesNotRun,
-  resolvePromise,
+  claimsNotRun,
+  withholdUnprovenClaim,
   RouterError,
   type AttemptEnd,
   type ErrorCode,
@@ -87,7 +87,7 @@
     fc.property(STATUS, fc.boolean(), (status, mayHaveRun) => {
       let code: ErrorCode | undefined;
       try {
-        checkPromise(status, mayHaveRun);
+        checkStatusClaim(status, mayHaveRun);
       } catch (error) {
         code = isRouterError(error) ? error.code : 'internal';
       }
@@ -101,17 +101,17 @@
 for (const code of ERROR_CODES) {
   const error = RouterError.create('It did not run.', {code});
   test(`the error ${code} goes to a caller unless it promises more than is proven`, () => {
-    assert.equal(resolvePromise(error, false), error);
-    const resolved = resolvePromise(error, true);
+    assert.equal(withholdUnprovenClaim(error, false), error);
+    const resolved = withholdUnprovenClaim(error, true);
     assert.notEqual(resolved.execution, 'notRun');
     const {httpStatus} = ERROR_DEFINITIONS[resolved.code];
-    assert.equal(promisesNotRun(httpStatus), false);
+    assert.equal(claimsNotRun(httpStatus), false);
   });
 }
 
 test('every error whose status promises that a request has not run says so in its body', () => {
   for (const code of ERROR_CODES) {
     const {httpStatus, execution} = ERROR_DEFINITIONS[code];
-    if (promisesNotRun(httpStatus)) assert.equal(execution, 'notRun', code);
+    if (claimsNotRun(httpStatus)) assert.equal(execution, 'notRun', code);
   }
 });
--- a/packages/gateway/src/stages/forward.ts
+++ b/packages/gateway/src/stages/forward.ts
@@ -1,8 +1,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   normalizeError,
-  resolvePromise,
   RouterError,
+  withholdUnprovenClaim,
   type CallerLimits,
   type MemoryHold,
 } from '@anvilrudder/core';
@@ -89,7 +89,7 @@
     admitInDrain(context, exchange);
     await dispatchRequest(context, exchange);
   } catch (error) {
-    failure = resolvePromise(
+    failure = withholdUnprovenClaim(
       normalizeError(error),
       exchange?.mayHaveRun ?? false,
     );
--- a/packages/gateway/src/stages/write_response.ts
+++ b/packages/gateway/src/stages/write_response.ts
@@ -3,7 +3,7 @@
 import type {Socket} from 'node:net';
 import {canHaveBody, type HttpStream} from '@anvilrudder/clients';
 import {
-  checkPromise,
+  checkStatusClaim,
   chooseCallerEnd,
   isEventStream,
   type CallerEnd,
@@ -55,7 +55,7 @@
   status: number,
   headers: OutgoingHttpHeaders,
 ): void {
-  checkPromise(status, mayHaveRun);
+  checkStatusClaim(status, mayHaveRun);
   admitted.response.writeHead(status, headers);
 }
 
