--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -1,6 +1,6 @@
 /**
  * A stand-in for the platform's store: objects by kind and name, lists in pages,
- * watches and conditional writes. It is sound unless a fault is set.
+ * watches and conditional writes. It is always sound.
  */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
@@ -36,10 +36,6 @@
     this.#handle(message, response).catch(() => response.destroy());
   });
 
-  /** Called for each call; may answer it by itself and return true. */
-  intercept = () => false;
-  calls = [];
-
   static async start() {
     const store = new Store();
     store.#server.keepAliveTimeout = 60_000;
@@ -102,8 +98,6 @@
     const name = encodedName && decodeURIComponent(encodedName);
     const {method} = message;
     const call = {method, kind, name, suffix, query: url.searchParams, text};
-    this.calls.push(`${method} ${url.pathname}`);
-    if (this.intercept(call, message, response)) return;
     if (method === 'GET') {
       await this.#read(call, response);
       return;
